--- /dev/null
+++ b/Makefile
@@ -0,0 +1,108 @@
+# Builds the daemon, the operators' tool, the stand-ins and the tests.
+# SANITIZE=1 builds everything with ASan and UBSan in a folder of its own.
+
+CC = gcc
+CXX = g++
+PACKAGES = talloc tevent libzmq popt log4c libmicrohttpd jansson libcurl \
+  libpq sqlite3 libsodium msgpack
+CFLAGS_BASE = -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Wshadow -Wstrict-prototypes \
+  -Wmissing-prototypes -Wpointer-arith -Werror -I. \
+  $(shell pkg-config --cflags $(PACKAGES) | sed "s|-isystem |-isystem|g")
+CXXFLAGS_BASE = -std=c++17 -O1 -g -Wall -Wextra -Werror -I.
+LIBS = $(shell pkg-config --libs $(PACKAGES)) -lstdc++ -lm
+BUILD = build/release
+
+ifeq ($(SANITIZE),1)
+BUILD = build/sanitize
+SANFLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer \
+  -fno-sanitize-recover=undefined
+CFLAGS_BASE += $(SANFLAGS)
+CXXFLAGS_BASE += $(SANFLAGS)
+LIBS += $(SANFLAGS)
+endif
+
+LIB_SRC = $(wildcard common/*.c core/*.c net/*.c proto/*.c)
+LIB_CXX = $(wildcard common/*.cc)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
+LIB = $(BUILD)/libazurewind.a
+
+# A program is a folder of sources (daemon, cli) or a set of files that
+# share a prefix (standins, tools).
+PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind \
+  $(BUILD)/standin-platform $(BUILD)/standin-postgres \
+  $(BUILD)/azurewind-load
+TEST_SRC = $(wildcard tests/*.c)
+TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
+TEST = $(BUILD)/azurewind-tests
+
+all: programs
+
+programs: $(PROGRAMS)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_BASE) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CXXFLAGS_BASE) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+link = $(CC) $(LDFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/azurewindd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c)) $(LIB)
+	$(link)
+
+$(BUILD)/azurewind: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cli/*.c)) $(LIB)
+	$(link)
+
+$(BUILD)/standin-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/platform*.c)) $(LIB)
+	$(link)
+
+$(BUILD)/standin-postgres: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/postgres*.c)) $(LIB)
+	$(link)
+
+$(BUILD)/azurewind-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load*.c)) $(LIB)
+	$(link)
+
+# Daemon objects without main, so that tests reach them.
+TEST_DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out daemon/main.c,$(wildcard daemon/*.c)))
+
+$(TEST): $(TEST_OBJ) $(TEST_DAEMON_OBJ) $(LIB)
+	$(link) -lcunit
+
+deps:
+	tools/install-deps
+
+test: programs $(TEST)
+	AZUREWIND_BUILD=$(BUILD) $(TEST)
+
+check: deps
+	$(MAKE) -j4 programs
+	$(MAKE) -j4 test
+
+FORMATTED := $(wildcard common/*.[ch] core/*.[ch] net/*.[ch] proto/*.[ch] \
+  daemon/*.[ch] cli/*.[ch] standins/*.[ch] tools/*.[ch] tests/*.[ch] \
+  common/*.cc)
+LINTED = $(filter-out tests/%,$(filter %.c,$(FORMATTED)))
+
+format:
+	clang-format -i $(FORMATTED)
+
+CPPCHECK = cppcheck --std=c11 -I. --enable=warning,performance,portability \
+  --inline-suppr --suppress=missingIncludeSystem --suppress=unknownMacro \
+  --error-exitcode=1 --quiet
+
+lint:
+	clang-format --dry-run -Werror $(FORMATTED)
+	$(CPPCHECK) $(filter %.c,$(FORMATTED))
+	for f in $(LINTED); do echo $$f; done | xargs -P 8 -I{} tools/tidy {} $(filter -D% -I% -std=% -isystem%,$(CFLAGS_BASE))
+
+clean:
+	rm -rf build
+
+.PHONY: all programs deps test check format lint clean
+-include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/common/bstr.h
@@ -0,0 +1,71 @@
+/** @file
+ * Length-counted strings.  A bstr never owns its bytes; a talloc parent
+ * does.
+ */
+#ifndef COMMON_BSTR_H
+#define COMMON_BSTR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+#include <talloc.h>
+
+struct bstr
+{
+  const char *start;
+  size_t len;
+};
+
+/** Expand to the two arguments that "%.*s" takes. */
+#define BSTR_ARG(s) (int)(s).len, (s).start
+
+static inline struct bstr
+bstr_from (const char *text)
+{
+  return (struct bstr){ text, text != NULL ? strlen (text) : 0 };
+}
+
+static inline bool
+bstr_equals (struct bstr a, struct bstr b)
+{
+  return a.len == b.len
+         && (a.len == 0 || memcmp (a.start, b.start, a.len) == 0);
+}
+
+static inline bool
+bstr_equals_text (struct bstr a, const char *text)
+{
+  return bstr_equals (a, bstr_from (text));
+}
+
+static inline bool
+bstr_starts_with (struct bstr s, const char *prefix)
+{
+  size_t n = strlen (prefix);
+  return s.len >= n && memcmp (s.start, prefix, n) == 0;
+}
+
+/** Drop the first @p count bytes, or all of them if there are fewer. */
+static inline struct bstr
+bstr_skip (struct bstr s, size_t count)
+{
+  if (count > s.len)
+    count = s.len;
+  return (struct bstr){ s.start + count, s.len - count };
+}
+
+/** Copy @p s, with a terminating NUL, into memory owned by @p parent. */
+static inline char *
+bstr_to_text (void *parent, struct bstr s)
+{
+  return talloc_strndup (parent, s.start != NULL ? s.start : "", s.len);
+}
+
+/** Copy @p s into memory owned by @p parent. */
+static inline struct bstr
+bstr_copy (void *parent, struct bstr s)
+{
+  return (struct bstr){ bstr_to_text (parent, s), s.len };
+}
+
+#endif
--- /dev/null
+++ b/common/log.c
@@ -0,0 +1,85 @@
+#include "common/log.h"
+
+#include <log4c.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+static log4c_category_t *category;
+
+/* log4c calls this for each event; the buffer lives in the event. */
+static const char *
+format_line (const log4c_layout_t *layout, const log4c_logging_event_t *event)
+{
+  (void)layout;
+  static char line[1200];
+  struct tm tm;
+  time_t seconds = event->evt_timestamp.tv_sec;
+  char stamp[32];
+  gmtime_r (&seconds, &tm);
+  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &tm);
+  snprintf (line, sizeof line, "%s.%03ldZ %-5s %s\n", stamp,
+            (long)event->evt_timestamp.tv_usec / 1000,
+            log4c_priority_to_string (event->evt_priority), event->evt_msg);
+  return line;
+}
+
+static const log4c_layout_type_t line_layout
+    = { .name = "azurewind-line", .format = format_line };
+
+bool
+log_open (const char *level, struct error *err)
+{
+  int priority = log4c_priority_to_int (level);
+  if (priority == LOG4C_PRIORITY_UNKNOWN)
+    return error_set (err, ERROR_INVALID, "log level \"%s\" is unknown",
+                      level);
+  if (log4c_init () != 0)
+    return error_set (err, ERROR_INTERNAL, "log4c does not start");
+  log4c_layout_type_set (&line_layout);
+  log4c_layout_t *layout = log4c_layout_get ("azurewind");
+  log4c_layout_set_type (layout, &line_layout);
+  log4c_appender_t *appender = log4c_appender_get ("stderr");
+  log4c_appender_set_layout (appender, layout);
+  category = log4c_category_get ("azurewind");
+  log4c_category_set_appender (category, appender);
+  log4c_category_set_priority (category, priority);
+  log4c_category_set_additivity (category, 0);
+  return true;
+}
+
+void
+log_close (void)
+{
+  category = NULL;
+  log4c_fini ();
+}
+
+static void write_line (int priority, const char *part, const char *format,
+                        va_list args) __attribute__ ((format (printf, 3, 0)));
+
+static void
+write_line (int priority, const char *part, const char *format, va_list args)
+{
+  if (category == NULL
+      || !log4c_category_is_priority_enabled (category, priority))
+    return;
+  char text[1024];
+  vsnprintf (text, sizeof text, format, args);
+  log4c_category_log (category, priority, "%s: %s", part, text);
+}
+
+#define DEFINE_LEVEL(name, priority)                                          \
+  void name (const char *part, const char *format, ...)                       \
+  {                                                                           \
+    va_list args;                                                             \
+    va_start (args, format);                                                  \
+    write_line (priority, part, format, args);                                \
+    va_end (args);                                                            \
+  }
+
+DEFINE_LEVEL (log_error, LOG4C_PRIORITY_ERROR)
+DEFINE_LEVEL (log_warn, LOG4C_PRIORITY_WARN)
+DEFINE_LEVEL (log_info, LOG4C_PRIORITY_INFO)
+DEFINE_LEVEL (log_debug, LOG4C_PRIORITY_DEBUG)
--- /dev/null
+++ b/common/stats.h
@@ -0,0 +1,44 @@
+/** @file
+ * Counters and latency histograms, kept per organisation and class.
+ */
+#ifndef COMMON_STATS_H
+#define COMMON_STATS_H
+
+#include "common/bstr.h"
+
+#include <stdint.h>
+
+/** 16 linear steps per power of two, up to 2^40 us: 6% relative error. */
+#define HISTOGRAM_BUCKETS 592
+
+struct histogram
+{
+  uint64_t count;
+  uint64_t sum;
+  uint64_t max;
+  uint32_t bucket[HISTOGRAM_BUCKETS];
+};
+
+void histogram_add (struct histogram *h, uint64_t value);
+
+/** @param quantile between 0 and 1.
+ * @return the upper bound of the bucket that holds it, 0 if empty. */
+uint64_t histogram_quantile (const struct histogram *h, double quantile);
+
+/** A set of named counters and histograms with one label set each. */
+struct stats;
+
+struct stats *stats_create (void *parent);
+
+/** @param labels Prometheus labels without braces, for example
+ * `organisation="a",class="write"`; "" for none.
+ * @return a counter that lives as long as @p stats. */
+uint64_t *stats_counter (struct stats *stats, const char *name,
+                         const char *labels);
+struct histogram *stats_histogram (struct stats *stats, const char *name,
+                                   const char *labels);
+
+/** Render all values as Prometheus text; memory is owned by @p parent. */
+struct bstr stats_render (struct stats *stats, void *parent);
+
+#endif
--- /dev/null
+++ b/core/failover.h
@@ -0,0 +1,123 @@
+/** @file
+ * Detects a failed primary and replaces it: detect, agree, fence, wait,
+ * choose, promote, open.  docs/design.md, section 3.2.
+ *
+ * The host performs each action that failover_next returns and reports the
+ * result with the matching event function.
+ */
+#ifndef CORE_FAILOVER_H
+#define CORE_FAILOVER_H
+
+#include "core/types.h"
+
+struct failover;
+
+enum failover_phase
+{
+  FAILOVER_STABLE,
+  FAILOVER_AGREEING,
+  FAILOVER_FENCING,
+  FAILOVER_WAITING,
+  FAILOVER_CHOOSING,
+  FAILOVER_PROMOTING,
+  FAILOVER_OPENING
+};
+
+/** The group's object on the platform. */
+struct group_record
+{
+  uint64_t version; /**< Of the object. */
+  uint64_t term;
+  int primary;   /**< Endpoint that leads @c term when stable. */
+  int candidate; /**< Endpoint chosen to lead, INDEX_NONE before. */
+  enum failover_phase phase;
+  uint64_t driver; /**< Member that drives the change. */
+  uint64_t op;     /**< Unique per update; recognises a lost answer. */
+  uint64_t branch_start;
+};
+
+struct failover_options
+{
+  int endpoint_count;
+  int confirm_replicas;
+  uint64_t self; /**< This member's id. */
+  int64_t lease_us;
+  int64_t suspect_us;
+  int64_t unreachable_us;
+  int64_t driver_timeout_us; /**< Silence after which a driver is replaced. */
+};
+
+enum failover_action_kind
+{
+  FAILOVER_UPDATE,  /**< Conditional update of the group object to record. */
+  FAILOVER_READ,    /**< Read the group object back. */
+  FAILOVER_FENCE,   /**< Set the fence marker for term on endpoint. */
+  FAILOVER_RELEASE, /**< Ask all members to release up to term - 1. */
+  FAILOVER_PROMOTE, /**< Promote endpoint to term. */
+  FAILOVER_FOLLOW,  /**< Let endpoint follow record.primary. */
+  FAILOVER_POLL     /**< Poll endpoint now. */
+};
+
+struct failover_action
+{
+  enum failover_action_kind kind;
+  int endpoint;
+  uint64_t term;
+  struct group_record record; /**< For UPDATE: version is the one to match. */
+};
+
+/** One member's view of the primary, exchanged in heartbeats. */
+struct primary_view
+{
+  uint64_t member;
+  uint64_t term;         /**< Term whose primary is meant. */
+  int64_t silence_us;    /**< Since the primary last answered a poll. */
+  bool reaches_majority; /**< Of the group's endpoints. */
+  int64_t received_at;   /**< When the view arrived here. */
+};
+
+enum update_result
+{
+  UPDATE_DONE,
+  UPDATE_CONFLICT, /**< The current record follows in a record event. */
+  UPDATE_LOST      /**< No answer: it may have taken effect. */
+};
+
+struct failover *failover_create (void *parent,
+                                  const struct failover_options *options,
+                                  int64_t now);
+
+/** The group object was read or its watch fired. */
+void failover_on_record (struct failover *f, const struct group_record *r,
+                         int64_t now);
+void failover_on_update (struct failover *f, enum update_result result,
+                         uint64_t version, int64_t now);
+/** An endpoint answered a poll. */
+void failover_on_status (struct failover *f, int endpoint,
+                         const struct endpoint_status *status, int64_t now);
+void failover_on_fenced (struct failover *f, int endpoint, bool ok,
+                         const struct endpoint_status *status, int64_t now);
+void failover_on_promoted (struct failover *f, int endpoint, bool ok,
+                           int64_t now);
+/** A peer's view arrived. */
+void failover_on_view (struct failover *f, const struct primary_view *view,
+                       int64_t now);
+/** A member gave up authority for all terms below @p term. */
+void failover_on_released (struct failover *f, uint64_t member, uint64_t term,
+                           int64_t now);
+/** The members of the cell that count, in order; set at each change. */
+void failover_set_members (struct failover *f, const uint64_t *members,
+                           int count, int64_t now);
+
+/** Advance time.  Call at least every 50 ms and after each event.
+ * @param op a fresh unique number for a new update.
+ * @return false when there is no further action now. */
+bool failover_next (struct failover *f, int64_t now, uint64_t op,
+                    struct failover_action *action);
+
+/** This member's own view, to be sent to peers. */
+struct primary_view failover_view (const struct failover *f, int64_t now);
+enum failover_phase failover_phase (const struct failover *f);
+const struct group_record *failover_record (const struct failover *f);
+
+#endif
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,5 @@
+int
+main (void)
+{
+  return 0;
+}
--- /dev/null
+++ b/tests/main.c
@@ -0,0 +1,133 @@
+#include "tests/tests.h"
+
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define KNOWN_RED_FILE "KNOWN-RED.txt"
+
+static struct test_suite *suites;
+
+void
+tests_register (struct test_suite *suite)
+{
+  struct test_suite **at = &suites;
+  while (*at != NULL && strcmp ((*at)->name, suite->name) < 0)
+    at = &(*at)->next;
+  suite->next = *at;
+  *at = suite;
+}
+
+const char *
+tests_build_folder (void)
+{
+  const char *folder = getenv ("AZUREWIND_BUILD");
+  return folder != NULL ? folder : "build/release";
+}
+
+static char *
+read_file (void *parent, const char *path)
+{
+  FILE *file = fopen (path, "rb");
+  char *text = talloc_strdup (parent, "");
+  char chunk[4096];
+  size_t n;
+  if (file == NULL)
+    return NULL;
+  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
+    text = talloc_strndup_append_buffer (text, chunk, n);
+  fclose (file);
+  return text;
+}
+
+static void
+print_first_difference (const char *path, const char *expected,
+                        const char *actual)
+{
+  int line = 1;
+  while (*expected != '\0' && *actual != '\0')
+    {
+      size_t a = strcspn (expected, "\n"), b = strcspn (actual, "\n");
+      if (a != b || strncmp (expected, actual, a) != 0)
+        break;
+      expected += a + (expected[a] == '\n');
+      actual += b + (actual[b] == '\n');
+      line++;
+    }
+  printf ("%s:%d: expected \"%.*s\", got \"%.*s\"\n", path, line,
+          (int)strcspn (expected, "\n"), expected, (int)strcspn (actual, "\n"),
+          actual);
+}
+
+bool
+golden_matches (const char *name, struct bstr actual)
+{
+  void *scratch = talloc_new (NULL);
+  char *path = talloc_asprintf (scratch, "tests/golden/%s", name);
+  char *text = bstr_to_text (scratch, actual);
+  bool equal = true;
+  if (getenv ("AZUREWIND_UPDATE_GOLDEN") != NULL)
+    {
+      FILE *file = fopen (path, "wb");
+      equal = file != NULL
+              && fwrite (actual.start, 1, actual.len, file) == actual.len;
+      if (file != NULL)
+        fclose (file);
+    }
+  else
+    {
+      char *expected = read_file (scratch, path);
+      equal = expected != NULL && strcmp (expected, text) == 0;
+      if (!equal)
+        print_first_difference (path, expected != NULL ? expected : "", text);
+    }
+  talloc_free (scratch);
+  return equal;
+}
+
+/* A line "test: SUITE/CASE" in KNOWN-RED.txt names a test that fails
+   because of a known fault; it is printed and not run. */
+static bool
+is_known_red (const char *known_red, const char *suite, const char *name)
+{
+  char line[256];
+  snprintf (line, sizeof line, "test: %s/%s\n", suite, name);
+  return known_red != NULL && strstr (known_red, line) != NULL;
+}
+
+static void
+add_suite (const struct test_suite *suite, const char *known_red,
+           const char *only)
+{
+  CU_pSuite added = CU_add_suite (suite->name, NULL, NULL);
+  for (const struct test_case *c = suite->cases; c->name != NULL; c++)
+    {
+      if (only != NULL && strcmp (only, suite->name) != 0
+          && strcmp (only, c->name) != 0)
+        continue;
+      if (is_known_red (known_red, suite->name, c->name))
+        printf ("known red, not run: %s/%s\n", suite->name, c->name);
+      else
+        CU_add_test (added, c->name, c->run);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  void *scratch = talloc_new (NULL);
+  char *known_red = read_file (scratch, KNOWN_RED_FILE);
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return EXIT_FAILURE;
+  for (const struct test_suite *s = suites; s != NULL; s = s->next)
+    add_suite (s, known_red, argc > 1 ? argv[1] : NULL);
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  unsigned run = CU_get_number_of_tests_run ();
+  unsigned failed = CU_get_number_of_tests_failed ();
+  CU_cleanup_registry ();
+  talloc_free (scratch);
+  printf ("%u passed, %u failed\n", run - failed, failed);
+  return failed == 0 && run > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
