net, proto: add HTTP server, PostgreSQL pool, peer bus, tokens and messages

Cause: the daemon needs its I/O before the decision modules can serve requests. Conclusion: the daemon can be wired against these.

--- a/core/budget.h
+++ b/core/budget.h
@@ -31,6 +31,9 @@
   int64_t retry_us;
 };
 
+/** Bytes of "SERVICE/ORGANISATION" and its terminating NUL. */
+#define BUDGET_NAME_SIZE 128
+
 enum budget_message_kind
 {
   BUDGET_NEED,
@@ -43,7 +46,7 @@
   enum budget_message_kind kind;
   uint64_t from, to;
   uint64_t version; /**< Cell version; other versions are ignored. */
-  char organisation[64];
+  char organisation[BUDGET_NAME_SIZE];
   uint64_t id;     /**< Of a grant, unique per sender. */
   double fraction; /**< Of the organisation's rate and burst. */
   double tokens;
@@ -53,7 +56,7 @@
 struct budget_report
 {
   uint64_t from;
-  char organisation[64];
+  char organisation[BUDGET_NAME_SIZE];
   double fraction;
   double tokens;
   double demand; /**< Requests per second offered lately. */
--- /dev/null
+++ b/net/bus.c
@@ -0,0 +1,206 @@
+#include "net/bus.h"
+
+#include <stdio.h>
+#include <zmq.h>
+
+/* Messages queued for a peer that does not answer; heartbeats older than a
+   few seconds are worthless. */
+#define SEND_QUEUE 64
+#define RECEIVE_QUEUE 4096
+
+struct peer_socket
+{
+  struct peer_socket *next;
+  char *address;
+  void *socket;
+};
+
+struct bus
+{
+  void *context;
+  void *receiver;
+  struct tevent_context *ev;
+  struct tevent_immediate *again;
+  struct peer_socket *peers;
+  void (*received) (void *data, struct bstr bytes);
+  void *data;
+  char *address;
+  uint64_t bytes;
+  uint64_t messages;
+};
+
+/* Bound of messages taken in one turn, so that peers cannot starve
+   callers. */
+#define RECEIVE_BATCH 64
+
+static void drain_receiver (struct bus *bus);
+
+static void
+on_again (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+  (void)ev, (void)im;
+  drain_receiver (data);
+}
+
+/* ZeroMQ's descriptor is edge-triggered: read until the socket is empty. */
+static void
+drain_receiver (struct bus *bus)
+{
+  for (int i = 0; i < RECEIVE_BATCH; i++)
+    {
+      zmq_msg_t message;
+      zmq_msg_init (&message);
+      if (zmq_msg_recv (&message, bus->receiver, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (&message);
+          return;
+        }
+      struct bstr bytes = { zmq_msg_data (&message), zmq_msg_size (&message) };
+      bus->bytes += bytes.len;
+      bus->messages++;
+      bus->received (bus->data, bytes);
+      zmq_msg_close (&message);
+    }
+  tevent_schedule_immediate (bus->again, bus->ev, on_again, bus);
+}
+
+static void
+on_readable (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+             void *data)
+{
+  (void)ev, (void)fde, (void)flags;
+  drain_receiver (data);
+}
+
+static int
+bus_destructor (struct bus *bus)
+{
+  for (struct peer_socket *p = bus->peers; p != NULL; p = p->next)
+    zmq_close (p->socket);
+  if (bus->receiver != NULL)
+    zmq_close (bus->receiver);
+  if (bus->context != NULL)
+    zmq_ctx_term (bus->context);
+  return 0;
+}
+
+static void
+set_option (void *socket, int option, int value)
+{
+  zmq_setsockopt (socket, option, &value, sizeof value);
+}
+
+struct bus *
+bus_create (void *parent, const struct bus_options *options, struct error *err)
+{
+  struct bus *bus = talloc_zero (parent, struct bus);
+  int64_t max_message = (int64_t)options->max_message;
+  char endpoint[128];
+  size_t len = sizeof endpoint;
+  int fd;
+  bus->ev = options->ev;
+  bus->received = options->received;
+  bus->data = options->data;
+  bus->again = tevent_create_immediate (bus);
+  bus->context = zmq_ctx_new ();
+  talloc_set_destructor (bus, bus_destructor);
+  bus->receiver = zmq_socket (bus->context, ZMQ_PULL);
+  set_option (bus->receiver, ZMQ_LINGER, 0);
+  set_option (bus->receiver, ZMQ_RCVHWM, RECEIVE_QUEUE);
+  zmq_setsockopt (bus->receiver, ZMQ_MAXMSGSIZE, &max_message,
+                  sizeof max_message);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", options->address);
+  if (zmq_bind (bus->receiver, endpoint) != 0
+      || zmq_getsockopt (bus->receiver, ZMQ_LAST_ENDPOINT, endpoint, &len)
+             != 0)
+    {
+      error_set (err, ERROR_UNAVAILABLE, "cannot listen on %s: %s",
+                 options->address, zmq_strerror (zmq_errno ()));
+      talloc_free (bus);
+      return NULL;
+    }
+  bus->address = talloc_strdup (bus, endpoint + strlen ("tcp://"));
+  len = sizeof fd;
+  zmq_getsockopt (bus->receiver, ZMQ_FD, &fd, &len);
+  tevent_add_fd (bus->ev, bus, fd, TEVENT_FD_READ, on_readable, bus);
+  tevent_schedule_immediate (bus->again, bus->ev, on_again, bus);
+  return bus;
+}
+
+const char *
+bus_address (const struct bus *bus)
+{
+  return bus->address;
+}
+
+static struct peer_socket *
+connect_peer (struct bus *bus, const char *address)
+{
+  struct peer_socket *p = talloc_zero (bus, struct peer_socket);
+  char endpoint[128];
+  p->address = talloc_strdup (p, address);
+  p->socket = zmq_socket (bus->context, ZMQ_PUSH);
+  set_option (p->socket, ZMQ_LINGER, 0);
+  set_option (p->socket, ZMQ_SNDHWM, SEND_QUEUE);
+  set_option (p->socket, ZMQ_RECONNECT_IVL, 100);
+  set_option (p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
+  if (zmq_connect (p->socket, endpoint) != 0)
+    {
+      zmq_close (p->socket);
+      talloc_free (p);
+      return NULL;
+    }
+  p->next = bus->peers;
+  bus->peers = p;
+  return p;
+}
+
+bool
+bus_send (struct bus *bus, const char *address, struct bstr bytes)
+{
+  struct peer_socket *p = bus->peers;
+  while (p != NULL && strcmp (p->address, address) != 0)
+    p = p->next;
+  if (p == NULL)
+    p = connect_peer (bus, address);
+  if (p == NULL
+      || zmq_send (p->socket, bytes.start, bytes.len, ZMQ_DONTWAIT) < 0)
+    return false;
+  bus->bytes += bytes.len;
+  bus->messages++;
+  return true;
+}
+
+void
+bus_keep_only (struct bus *bus, const char *const *addresses, int count)
+{
+  struct peer_socket **at = &bus->peers;
+  while (*at != NULL)
+    {
+      struct peer_socket *p = *at;
+      bool keep = false;
+      for (int i = 0; i < count; i++)
+        keep = keep || strcmp (addresses[i], p->address) == 0;
+      if (keep)
+        {
+          at = &p->next;
+          continue;
+        }
+      *at = p->next;
+      zmq_close (p->socket);
+      talloc_free (p);
+    }
+}
+
+uint64_t
+bus_bytes (const struct bus *bus)
+{
+  return bus->bytes;
+}
+
+uint64_t
+bus_messages (const struct bus *bus)
+{
+  return bus->messages;
+}
--- /dev/null
+++ b/net/http.c
@@ -0,0 +1,362 @@
+#include "net/http.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+/* Bytes of libmicrohttpd's pool per connection; the default of 32 KiB would
+   exceed the target of 16 KiB per idle connection. */
+#define CONNECTION_MEMORY 8192
+
+struct http_server
+{
+  struct MHD_Daemon *mhd;
+  struct tevent_context *ev;
+  struct tevent_immediate *run_soon;
+  struct tevent_timer *run_later;
+  struct http_handler *handler;
+  size_t max_body;
+  uint64_t next_connection;
+  unsigned connections;
+  unsigned pending;
+  int port;
+  bool run_scheduled;
+  bool running;
+};
+
+struct pending_request
+{
+  struct http_request request; /**< First, so that it can be cast back. */
+  struct http_server *server;
+  struct MHD_Connection *connection;
+  char *buffer;
+  size_t used, size;
+  struct MHD_Response *response;
+  unsigned status;
+  bool dispatched;
+  bool suspended;
+};
+
+static void schedule_run (struct http_server *server);
+
+static void
+run_mhd (struct http_server *server)
+{
+  MHD_UNSIGNED_LONG_LONG timeout;
+  server->running = true;
+  MHD_run (server->mhd);
+  server->running = false;
+  if (MHD_get_timeout (server->mhd, &timeout) == MHD_YES && timeout == 0)
+    schedule_run (server);
+}
+
+static void
+on_immediate (struct tevent_context *ev, struct tevent_immediate *im,
+              void *data)
+{
+  (void)ev, (void)im;
+  struct http_server *server = data;
+  server->run_scheduled = false;
+  run_mhd (server);
+}
+
+static void
+schedule_run (struct http_server *server)
+{
+  if (server->run_scheduled)
+    return;
+  server->run_scheduled = true;
+  tevent_schedule_immediate (server->run_soon, server->ev, on_immediate,
+                             server);
+}
+
+static void
+on_epoll (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+          void *data)
+{
+  (void)ev, (void)fde, (void)flags;
+  run_mhd (data);
+}
+
+/* Idle connections time out only when libmicrohttpd runs. */
+static void
+on_second (struct tevent_context *ev, struct tevent_timer *te,
+           struct timeval now, void *data)
+{
+  (void)te, (void)now;
+  struct http_server *server = data;
+  run_mhd (server);
+  server->run_later = tevent_add_timer (
+      ev, server, tevent_timeval_current_ofs (1, 0), on_second, server);
+}
+
+static void
+append_body (struct pending_request *p, const char *data, size_t len)
+{
+  if (p->used + len > p->server->max_body)
+    {
+      p->request.too_large = true;
+      return;
+    }
+  if (p->used + len > p->size)
+    {
+      p->size = p->size > 0 ? p->size : 1024;
+      while (p->size < p->used + len)
+        p->size *= 2;
+      p->buffer = talloc_realloc (p, p->buffer, char, p->size);
+    }
+  memcpy (p->buffer + p->used, data, len);
+  p->used += len;
+}
+
+static uint64_t
+connection_id (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info != NULL && info->socket_context != NULL
+             ? *(uint64_t *)info->socket_context
+             : 0;
+}
+
+static struct pending_request *
+begin_request (struct http_server *server, struct MHD_Connection *connection,
+               const char *url, const char *method)
+{
+  struct pending_request *p = talloc_zero (server, struct pending_request);
+  p->server = server;
+  p->connection = connection;
+  p->request.method = bstr_copy (p, bstr_from (method));
+  p->request.path = bstr_copy (p, bstr_from (url));
+  p->request.connection = connection_id (connection);
+  return p;
+}
+
+static enum MHD_Result
+send_response (struct pending_request *p)
+{
+  enum MHD_Result result
+      = MHD_queue_response (p->connection, p->status, p->response);
+  MHD_destroy_response (p->response);
+  p->response = NULL;
+  return result;
+}
+
+static enum MHD_Result
+on_request (void *data, struct MHD_Connection *connection, const char *url,
+            const char *method, const char *version, const char *upload_data,
+            size_t *upload_size, void **context)
+{
+  (void)version;
+  struct http_server *server = data;
+  struct pending_request *p = *context;
+  if (p == NULL)
+    {
+      *context = begin_request (server, connection, url, method);
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      append_body (p, upload_data, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  if (!p->dispatched)
+    {
+      p->dispatched = true;
+      p->request.body = (struct bstr){ p->buffer, p->used };
+      server->pending++;
+      server->handler->ops->request (server->handler, &p->request);
+      if (p->response == NULL)
+        {
+          p->suspended = true;
+          MHD_suspend_connection (connection);
+          return MHD_YES;
+        }
+    }
+  return p->response != NULL ? send_response (p) : MHD_YES;
+}
+
+static void
+on_completed (void *data, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)data, (void)connection, (void)code;
+  struct pending_request *p = *context;
+  *context = NULL;
+  if (p == NULL)
+    return;
+  if (p->response != NULL)
+    MHD_destroy_response (p->response);
+  talloc_free (p);
+}
+
+static void
+on_connection (void *data, struct MHD_Connection *connection,
+               void **socket_context, enum MHD_ConnectionNotificationCode code)
+{
+  (void)connection;
+  struct http_server *server = data;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      uint64_t *id = talloc (server, uint64_t);
+      *id = ++server->next_connection;
+      *socket_context = id;
+      server->connections++;
+      return;
+    }
+  uint64_t *id = *socket_context;
+  server->connections--;
+  if (server->handler->ops->closed != NULL && id != NULL)
+    server->handler->ops->closed (server->handler, *id);
+  talloc_free (id);
+}
+
+static int
+server_destructor (struct http_server *server)
+{
+  if (server->mhd != NULL)
+    MHD_stop_daemon (server->mhd);
+  return 0;
+}
+
+static bool
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  char host[64];
+  int port;
+  if (sscanf (text, "%63[^:]:%d", host, &port) != 2 || port < 0
+      || port > 65535)
+    return false;
+  memset (address, 0, sizeof *address);
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
+}
+
+struct http_server *
+http_server_create (void *parent, const struct http_server_options *options,
+                    struct error *err)
+{
+  struct http_server *server = talloc_zero (parent, struct http_server);
+  struct sockaddr_in address;
+  unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+  server->ev = options->ev;
+  server->handler = options->handler;
+  server->max_body = options->max_body;
+  server->run_soon = tevent_create_immediate (server);
+  if (!parse_address (options->address, &address))
+    {
+      error_set (err, ERROR_INVALID, "listen address \"%s\" is not HOST:PORT",
+                 options->address);
+      goto fail;
+    }
+  struct MHD_OptionItem tls[] = {
+    { MHD_OPTION_HTTPS_MEM_CERT, 0, (void *)(uintptr_t)options->certificate },
+    { MHD_OPTION_HTTPS_MEM_KEY, 0, (void *)(uintptr_t)options->private_key },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  if (options->certificate != NULL)
+    flags |= MHD_USE_TLS;
+  else
+    tls[0].option = MHD_OPTION_END;
+  server->mhd = MHD_start_daemon (
+      flags, ntohs (address.sin_port), NULL, NULL, on_request, server,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address,
+      MHD_OPTION_CONNECTION_LIMIT, options->max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, options->idle_seconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
+      server, MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+  if (server->mhd == NULL)
+    {
+      error_set (err, ERROR_UNAVAILABLE, "cannot listen on %s",
+                 options->address);
+      goto fail;
+    }
+  talloc_set_destructor (server, server_destructor);
+  server->port
+      = MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_BIND_PORT)->port;
+  int epoll_fd
+      = MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  tevent_add_fd (server->ev, server, epoll_fd, TEVENT_FD_READ, on_epoll,
+                 server);
+  on_second (server->ev, NULL, (struct timeval){ 0, 0 }, server);
+  return server;
+fail:
+  talloc_free (server);
+  return NULL;
+}
+
+int
+http_server_port (const struct http_server *server)
+{
+  return server->port;
+}
+
+unsigned
+http_server_connections (const struct http_server *server)
+{
+  return server->connections;
+}
+
+unsigned
+http_server_pending (const struct http_server *server)
+{
+  return server->pending;
+}
+
+void
+http_server_quiesce (struct http_server *server)
+{
+  MHD_socket fd = MHD_quiesce_daemon (server->mhd);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+}
+
+static struct bstr
+connection_value (const struct http_request *request, enum MHD_ValueKind kind,
+                  const char *name)
+{
+  const struct pending_request *p = (const struct pending_request *)request;
+  return bstr_from (MHD_lookup_connection_value (p->connection, kind, name));
+}
+
+struct bstr
+http_header_value (const struct http_request *request, const char *name)
+{
+  return connection_value (request, MHD_HEADER_KIND, name);
+}
+
+struct bstr
+http_query_value (const struct http_request *request, const char *name)
+{
+  return connection_value (request, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+http_reply (struct http_request *request, unsigned status,
+            const char *content_type, struct bstr body,
+            const struct http_header *headers)
+{
+  struct pending_request *p = (struct pending_request *)request;
+  struct http_server *server = p->server;
+  p->response = MHD_create_response_from_buffer (
+      body.len, (void *)(uintptr_t)body.start, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (p->response, MHD_HTTP_HEADER_CONTENT_TYPE,
+                           content_type);
+  for (; headers != NULL && headers->name != NULL; headers++)
+    MHD_add_response_header (p->response, headers->name, headers->value);
+  p->status = status;
+  server->pending--;
+  if (p->suspended)
+    {
+      p->suspended = false;
+      MHD_resume_connection (p->connection);
+      schedule_run (server);
+    }
+}
--- /dev/null
+++ b/net/pgsql.c
@@ -0,0 +1,526 @@
+#include "net/pgsql.h"
+
+#include "common/clock.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/* A real server reports what the stand-in answers by tag.  The timeline of
+   a primary is the first part of its WAL file name, because
+   pg_control_checkpoint is old until the first checkpoint after promotion. */
+#define STATUS_SQL                                                            \
+  " SELECT pg_is_in_recovery() AS in_recovery,"                               \
+  " CASE WHEN pg_is_in_recovery() THEN coalesce((SELECT received_tli FROM"    \
+  " pg_stat_wal_receiver), (SELECT timeline_id FROM"                          \
+  " pg_control_checkpoint())) ELSE ('x' || substr(pg_walfile_name("           \
+  "pg_current_wal_lsn()), 1, 8))::bit(32)::int END AS term,"                  \
+  " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_receive_lsn() ELSE"        \
+  " pg_current_wal_lsn() END AS received,"                                    \
+  " CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE"         \
+  " pg_current_wal_lsn() END AS replayed,"                                    \
+  " coalesce(substring(current_setting('primary_conninfo') from"              \
+  " 'azurewind_fence_([0-9]+)')::int, 0) AS fence,"                           \
+  " coalesce(extract(epoch FROM now() - (SELECT last_msg_receipt_time FROM"   \
+  " pg_stat_wal_receiver)) * 1000, 0)::bigint AS age_ms"
+
+enum connection_state
+{
+  CONNECTION_OPENING,
+  CONNECTION_IDLE,
+  CONNECTION_OWNED,
+  CONNECTION_RUNNING,
+  CONNECTION_RESETTING
+};
+
+struct pgsql_pool
+{
+  struct tevent_context *ev;
+  char *conninfo;
+  int limit;
+  int open;
+  int connect_timeout_ms;
+  struct pgsql_connection *idle;
+};
+
+struct pgsql_connection
+{
+  struct pgsql_connection *next; /**< In the idle list. */
+  struct pgsql_pool *pool;
+  PGconn *pg;
+  struct tevent_fd *fde;
+  struct tevent_timer *timer;
+  enum connection_state state;
+  pgsql_acquired_fn *acquired;
+  pgsql_done_fn *done;
+  void *data;
+  struct pgsql_reply reply;
+  int resets; /**< Syncs still expected while resetting. */
+};
+
+static void close_connection (struct pgsql_connection *c);
+
+const char *
+pgsql_status_sql (const char *tag)
+{
+  if (strcmp (tag, "poll") == 0)
+    return "/* azurewind:poll */" STATUS_SQL;
+  if (strcmp (tag, "guard") == 0)
+    return "/* azurewind:guard */" STATUS_SQL;
+  return "/* azurewind:position */" STATUS_SQL;
+}
+
+const char *
+pgsql_value (const PGresult *result, int row, const char *column)
+{
+  int index = PQfnumber (result, column);
+  if (index < 0 || row >= PQntuples (result)
+      || PQgetisnull (result, row, index))
+    return NULL;
+  return PQgetvalue (result, row, index);
+}
+
+static bool
+parse_lsn (const char *text, uint64_t *lsn)
+{
+  uint32_t high, low;
+  if (text == NULL || sscanf (text, "%" SCNx32 "/%" SCNx32, &high, &low) != 2)
+    return false;
+  *lsn = (uint64_t)high << 32 | low;
+  return true;
+}
+
+bool
+pgsql_parse_status (const PGresult *result, struct endpoint_status *status)
+{
+  const char *recovery = pgsql_value (result, 0, "in_recovery");
+  const char *term = pgsql_value (result, 0, "term");
+  const char *fence = pgsql_value (result, 0, "fence");
+  const char *age = pgsql_value (result, 0, "age_ms");
+  if (recovery == NULL || term == NULL
+      || !parse_lsn (pgsql_value (result, 0, "received"), &status->received)
+      || !parse_lsn (pgsql_value (result, 0, "replayed"), &status->replayed))
+    return false;
+  status->in_recovery = recovery[0] == 't';
+  status->term = strtoull (term, NULL, 10);
+  status->fence = fence != NULL ? strtoull (fence, NULL, 10) : 0;
+  status->primary_age_us
+      = age != NULL ? strtoll (age, NULL, 10) * USEC_PER_MSEC : 0;
+  return true;
+}
+
+static void
+clear_reply (struct pgsql_connection *c)
+{
+  for (int i = 0; i < c->reply.count; i++)
+    PQclear (c->reply.results[i]);
+  memset (&c->reply, 0, sizeof c->reply);
+  c->reply.failed = -1;
+}
+
+static void
+finish_call (struct pgsql_connection *c, enum pgsql_end end)
+{
+  pgsql_done_fn *done = c->done;
+  struct pgsql_reply reply = c->reply;
+  reply.end = end;
+  memset (&c->reply, 0, sizeof c->reply);
+  c->done = NULL;
+  c->state = CONNECTION_OWNED;
+  if (end == PGSQL_LOST || end == PGSQL_NOT_SENT)
+    {
+      void *data = c->data;
+      close_connection (c);
+      done (data, &reply);
+    }
+  else
+    done (c->data, &reply);
+  for (int i = 0; i < reply.count; i++)
+    PQclear (reply.results[i]);
+}
+
+static void
+break_connection (struct pgsql_connection *c)
+{
+  struct error err;
+  pgsql_acquired_fn *acquired = c->acquired;
+  void *data = c->data;
+  switch (c->state)
+    {
+    case CONNECTION_OPENING:
+      error_set (&err, ERROR_UNAVAILABLE, "%.200s", PQerrorMessage (c->pg));
+      close_connection (c);
+      acquired (data, NULL, &err);
+      break;
+    case CONNECTION_RUNNING:
+      snprintf (c->reply.message, sizeof c->reply.message, "%.190s",
+                PQerrorMessage (c->pg));
+      finish_call (c, PGSQL_LOST);
+      break;
+    case CONNECTION_OWNED:
+      /* The owner learns it from its next call. */
+      TEVENT_FD_NOT_READABLE (c->fde);
+      break;
+    default:
+      close_connection (c);
+    }
+}
+
+static void
+record_failure (struct pgsql_connection *c, const PGresult *result)
+{
+  const char *state = PQresultErrorField (result, PG_DIAG_SQLSTATE);
+  const char *text = PQresultErrorField (result, PG_DIAG_MESSAGE_PRIMARY);
+  c->reply.failed = c->reply.count;
+  snprintf (c->reply.sqlstate, sizeof c->reply.sqlstate, "%s",
+            state != NULL ? state : "XX000");
+  snprintf (c->reply.message, sizeof c->reply.message, "%.190s",
+            text != NULL ? text : "unknown error");
+}
+
+static void
+put_idle (struct pgsql_connection *c)
+{
+  if (c->pool->open > c->pool->limit)
+    {
+      close_connection (c);
+      return;
+    }
+  c->state = CONNECTION_IDLE;
+  c->next = c->pool->idle;
+  c->pool->idle = c;
+}
+
+/* A pipeline ended: its Sync was answered. */
+static void
+on_synced (struct pgsql_connection *c)
+{
+  if (c->state == CONNECTION_RESETTING)
+    {
+      bool clean
+          = c->reply.failed < 0 && PQtransactionStatus (c->pg) == PQTRANS_IDLE;
+      clear_reply (c);
+      if (clean)
+        put_idle (c);
+      else
+        close_connection (c);
+      return;
+    }
+  finish_call (c, c->reply.failed < 0 ? PGSQL_DONE : PGSQL_FAILED);
+}
+
+/* @return false if the connection has ended or is idle. */
+static bool
+take_result (struct pgsql_connection *c, PGresult *result)
+{
+  switch (PQresultStatus (result))
+    {
+    case PGRES_PIPELINE_SYNC:
+      PQclear (result);
+      if (c->state == CONNECTION_RESETTING && c->resets > 1
+          && c->reply.failed < 0)
+        {
+          c->resets--;
+          return true;
+        }
+      on_synced (c);
+      return false;
+    case PGRES_PIPELINE_ABORTED:
+      PQclear (result);
+      return true;
+    case PGRES_FATAL_ERROR:
+      if (c->reply.failed < 0)
+        record_failure (c, result);
+      PQclear (result);
+      return true;
+    default:
+      if (c->reply.count < PGSQL_MAX_STATEMENTS)
+        c->reply.results[c->reply.count++] = result;
+      else
+        PQclear (result);
+      return true;
+    }
+}
+
+static void
+read_results (struct pgsql_connection *c)
+{
+  if (!PQconsumeInput (c->pg))
+    {
+      break_connection (c);
+      return;
+    }
+  /* In pipeline mode one NULL separates the results of two statements and
+     a second NULL means that nothing more has arrived. */
+  bool separated = false;
+  while (c->state == CONNECTION_RUNNING || c->state == CONNECTION_RESETTING)
+    {
+      if (PQisBusy (c->pg))
+        return;
+      PGresult *result = PQgetResult (c->pg);
+      if (result == NULL && separated)
+        return;
+      separated = result == NULL;
+      if (result != NULL && PQstatus (c->pg) == CONNECTION_BAD)
+        {
+          PQclear (result);
+          break_connection (c);
+          return;
+        }
+      if (result != NULL && !take_result (c, result))
+        return;
+    }
+}
+
+static void
+update_interest (struct pgsql_connection *c, bool want_write)
+{
+  tevent_fd_set_flags (c->fde,
+                       TEVENT_FD_READ | (want_write ? TEVENT_FD_WRITE : 0));
+}
+
+static void
+poll_connect (struct pgsql_connection *c)
+{
+  switch (PQconnectPoll (c->pg))
+    {
+    case PGRES_POLLING_READING:
+      tevent_fd_set_flags (c->fde, TEVENT_FD_READ);
+      break;
+    case PGRES_POLLING_WRITING:
+      tevent_fd_set_flags (c->fde, TEVENT_FD_WRITE);
+      break;
+    case PGRES_POLLING_OK:
+      PQsetnonblocking (c->pg, 1);
+      if (!PQenterPipelineMode (c->pg))
+        {
+          break_connection (c);
+          break;
+        }
+      TALLOC_FREE (c->timer);
+      c->state = CONNECTION_OWNED;
+      update_interest (c, false);
+      c->acquired (c->data, c, NULL);
+      break;
+    default:
+      break_connection (c);
+    }
+}
+
+static void
+on_socket (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+           void *data)
+{
+  (void)ev, (void)fde;
+  struct pgsql_connection *c = data;
+  if (c->state == CONNECTION_OPENING)
+    {
+      poll_connect (c);
+      return;
+    }
+  if (flags & TEVENT_FD_WRITE)
+    update_interest (c, PQflush (c->pg) == 1);
+  if (!(flags & TEVENT_FD_READ))
+    return;
+  if (c->state == CONNECTION_IDLE || c->state == CONNECTION_OWNED)
+    {
+      /* Nothing is expected: the server closed it or sent a notice. */
+      if (!PQconsumeInput (c->pg))
+        break_connection (c);
+      return;
+    }
+  read_results (c);
+}
+
+static void
+on_connect_timeout (struct tevent_context *ev, struct tevent_timer *te,
+                    struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  struct pgsql_connection *c = data;
+  c->timer = NULL;
+  break_connection (c);
+}
+
+static int
+connection_destructor (struct pgsql_connection *c)
+{
+  clear_reply (c);
+  TALLOC_FREE (c->fde);
+  if (c->pg != NULL)
+    PQfinish (c->pg);
+  return 0;
+}
+
+static void
+close_connection (struct pgsql_connection *c)
+{
+  struct pgsql_pool *pool = c->pool;
+  for (struct pgsql_connection **at = &pool->idle; *at != NULL;
+       at = &(*at)->next)
+    if (*at == c)
+      {
+        *at = c->next;
+        break;
+      }
+  pool->open--;
+  talloc_free (c);
+}
+
+struct pgsql_pool *
+pgsql_pool_create (void *parent, const struct pgsql_pool_options *options)
+{
+  struct pgsql_pool *pool = talloc_zero (parent, struct pgsql_pool);
+  pool->ev = options->ev;
+  pool->limit = options->limit;
+  pool->connect_timeout_ms = options->connect_timeout_ms;
+  pool->conninfo = talloc_asprintf (
+      pool,
+      "hostaddr=%s port=%d dbname=%s user=%s application_name=azurewind "
+      "sslmode=prefer gssencmode=disable",
+      options->host, options->port, options->database, options->user);
+  return pool;
+}
+
+void
+pgsql_pool_set_limit (struct pgsql_pool *pool, int limit)
+{
+  pool->limit = limit;
+  while (pool->open > limit && pool->idle != NULL)
+    close_connection (pool->idle);
+}
+
+int
+pgsql_pool_open (const struct pgsql_pool *pool)
+{
+  return pool->open;
+}
+
+bool
+pgsql_pool_has_room (const struct pgsql_pool *pool)
+{
+  return pool->idle != NULL || pool->open < pool->limit;
+}
+
+static void
+open_connection (struct pgsql_pool *pool, pgsql_acquired_fn *done, void *data)
+{
+  struct error err;
+  struct pgsql_connection *c = talloc_zero (pool, struct pgsql_connection);
+  c->pool = pool;
+  c->reply.failed = -1;
+  c->acquired = done;
+  c->data = data;
+  c->state = CONNECTION_OPENING;
+  c->pg = PQconnectStart (pool->conninfo);
+  pool->open++;
+  talloc_set_destructor (c, connection_destructor);
+  if (c->pg == NULL || PQstatus (c->pg) == CONNECTION_BAD)
+    {
+      error_set (&err, ERROR_UNAVAILABLE, "%.200s",
+                 c->pg != NULL ? PQerrorMessage (c->pg) : "out of memory");
+      close_connection (c);
+      done (data, NULL, &err);
+      return;
+    }
+  c->fde = tevent_add_fd (pool->ev, c, PQsocket (c->pg), TEVENT_FD_WRITE,
+                          on_socket, c);
+  c->timer = tevent_add_timer (
+      pool->ev, c,
+      tevent_timeval_current_ofs ((uint32_t)pool->connect_timeout_ms / 1000,
+                                  (uint32_t)pool->connect_timeout_ms % 1000
+                                      * 1000),
+      on_connect_timeout, c);
+}
+
+void
+pgsql_acquire (struct pgsql_pool *pool, pgsql_acquired_fn *done, void *data)
+{
+  struct pgsql_connection *c = pool->idle;
+  if (c != NULL)
+    {
+      pool->idle = c->next;
+      c->next = NULL;
+      c->state = CONNECTION_OWNED;
+      done (data, c, NULL);
+    }
+  else if (pool->open < pool->limit)
+    open_connection (pool, done, data);
+  else
+    {
+      struct error err;
+      error_set (&err, ERROR_REFUSED, "all %d connections are in use",
+                 pool->limit);
+      done (data, NULL, &err);
+    }
+}
+
+static bool
+send_statements (struct pgsql_connection *c,
+                 const struct pgsql_statement *statements, int count)
+{
+  for (int i = 0; i < count; i++)
+    if (!PQsendQueryParams (c->pg, statements[i].sql,
+                            statements[i].param_count, NULL,
+                            statements[i].params, NULL, NULL, 0))
+      return false;
+  return PQpipelineSync (c->pg) == 1;
+}
+
+void
+pgsql_run (struct pgsql_connection *c,
+           const struct pgsql_statement *statements, int count,
+           pgsql_done_fn *done, void *data)
+{
+  clear_reply (c);
+  c->done = done;
+  c->data = data;
+  c->state = CONNECTION_RUNNING;
+  if (count > PGSQL_MAX_STATEMENTS || PQstatus (c->pg) == CONNECTION_BAD)
+    {
+      finish_call (c, PGSQL_NOT_SENT);
+      return;
+    }
+  /* PQpipelineSync flushes, so a failure here may follow bytes on the
+     wire. */
+  if (!send_statements (c, statements, count))
+    {
+      finish_call (c, PGSQL_LOST);
+      return;
+    }
+  update_interest (c, PQflush (c->pg) == 1);
+}
+
+void
+pgsql_release (struct pgsql_connection *c)
+{
+  static const struct pgsql_statement rollback = { "ROLLBACK", NULL, 0 };
+  static const struct pgsql_statement reset = { "DISCARD ALL", NULL, 0 };
+  bool sent = true;
+  if (PQstatus (c->pg) == CONNECTION_BAD || c->pool->open > c->pool->limit)
+    {
+      close_connection (c);
+      return;
+    }
+  clear_reply (c);
+  c->state = CONNECTION_RESETTING;
+  /* DISCARD ALL needs a Sync of its own: it cannot run in a transaction. */
+  c->resets = 1;
+  if (PQtransactionStatus (c->pg) != PQTRANS_IDLE)
+    {
+      sent = send_statements (c, &rollback, 1);
+      c->resets++;
+    }
+  if (!sent || !send_statements (c, &reset, 1))
+    {
+      close_connection (c);
+      return;
+    }
+  update_interest (c, PQflush (c->pg) == 1);
+}
+
+void
+pgsql_abort (struct pgsql_connection *c)
+{
+  close_connection (c);
+}
--- /dev/null
+++ b/proto/message.c
@@ -0,0 +1,239 @@
+#include "proto/message.h"
+
+#include "proto/pack.h"
+
+#include <sodium.h>
+
+#define MESSAGE_VERSION 1
+#define MAX_SHARES 4096
+
+static void
+pack_heartbeat (struct pack *p, const struct message *m)
+{
+  pack_array (p, 8);
+  pack_uint (p, m->heartbeat.version);
+  pack_int (p, m->heartbeat.sent_at);
+  pack_int (p, m->heartbeat.echo);
+  pack_bool (p, m->heartbeat.leaving);
+  pack_uint (p, m->config_version);
+  pack_uint (p, m->keys_version);
+  pack_array (p, (unsigned)m->view_count);
+  for (int i = 0; i < m->view_count; i++)
+    {
+      pack_array (p, 4);
+      pack_bstr (p, bstr_from (m->views[i].group));
+      pack_uint (p, m->views[i].view.term);
+      pack_int (p, m->views[i].view.silence_us);
+      pack_bool (p, m->views[i].view.reaches_majority);
+    }
+  pack_array (p, (unsigned)m->report_count);
+  for (int i = 0; i < m->report_count; i++)
+    {
+      pack_array (p, 4);
+      pack_bstr (p, bstr_from (m->reports[i].organisation));
+      pack_float (p, (float)m->reports[i].fraction);
+      pack_float (p, (float)m->reports[i].tokens);
+      pack_float (p, (float)m->reports[i].demand);
+    }
+}
+
+static void
+pack_budget (struct pack *p, const struct budget_message *b)
+{
+  pack_array (p, 7);
+  pack_uint (p, b->kind);
+  pack_uint (p, b->to);
+  pack_uint (p, b->version);
+  pack_bstr (p, bstr_from (b->organisation));
+  pack_uint (p, b->id);
+  pack_double (p, b->fraction);
+  pack_double (p, b->tokens);
+}
+
+static void
+pack_shares (struct pack *p, const struct message *m)
+{
+  pack_array (p, (unsigned)m->share_count);
+  for (int i = 0; i < m->share_count; i++)
+    {
+      pack_array (p, 2);
+      pack_bstr (p, bstr_from (m->shares[i].organisation));
+      pack_double (p, m->shares[i].fraction);
+    }
+}
+
+static void
+pack_body (struct pack *p, const struct message *m)
+{
+  pack_array (p, 4);
+  pack_uint (p, MESSAGE_VERSION);
+  pack_uint (p, m->type);
+  pack_uint (p, m->from);
+  switch (m->type)
+    {
+    case MESSAGE_HEARTBEAT:
+      pack_heartbeat (p, m);
+      break;
+    case MESSAGE_BUDGET:
+      pack_budget (p, &m->budget);
+      break;
+    default:
+      pack_array (p, 4);
+      pack_uint (p, m->version);
+      pack_bstr (p, bstr_from (m->name));
+      pack_bstr (p, m->value);
+      pack_shares (p, m);
+    }
+}
+
+struct bstr
+message_encode (void *parent, const struct message *m,
+                const unsigned char key[SECRET_BYTES])
+{
+  struct pack p;
+  pack_begin (&p);
+  pack_body (&p, m);
+  struct bstr plain = pack_bytes (&p);
+  size_t size
+      = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES + plain.len;
+  unsigned char *sealed = talloc_array (parent, unsigned char, size);
+  randombytes_buf (sealed, crypto_secretbox_NONCEBYTES);
+  crypto_secretbox_easy (sealed + crypto_secretbox_NONCEBYTES,
+                         (const unsigned char *)plain.start, plain.len, sealed,
+                         key);
+  pack_end (&p);
+  return (struct bstr){ (const char *)sealed, size };
+}
+
+static void
+unpack_heartbeat (struct unpack *u, void *parent, struct message *m)
+{
+  unpack_array (u, 8);
+  m->heartbeat.from = m->from;
+  m->heartbeat.version = unpack_uint (u);
+  m->heartbeat.sent_at = unpack_int (u);
+  m->heartbeat.echo = unpack_int (u);
+  m->heartbeat.leaving = unpack_bool (u);
+  m->config_version = unpack_uint (u);
+  m->keys_version = unpack_uint (u);
+  unsigned count = unpack_array_any (u, MESSAGE_MAX_VIEWS);
+  m->views = talloc_zero_array (parent, struct message_view, count);
+  m->view_count = (int)count;
+  for (unsigned i = 0; i < count && !u->failed; i++)
+    {
+      unpack_array (u, 4);
+      unpack_text (u, m->views[i].group, sizeof m->views[i].group);
+      m->views[i].view.member = m->from;
+      m->views[i].view.term = unpack_uint (u);
+      m->views[i].view.silence_us = unpack_int (u);
+      m->views[i].view.reaches_majority = unpack_bool (u);
+    }
+  count = unpack_array_any (u, MESSAGE_MAX_REPORTS);
+  m->reports = talloc_zero_array (parent, struct budget_report, count);
+  m->report_count = (int)count;
+  for (unsigned i = 0; i < count && !u->failed; i++)
+    {
+      unpack_array (u, 4);
+      m->reports[i].from = m->from;
+      unpack_text (u, m->reports[i].organisation,
+                   sizeof m->reports[i].organisation);
+      m->reports[i].fraction = unpack_double (u);
+      m->reports[i].tokens = unpack_double (u);
+      m->reports[i].demand = unpack_double (u);
+    }
+}
+
+static void
+unpack_budget (struct unpack *u, struct message *m)
+{
+  struct budget_message *b = &m->budget;
+  unpack_array (u, 7);
+  uint64_t kind = unpack_uint (u);
+  if (kind > BUDGET_GRANT_ACK)
+    u->failed = true;
+  b->kind = (enum budget_message_kind)kind;
+  b->from = m->from;
+  b->to = unpack_uint (u);
+  b->version = unpack_uint (u);
+  unpack_text (u, b->organisation, sizeof b->organisation);
+  b->id = unpack_uint (u);
+  b->fraction = unpack_double (u);
+  b->tokens = unpack_double (u);
+  if (b->fraction < 0 || b->fraction > 1 || b->tokens < 0)
+    u->failed = true;
+}
+
+static void
+unpack_plain (struct unpack *u, void *parent, struct message *m)
+{
+  unpack_array (u, 4);
+  m->version = unpack_uint (u);
+  unpack_text (u, m->name, sizeof m->name);
+  m->value = bstr_copy (parent, unpack_bstr (u));
+  unsigned count = unpack_array_any (u, MAX_SHARES);
+  m->shares = talloc_zero_array (parent, struct message_share, count);
+  m->share_count = (int)count;
+  for (unsigned i = 0; i < count && !u->failed; i++)
+    {
+      unpack_array (u, 2);
+      unpack_text (u, m->shares[i].organisation,
+                   sizeof m->shares[i].organisation);
+      m->shares[i].fraction = unpack_double (u);
+      if (m->shares[i].fraction < 0 || m->shares[i].fraction > 1)
+        u->failed = true;
+    }
+}
+
+static bool
+unpack_body (struct unpack *u, void *parent, struct message *m)
+{
+  unpack_array (u, 4);
+  if (unpack_uint (u) != MESSAGE_VERSION)
+    return false;
+  uint64_t type = unpack_uint (u);
+  if (type < MESSAGE_HEARTBEAT || type > MESSAGE_SNAPSHOT)
+    return false;
+  m->type = (enum message_type)type;
+  m->from = unpack_uint (u);
+  switch (m->type)
+    {
+    case MESSAGE_HEARTBEAT:
+      unpack_heartbeat (u, parent, m);
+      break;
+    case MESSAGE_BUDGET:
+      unpack_budget (u, m);
+      break;
+    default:
+      unpack_plain (u, parent, m);
+    }
+  return !u->failed;
+}
+
+bool
+message_decode (void *parent, struct bstr bytes,
+                const unsigned char key[SECRET_BYTES], struct message *m,
+                struct error *err)
+{
+  const size_t overhead
+      = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES;
+  memset (m, 0, sizeof *m);
+  if (bytes.len <= overhead || bytes.len > MESSAGE_MAX_BYTES)
+    return error_set (err, ERROR_INVALID, "peer message of %zu bytes",
+                      bytes.len);
+  const unsigned char *raw = (const unsigned char *)bytes.start;
+  size_t len = bytes.len - overhead;
+  unsigned char *plain = talloc_array (parent, unsigned char, len);
+  if (crypto_secretbox_open_easy (plain, raw + crypto_secretbox_NONCEBYTES,
+                                  bytes.len - crypto_secretbox_NONCEBYTES, raw,
+                                  key)
+      != 0)
+    return error_set (err, ERROR_INVALID,
+                      "peer message is not sealed with the fleet secret");
+  struct unpack u;
+  bool ok = unpack_begin (&u, (struct bstr){ (const char *)plain, len })
+            && unpack_body (&u, parent, m);
+  unpack_end (&u);
+  if (!ok)
+    return error_set (err, ERROR_INVALID, "peer message is malformed");
+  return true;
+}
