--- /dev/null
+++ b/net/platform.c
@@ -0,0 +1,475 @@
+#include "net/platform.h"
+
+#include "common/clock.h"
+
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+
+/* The platform accepts values up to 1 MB; escaping in JSON makes an answer
+   at most six times as long, and a watch returns several objects. */
+#define MAX_ANSWER_BYTES ((size_t)64 * 1024 * 1024)
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+#define HTTP_PRECONDITION_FAILED 412
+#define HTTP_TOO_LARGE 413
+#define HTTP_UNAVAILABLE 503
+
+struct platform
+{
+  struct tevent_context *ev;
+  CURLM *multi;
+  struct tevent_timer *timer;
+  struct platform_call *calls; /**< Not finished yet. */
+  char *url;
+  int64_t timeout_ms;
+  uint64_t call_count;
+  bool *freed; /**< While callbacks run: tells them of the destructor. */
+};
+
+struct platform_call
+{
+  struct platform_call *prev, *next;
+  struct platform *platform;
+  CURL *easy;
+  struct curl_slist *headers;
+  char *name;
+  struct bstr value; /**< Of an update. */
+  bool is_update;
+  bool was_sent; /**< The request was given to a connection. */
+  char *answer;
+  size_t answer_len;
+  /* Exactly one of these is set. */
+  platform_done_fn *done;
+  platform_changed_fn *changed;
+  platform_vms_fn *vms;
+  void *data;
+};
+
+/* Watch on one socket of libcurl. */
+struct socket_watch
+{
+  struct platform *platform;
+  struct tevent_fd *fde;
+  curl_socket_t fd;
+};
+
+static void finish_calls (struct platform *p);
+
+static void
+socket_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+              void *data)
+{
+  (void)ev, (void)fde;
+  const struct socket_watch *watch = data;
+  struct platform *p = watch->platform;
+  int running;
+  int mask = ((flags & TEVENT_FD_READ) ? CURL_CSELECT_IN : 0)
+             | ((flags & TEVENT_FD_WRITE) ? CURL_CSELECT_OUT : 0);
+  curl_multi_socket_action (p->multi, watch->fd, mask, &running);
+  finish_calls (p);
+}
+
+static int
+on_socket_change (CURL *easy, curl_socket_t fd, int what, void *data,
+                  void *socket_data)
+{
+  (void)easy;
+  struct platform *p = data;
+  struct socket_watch *watch = socket_data;
+  uint16_t flags = 0;
+  if (what == CURL_POLL_REMOVE)
+    {
+      curl_multi_assign (p->multi, fd, NULL);
+      talloc_free (watch);
+      return 0;
+    }
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_READ;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    flags |= TEVENT_FD_WRITE;
+  if (watch == NULL)
+    {
+      watch = talloc_zero (p, struct socket_watch);
+      watch->platform = p;
+      watch->fd = fd;
+      watch->fde
+          = tevent_add_fd (p->ev, watch, fd, flags, socket_ready, watch);
+      curl_multi_assign (p->multi, fd, watch);
+    }
+  else
+    tevent_fd_set_flags (watch->fde, flags);
+  return 0;
+}
+
+static void
+timer_expired (struct tevent_context *ev, struct tevent_timer *te,
+               struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  struct platform *p = data;
+  int running;
+  p->timer = NULL;
+  curl_multi_socket_action (p->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  finish_calls (p);
+}
+
+static int
+on_timer_change (CURLM *multi, long timeout_ms, void *data)
+{
+  (void)multi;
+  struct platform *p = data;
+  TALLOC_FREE (p->timer);
+  if (timeout_ms >= 0)
+    p->timer = tevent_add_timer (
+        p->ev, p,
+        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
+                                    (uint32_t)(timeout_ms % 1000) * 1000),
+        timer_expired, p);
+  return 0;
+}
+
+static size_t
+on_answer (char *bytes, size_t size, size_t count, void *data)
+{
+  struct platform_call *call = data;
+  size_t len = size * count;
+  if (call->answer_len + len > MAX_ANSWER_BYTES)
+    return 0;
+  call->answer
+      = talloc_realloc (call, call->answer, char, call->answer_len + len);
+  memcpy (call->answer + call->answer_len, bytes, len);
+  call->answer_len += len;
+  return len;
+}
+
+/* libcurl repeats a request by itself when a kept connection closes before
+   the first byte of the answer.  An update may have taken effect by then,
+   and its repetition would be reported as a conflict with itself. */
+static int
+before_request (void *data, char *local_ip, char *remote_ip, int local_port,
+                int remote_port)
+{
+  (void)local_ip, (void)remote_ip, (void)local_port, (void)remote_port;
+  struct platform_call *call = data;
+  if (call->is_update && call->was_sent)
+    return CURL_PREREQFUNC_ABORT;
+  call->was_sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static void
+translate_curl (const struct platform_call *call, CURLcode result,
+                struct error *err)
+{
+  enum error_code code = ERROR_UNAVAILABLE;
+  if (result == CURLE_URL_MALFORMAT)
+    code = ERROR_INVALID;
+  else if (call->is_update && call->was_sent)
+    code = ERROR_UNKNOWN;
+  error_set (err, code, "%s: %s", call->name, curl_easy_strerror (result));
+}
+
+static void
+translate_status (const struct platform_call *call, long status,
+                  const json_t *answer, struct error *err)
+{
+  const char *text = json_string_value (json_object_get (answer, "error"));
+  enum error_code code = ERROR_INVALID;
+  if (status == HTTP_PRECONDITION_FAILED)
+    code = ERROR_CONFLICT;
+  else if (status == HTTP_TOO_LARGE)
+    code = ERROR_REFUSED;
+  else if (status == HTTP_NOT_FOUND)
+    code = ERROR_NOT_FOUND;
+  else if (status == HTTP_UNAVAILABLE)
+    code = ERROR_UNAVAILABLE;
+  else if (status < HTTP_BAD_REQUEST || status >= 500)
+    /* Another server error does not say whether an update took effect. */
+    code = call->is_update ? ERROR_UNKNOWN : ERROR_UNAVAILABLE;
+  error_set (err, code, "%s: status %ld: %s", call->name, status,
+             text != NULL ? text : "no reason given");
+}
+
+static struct platform_object
+object_from_json (const json_t *json)
+{
+  struct platform_object object = { { NULL, 0 }, 0, { NULL, 0 } };
+  const json_t *name = json_object_get (json, "name");
+  const json_t *value = json_object_get (json, "value");
+  object.name
+      = (struct bstr){ json_string_value (name), json_string_length (name) };
+  if (json_is_string (value))
+    {
+      object.version
+          = (uint64_t)json_integer_value (json_object_get (json, "version"));
+      object.value = (struct bstr){ json_string_value (value),
+                                    json_string_length (value) };
+    }
+  return object;
+}
+
+static void
+deliver_object (struct platform_call *call, long status, const json_t *answer,
+                struct error *err)
+{
+  struct platform_object object = object_from_json (answer);
+  if (!call->is_update && status == HTTP_NOT_FOUND)
+    *err = (struct error){ 0 };
+  else if (call->is_update && err->code == ERROR_NONE)
+    {
+      object.version
+          = (uint64_t)json_integer_value (json_object_get (answer, "version"));
+      object.value = call->value;
+    }
+  object.name = bstr_from (call->name);
+  call->done (call->data, err, &object);
+}
+
+static void
+deliver_changes (struct platform_call *call, const json_t *answer,
+                 const struct error *err)
+{
+  const json_t *array = json_object_get (answer, "objects");
+  int count = err->code == ERROR_NONE ? (int)json_array_size (array) : 0;
+  struct platform_object *objects
+      = talloc_array (call, struct platform_object, (unsigned)count);
+  for (int i = 0; i < count; i++)
+    objects[i] = object_from_json (json_array_get (array, (size_t)i));
+  call->changed (
+      call->data, err, objects, count,
+      (uint64_t)json_integer_value (json_object_get (answer, "revision")));
+}
+
+static void
+deliver_vms (struct platform_call *call, const json_t *answer,
+             const struct error *err)
+{
+  const json_t *array = json_object_get (answer, "vms");
+  int count = err->code == ERROR_NONE ? (int)json_array_size (array) : 0;
+  struct platform_vm *vms
+      = talloc_array (call, struct platform_vm, (unsigned)count);
+  for (int i = 0; i < count; i++)
+    {
+      const json_t *vm = json_array_get (array, (size_t)i);
+      const json_t *name = json_object_get (vm, "name");
+      vms[i].name = (struct bstr){ json_string_value (name),
+                                   json_string_length (name) };
+      vms[i].leaving = json_is_true (json_object_get (vm, "leaving"));
+    }
+  call->vms (call->data, err, vms, count);
+}
+
+static void
+deliver (struct platform_call *call, CURLcode result)
+{
+  struct error err = { 0 };
+  long status = 0;
+  json_t *answer = NULL;
+  if (result != CURLE_OK)
+    translate_curl (call, result, &err);
+  else
+    {
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      answer = json_loadb (call->answer != NULL ? call->answer : "",
+                           call->answer_len, 0, NULL);
+      if (status != HTTP_OK)
+        translate_status (call, status, answer, &err);
+      else if (!json_is_object (answer))
+        error_set (&err, call->is_update ? ERROR_UNKNOWN : ERROR_UNAVAILABLE,
+                   "%s: the answer is not a JSON object", call->name);
+    }
+  if (call->done != NULL)
+    deliver_object (call, status, answer, &err);
+  else if (call->changed != NULL)
+    deliver_changes (call, answer, &err);
+  else
+    deliver_vms (call, answer, &err);
+  json_decref (answer);
+}
+
+/* Remove the call from its client and from libcurl. */
+static int
+call_detach (struct platform_call *call)
+{
+  struct platform *p = call->platform;
+  if (p == NULL)
+    return 0;
+  if (call->prev != NULL)
+    call->prev->next = call->next;
+  else
+    p->calls = call->next;
+  if (call->next != NULL)
+    call->next->prev = call->prev;
+  curl_multi_remove_handle (p->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  call->platform = NULL;
+  return 0;
+}
+
+/* Deliver finished calls.  A callback may start calls or free the client. */
+static void
+finish_calls (struct platform *p)
+{
+  const CURLMsg *message;
+  int left;
+  bool *freed = talloc_zero (NULL, bool);
+  bool *outer = p->freed;
+  p->freed = freed;
+  while (!*freed && (message = curl_multi_info_read (p->multi, &left)) != NULL)
+    {
+      struct platform_call *call = NULL;
+      CURLcode result = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      /* The call must outlive a client that its callback frees. */
+      talloc_reparent (p, NULL, call);
+      deliver (call, result);
+      talloc_free (call);
+    }
+  if (!*freed)
+    p->freed = outer;
+  else if (outer != NULL)
+    *outer = true;
+  talloc_free (freed);
+}
+
+static int
+platform_destroy (struct platform *p)
+{
+  if (p->freed != NULL)
+    *p->freed = true;
+  while (p->calls != NULL)
+    call_detach (p->calls);
+  curl_multi_cleanup (p->multi);
+  return 0;
+}
+
+struct platform *
+platform_create (void *parent, const struct platform_options *options,
+                 struct error *err)
+{
+  struct platform *p = talloc_zero (parent, struct platform);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  p->ev = options->ev;
+  p->url = talloc_strdup (p, options->url);
+  p->timeout_ms = options->timeout_ms;
+  p->multi = curl_multi_init ();
+  if (p->multi == NULL)
+    {
+      error_set (err, ERROR_INTERNAL, "libcurl does not start");
+      talloc_free (p);
+      return NULL;
+    }
+  talloc_set_destructor (p, platform_destroy);
+  curl_multi_setopt (p->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+  curl_multi_setopt (p->multi, CURLMOPT_SOCKETDATA, p);
+  curl_multi_setopt (p->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+  curl_multi_setopt (p->multi, CURLMOPT_TIMERDATA, p);
+  return p;
+}
+
+static struct platform_call *
+call_create (struct platform *p, const char *name, char *url,
+             int64_t timeout_ms)
+{
+  struct platform_call *call = talloc_zero (p, struct platform_call);
+  CURL *easy = curl_easy_init ();
+  call->platform = p;
+  call->easy = easy;
+  call->name = talloc_strdup (call, name);
+  call->next = p->calls;
+  if (call->next != NULL)
+    call->next->prev = call;
+  p->calls = call;
+  talloc_set_destructor (call, call_detach);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, on_answer);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, before_request);
+  curl_easy_setopt (easy, CURLOPT_PREREQDATA, call);
+  talloc_free (url);
+  return call;
+}
+
+/* libcurl starts the call from its timer, so no callback runs in here. */
+static void
+call_start (struct platform_call *call)
+{
+  call->platform->call_count++;
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_multi_add_handle (call->platform->multi, call->easy);
+}
+
+void
+platform_get (struct platform *p, const char *name, platform_done_fn *done,
+              void *data)
+{
+  char *url = talloc_asprintf (p, "%s/objects/%s", p->url, name);
+  struct platform_call *call = call_create (p, name, url, p->timeout_ms);
+  call->done = done;
+  call->data = data;
+  call_start (call);
+}
+
+void
+platform_put (struct platform *p, const char *name, uint64_t version,
+              struct bstr value, platform_done_fn *done, void *data)
+{
+  char *url = talloc_asprintf (p, "%s/objects/%s", p->url, name);
+  struct platform_call *call = call_create (p, name, url, p->timeout_ms);
+  char header[64];
+  call->is_update = true;
+  call->value = bstr_copy (call, value);
+  call->done = done;
+  call->data = data;
+  snprintf (header, sizeof header, "If-Match: %" PRIu64, version);
+  call->headers = curl_slist_append (call->headers, header);
+  call->headers
+      = curl_slist_append (call->headers, "Content-Type: text/plain");
+  /* Without this, libcurl waits up to 1 s for "100 Continue" before it sends
+     a large body. */
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                    (curl_off_t)value.len);
+  curl_easy_setopt (call->easy, CURLOPT_POSTFIELDS, call->value.start);
+  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  call_start (call);
+}
+
+void
+platform_watch (struct platform *p, const char *prefix, uint64_t since,
+                int64_t timeout_ms, platform_changed_fn *changed, void *data)
+{
+  char *url = talloc_asprintf (
+      p, "%s/watch?prefix=%s&since=%" PRIu64 "&timeout_ms=%" PRId64, p->url,
+      prefix, since, timeout_ms);
+  struct platform_call *call
+      = call_create (p, prefix, url, timeout_ms + p->timeout_ms);
+  call->changed = changed;
+  call->data = data;
+  call_start (call);
+}
+
+void
+platform_list_vms (struct platform *p, platform_vms_fn *done, void *data)
+{
+  char *url = talloc_asprintf (p, "%s/vms", p->url);
+  struct platform_call *call = call_create (p, "vms", url, p->timeout_ms);
+  call->vms = done;
+  call->data = data;
+  call_start (call);
+}
+
+uint64_t
+platform_calls (const struct platform *p)
+{
+  return p->call_count;
+}
--- a/net/platform.h
+++ b/net/platform.h
@@ -34,13 +34,14 @@
  * @param err code ERROR_NONE on success; ERROR_CONFLICT when the version did
  * not match (@p object then holds the current one); ERROR_UNKNOWN when the
  * answer to an update was lost, so that it may have taken effect;
- * ERROR_UNAVAILABLE when the call certainly had no effect. */
-struct platform_call;
+ * ERROR_UNAVAILABLE when the call certainly had no effect; ERROR_REFUSED when
+ * the value is too large.  A read of an object that does not exist succeeds
+ * with version 0. */
 typedef void platform_done_fn (void *data, const struct error *err,
                                const struct platform_object *object);
 
 /** Result of a watch: the objects under the prefix that changed since, and
- * the revision to continue from. */
+ * the revision to continue from.  A deleted object has version 0. */
 typedef void platform_changed_fn (void *data, const struct error *err,
                                   const struct platform_object *objects,
                                   int count, uint64_t revision);
