--- a/core/settings.h
+++ b/core/settings.h
@@ -7,6 +7,7 @@
 
 #include "common/bstr.h"
 #include "common/error.h"
+#include "common/option.h"
 #include "core/types.h"
 
 struct settings_endpoint
@@ -18,6 +19,11 @@
   bool leaving;
 };
 
+/** Options with this flag belong to the service as a whole: they may stand
+ * in [defaults] and [services.NAME], not in an organisation, because the
+ * organisations of a service share its endpoints. */
+#define SETTINGS_SERVICE_ONLY OPTION_FIRST_OWN_FLAG
+
 /** Values that each level may set. */
 struct settings_values
 {
@@ -49,8 +55,8 @@
   char *user;
   char *open_organisation; /**< NULL if none. */
   struct settings_values values;
-  struct settings_endpoint *endpoints;
-  int endpoint_count;
+  struct settings_endpoint *endpoints; /**< In the order of the text. */
+  int endpoint_count;                  /**< 1 to GROUP_MAX_ENDPOINTS. */
   struct settings_organisation *organisations;
   int organisation_count;
 };
@@ -76,7 +82,18 @@
                         const char *organisation, const char *name,
                         struct error *err);
 
-/** List what differs between two trees, one line each. */
+/** Render the value in force of one name, as settings_explain takes it. */
+char *settings_value (void *parent, const struct settings *s,
+                      const char *service, const char *organisation,
+                      const char *name, struct error *err);
+
+/** The option tables, for checks and for the reference page. */
+const struct option_spec *settings_value_options (void);
+const struct option_spec *settings_service_options (void);
+const struct option_spec *settings_endpoint_options (void);
+
+/** List what differs between two trees in the values that are in force,
+ * one line each; an empty text if nothing does.  Either may be NULL. */
 char *settings_diff (void *parent, const struct settings *from,
                      const struct settings *to);
 
