daemon: read local settings from file and command line

Cause: the daemon needs its VM's name, addresses and times from outside. Ruled out: separate lists for popt and TOML; the help text and the checks would drift apart. Both are built from one option table. Conclusion: daemon/main.c can start from daemon_options_parse.

--- /dev/null
+++ b/daemon/options.c
@@ -0,0 +1,395 @@
+#include "daemon/options.h"
+
+#include "common/toml_reader.h"
+
+#include <errno.h>
+#include <popt.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define MEMBER(m) offsetof (struct daemon_options, m)
+
+/* A settings file larger than this is not a settings file. */
+#define MAX_FILE_BYTES 65536
+
+static const struct option_spec table[] = {
+  { .name = "name",
+    .type = OPTION_NAME,
+    .offset = MEMBER (name),
+    .flags = OPTION_REQUIRED,
+    .help = "Name of this VM, as in the platform's list" },
+  { .name = "place",
+    .type = OPTION_NAME,
+    .offset = MEMBER (place),
+    .text = "",
+    .flags = OPTION_MAY_BE_EMPTY,
+    .help = "Place where this VM stands" },
+  { .name = "failure_domain",
+    .type = OPTION_NAME,
+    .offset = MEMBER (failure_domain),
+    .flags = OPTION_REQUIRED,
+    .help = "Failure domain of this VM" },
+  { .name = "region",
+    .type = OPTION_NAME,
+    .offset = MEMBER (region),
+    .text = "",
+    .flags = OPTION_MAY_BE_EMPTY,
+    .help = "Region of this VM" },
+  { .name = "listen",
+    .type = OPTION_LISTEN,
+    .offset = MEMBER (listen),
+    .text = "127.0.0.1:7400",
+    .help
+    = "Address of the callers' HTTP interface; port 0 takes a free one" },
+  { .name = "admin_listen",
+    .type = OPTION_LISTEN,
+    .offset = MEMBER (admin_listen),
+    .text = "127.0.0.1:7401",
+    .help = "Address of the admin interface; port 0 takes a free one" },
+  { .name = "peer_listen",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (peer_listen),
+    .text = "tcp://127.0.0.1:7402",
+    .min = 1,
+    .max = 100,
+    .pattern = "^tcp://[][0-9a-fA-F.:]+:([0-9]{1,5}|\\*)$",
+    .form = "tcp://IP:PORT",
+    .help = "ZeroMQ endpoint for the other daemons; port * takes a free one" },
+  { .name = "platform",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (platform),
+    .flags = OPTION_REQUIRED,
+    .min = 1,
+    .max = 200,
+    .pattern = "^https?://[^ /]+/?$",
+    .form = "http://HOST:PORT",
+    .help = "URL of the platform's object API" },
+  { .name = "cell",
+    .type = OPTION_NAME,
+    .offset = MEMBER (cell),
+    .flags = OPTION_REQUIRED,
+    .help = "Cell that this daemon joins" },
+  { .name = "secret_file",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (secret_file),
+    .flags = OPTION_REQUIRED,
+    .min = 1,
+    .max = 4000,
+    .form = "a path",
+    .help = "File with the fleet secret" },
+  { .name = "charts",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (charts),
+    .text = "charts",
+    .min = 1,
+    .max = 4000,
+    .form = "a path",
+    .help = "Folder with the state charts" },
+  { .name = "log_level",
+    .type = OPTION_CHOICE,
+    .offset = MEMBER (log_level),
+    .text = "info",
+    .pattern = "error|warn|info|debug",
+    .help = "Least important log lines that are written" },
+  { .name = "tls_certificate",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (tls_certificate),
+    .min = 1,
+    .max = 4000,
+    .form = "a path",
+    .help = "Certificate of the callers' interface, in PEM form" },
+  { .name = "tls_key",
+    .type = OPTION_TEXT,
+    .offset = MEMBER (tls_key),
+    .min = 1,
+    .max = 4000,
+    .form = "a path",
+    .help = "Private key of the certificate, in PEM form" },
+  { .name = "poll_ms",
+    .type = OPTION_INT64,
+    .offset = MEMBER (poll_ms),
+    .min = 10,
+    .max = 10000,
+    .number = 250,
+    .unit = "ms",
+    .help = "Time between two polls of an endpoint" },
+  { .name = "heartbeat_ms",
+    .type = OPTION_INT64,
+    .offset = MEMBER (heartbeat_ms),
+    .min = 10,
+    .max = 10000,
+    .number = 500,
+    .unit = "ms",
+    .help = "Time between two heartbeats to each other daemon" },
+  { .name = "hold_ms",
+    .type = OPTION_INT64,
+    .offset = MEMBER (hold_ms),
+    .min = 100,
+    .max = 60000,
+    .number = 2000,
+    .unit = "ms",
+    .help = "Time without echoes after which this daemon stops admitting" },
+  { .name = "max_body_bytes",
+    .type = OPTION_INT64,
+    .offset = MEMBER (max_body_bytes),
+    .min = 1024,
+    .max = 67108864,
+    .number = 1048576,
+    .unit = "bytes",
+    .help = "Largest body of a request" },
+  /* Section 1.4 of the design has 3,660 connections per daemon. */
+  { .name = "max_connections",
+    .type = OPTION_INT,
+    .offset = MEMBER (max_connections),
+    .min = 1,
+    .max = 100000,
+    .number = 5000,
+    .unit = "connections",
+    .help = "Callers' connections that are open at one time" },
+  { 0 },
+};
+
+#define OPTION_COUNT (sizeof table / sizeof table[0] - 1)
+
+enum
+{
+  VALUE_FIRST = 1000, /* Plus the index in the table. */
+  VALUE_SETTINGS = 1,
+  VALUE_CHECK,
+  VALUE_HELP
+};
+
+const struct option_spec *
+daemon_options_table (void)
+{
+  return table;
+}
+
+/* "poll_ms" in the file is "--poll-ms" on the command line. */
+static char *
+long_name (void *parent, const char *name)
+{
+  char *out = talloc_strdup (parent, name);
+  for (char *c = out; *c != '\0'; c++)
+    if (*c == '_')
+      *c = '-';
+  return out;
+}
+
+static char *
+describe (void *parent, const struct option_spec *o)
+{
+  void *scratch = talloc_new (NULL);
+  const char *fallback = option_default (o, scratch);
+  bool required = o->flags & OPTION_REQUIRED;
+  char *text = talloc_asprintf (
+      parent, "%s (%s%s%s, %s%s)", o->help, option_range (o, scratch),
+      o->unit != NULL ? " " : "", o->unit != NULL ? o->unit : "",
+      required ? "" : "default ", fallback);
+  talloc_free (scratch);
+  return text;
+}
+
+static struct poptOption *
+popt_table (void *parent)
+{
+  struct poptOption *out
+      = talloc_zero_array (parent, struct poptOption, OPTION_COUNT + 4);
+  size_t n = 0;
+  out[n++] = (struct poptOption){ "settings",      's',
+                                  POPT_ARG_STRING, NULL,
+                                  VALUE_SETTINGS,  "Settings file (TOML)",
+                                  "FILE" };
+  out[n++] = (struct poptOption){
+    "check",       'c',
+    POPT_ARG_NONE, NULL,
+    VALUE_CHECK,   "Check the settings and the files they name, then exit",
+    NULL
+  };
+  out[n++]
+      = (struct poptOption){ "help", '?',        POPT_ARG_NONE,
+                             NULL,   VALUE_HELP, "Show this help and exit",
+                             NULL };
+  for (size_t i = 0; i < OPTION_COUNT; i++)
+    out[n++]
+        = (struct poptOption){ long_name (out, table[i].name),
+                               '\0',
+                               POPT_ARG_STRING,
+                               NULL,
+                               VALUE_FIRST + (int)i,
+                               describe (out, &table[i]),
+                               table[i].unit != NULL ? "NUMBER" : "VALUE" };
+  return out;
+}
+
+void
+daemon_options_print_help (FILE *out)
+{
+  const char *argv[] = { "azurewindd", NULL };
+  void *scratch = talloc_new (NULL);
+  poptContext context
+      = poptGetContext ("azurewindd", 1, argv, popt_table (scratch), 0);
+  poptPrintHelp (context, out, 0);
+  poptFreeContext (context);
+  talloc_free (scratch);
+}
+
+static bool
+read_file (struct daemon_options *o, struct error *err)
+{
+  bool ok = false;
+  void *scratch = talloc_new (NULL);
+  char *text = talloc_size (scratch, MAX_FILE_BYTES + 1);
+  FILE *file = fopen (o->settings_file, "rb");
+  if (file == NULL)
+    {
+      error_set (err, ERROR_INVALID, "%s: %s", o->settings_file,
+                 strerror (errno));
+      goto done;
+    }
+  size_t n = fread (text, 1, MAX_FILE_BYTES + 1, file);
+  if (ferror (file) || n > MAX_FILE_BYTES)
+    {
+      error_set (err, ERROR_INVALID, "%s: not readable, or above %d bytes",
+                 o->settings_file, MAX_FILE_BYTES);
+      goto done;
+    }
+  struct toml_node *root = toml_reader_parse (scratch, o->settings_file,
+                                              (struct bstr){ text, n }, err);
+  ok = root != NULL
+       && option_read (table, NULL, o, o, o->settings_file, root, err);
+done:
+  if (file != NULL)
+    fclose (file);
+  talloc_free (scratch);
+  return ok;
+}
+
+static bool
+check_together (const struct daemon_options *o, struct error *err)
+{
+  const struct option_spec *missing = option_missing (table, o);
+  if (missing != NULL)
+    return error_set (err, ERROR_INVALID,
+                      "%s is not set; it is required, in the settings file "
+                      "or on the command line",
+                      missing->name);
+  if ((o->tls_certificate == NULL) != (o->tls_key == NULL))
+    return error_set (err, ERROR_INVALID,
+                      "tls_certificate and tls_key must be set together");
+  /* With less, one lost heartbeat would end the lease. */
+  if (o->hold_ms < 2 * o->heartbeat_ms)
+    return error_set (err, ERROR_INVALID,
+                      "hold_ms is %d, it must be at least twice "
+                      "heartbeat_ms, which is %d",
+                      (int)o->hold_ms, (int)o->heartbeat_ms);
+  return true;
+}
+
+static bool
+check_files (const struct daemon_options *o, struct error *err)
+{
+  const struct
+  {
+    const char *name, *path;
+  } files[] = {
+    { "secret_file", o->secret_file },
+    { "charts", o->charts },
+    { "tls_certificate", o->tls_certificate },
+    { "tls_key", o->tls_key },
+  };
+  for (size_t i = 0; i < sizeof files / sizeof files[0]; i++)
+    if (files[i].path != NULL && access (files[i].path, R_OK) != 0)
+      return error_set (err, ERROR_INVALID, "%s: %s: %s", files[i].name,
+                        files[i].path, strerror (errno));
+  return true;
+}
+
+/* What the command line says, before the file is read. */
+struct command_line
+{
+  const char *values[OPTION_COUNT];
+  bool check, help;
+};
+
+static bool
+read_command_line (struct daemon_options *o, poptContext context,
+                   struct command_line *line, struct error *err)
+{
+  int code;
+  while ((code = poptGetNextOpt (context)) >= 0)
+    {
+      char *value = poptGetOptArg (context);
+      if (code == VALUE_CHECK)
+        line->check = true;
+      else if (code == VALUE_HELP)
+        line->help = true;
+      else if (code == VALUE_SETTINGS)
+        o->settings_file = talloc_strdup (o, value);
+      else if (code >= VALUE_FIRST)
+        line->values[code - VALUE_FIRST] = talloc_strdup (o, value);
+      free (value);
+    }
+  if (code < -1)
+    return error_set (err, ERROR_INVALID, "%s: %s",
+                      poptBadOption (context, POPT_BADOPTION_NOALIAS),
+                      poptStrerror (code));
+  const char *rest = poptPeekArg (context);
+  if (rest != NULL)
+    return error_set (err, ERROR_INVALID, "unexpected argument \"%s\"", rest);
+  return true;
+}
+
+static bool
+apply_command_line (struct daemon_options *o, const struct command_line *line,
+                    struct error *err)
+{
+  for (size_t i = 0; i < OPTION_COUNT; i++)
+    if (line->values[i] != NULL
+        && !option_set_text (&table[i], o, o, line->values[i], err))
+      return error_wrap (err, ERROR_INVALID, "command line");
+  return true;
+}
+
+struct daemon_options *
+daemon_options_parse (void *parent, int argc, const char **argv,
+                      struct error *err)
+{
+  bool ok = false;
+  struct command_line line = { 0 };
+  struct daemon_options *o = talloc_zero (parent, struct daemon_options);
+  void *scratch = talloc_new (NULL);
+  poptContext context
+      = poptGetContext ("azurewindd", argc, argv, popt_table (scratch), 0);
+  option_set_defaults (table, o, o);
+  if (!read_command_line (o, context, &line, err))
+    goto done;
+  if (line.help)
+    {
+      daemon_options_print_help (stdout);
+      o->exit_now = true;
+      ok = true;
+      goto done;
+    }
+  if (o->settings_file != NULL && !read_file (o, err))
+    goto done;
+  if (!apply_command_line (o, &line, err) || !check_together (o, err))
+    goto done;
+  if (line.check)
+    {
+      if (!check_files (o, err))
+        goto done;
+      printf ("settings are valid\n");
+      o->exit_now = true;
+    }
+  ok = true;
+done:
+  poptFreeContext (context);
+  talloc_free (scratch);
+  if (!ok)
+    {
+      talloc_free (o);
+      o = NULL;
+    }
+  return o;
+}
