--- /dev/null
+++ b/core/chart.c
@@ -0,0 +1,352 @@
+#include "core/chart.h"
+
+#include <stdio.h>
+
+#define MAX_WORDS 5
+
+struct transition
+{
+  int target; /* INDEX_ABSENT if the event is not allowed. */
+  int action;
+  int line;
+};
+
+#define INDEX_ABSENT (-1)
+
+struct chart
+{
+  int initial;
+  int state_count, event_count;
+  bool is_final[CHART_MAX_STATES];
+  int mentioned[CHART_MAX_STATES]; /* Line of the first mention, or 0. */
+  struct transition table[CHART_MAX_STATES][CHART_MAX_EVENTS];
+};
+
+/* What one call of chart_parse works on. */
+struct parser
+{
+  const struct chart_vocabulary *vocabulary;
+  const char *path;
+  struct chart *chart;
+  struct error *err;
+  int line;
+};
+
+static int
+name_count (const char *const *names)
+{
+  int count = 0;
+  while (names[count] != NULL)
+    count++;
+  return count;
+}
+
+static int
+name_find (const char *const *names, struct bstr word)
+{
+  for (int i = 0; names[i] != NULL; i++)
+    if (bstr_equals_text (word, names[i]))
+      return i;
+  return INDEX_ABSENT;
+}
+
+/* Split off the next line. */
+static struct bstr
+take_line (struct bstr *text)
+{
+  const char *end
+      = text->len > 0 ? memchr (text->start, '\n', text->len) : NULL;
+  size_t len = end != NULL ? (size_t)(end - text->start) : text->len;
+  struct bstr line = { text->start, len };
+  *text = bstr_skip (*text, len + 1);
+  return line;
+}
+
+static bool
+is_blank (char c)
+{
+  return c == ' ' || c == '\t' || c == '\r';
+}
+
+/* Returns the number of words, MAX_WORDS + 1 if there are more. */
+static int
+split_words (struct bstr line, struct bstr words[MAX_WORDS])
+{
+  int count = 0;
+  size_t at = 0;
+  while (at < line.len && line.start[at] != '#')
+    {
+      size_t start = at;
+      while (at < line.len && !is_blank (line.start[at])
+             && line.start[at] != '#')
+        at++;
+      if (at > start)
+        {
+          if (count == MAX_WORDS)
+            return MAX_WORDS + 1;
+          words[count++] = (struct bstr){ line.start + start, at - start };
+        }
+      else
+        at++;
+    }
+  return count;
+}
+
+static bool
+find_name (const struct parser *p, const char *const *names, const char *kind,
+           struct bstr word, int *index)
+{
+  *index = name_find (names, word);
+  if (*index != INDEX_ABSENT)
+    return true;
+  return error_set (p->err, ERROR_INVALID,
+                    "%s:%d: unknown %s \"%.*s\" in chart \"%s\"", p->path,
+                    p->line, kind, BSTR_ARG (word), p->vocabulary->name);
+}
+
+static bool
+find_state (const struct parser *p, struct bstr word, int *state)
+{
+  if (!find_name (p, p->vocabulary->states, "state", word, state))
+    return false;
+  if (p->chart->mentioned[*state] == 0)
+    p->chart->mentioned[*state] = p->line;
+  return true;
+}
+
+static bool
+parse_transition (const struct parser *p, const struct bstr *words, int count)
+{
+  int state, event, target, action = 0;
+  if (!find_state (p, words[0], &state)
+      || !find_name (p, p->vocabulary->events, "event", words[1], &event)
+      || !find_state (p, words[3], &target)
+      || (count == 5
+          && !find_name (p, p->vocabulary->actions, "action", words[4],
+                         &action)))
+    return false;
+  struct transition *t = &p->chart->table[state][event];
+  if (t->target != INDEX_ABSENT)
+    return error_set (p->err, ERROR_INVALID,
+                      "%s:%d: duplicate transition \"%.*s %.*s\", first on "
+                      "line %d",
+                      p->path, p->line, BSTR_ARG (words[0]),
+                      BSTR_ARG (words[1]), t->line);
+  *t = (struct transition){ target, action, p->line };
+  return true;
+}
+
+static bool
+parse_line (const struct parser *p, struct bstr line)
+{
+  struct bstr words[MAX_WORDS];
+  int count = split_words (line, words);
+  int state;
+  if (count == 0)
+    return true;
+  if (count == 2 && bstr_equals_text (words[0], "initial"))
+    {
+      if (p->chart->initial != INDEX_ABSENT)
+        return error_set (p->err, ERROR_INVALID,
+                          "%s:%d: second initial state \"%.*s\"", p->path,
+                          p->line, BSTR_ARG (words[1]));
+      return find_state (p, words[1], &p->chart->initial);
+    }
+  if (count == 2 && bstr_equals_text (words[0], "final"))
+    {
+      if (!find_state (p, words[1], &state))
+        return false;
+      p->chart->is_final[state] = true;
+      return true;
+    }
+  if ((count == 4 || count == 5) && bstr_equals_text (words[2], "->"))
+    return parse_transition (p, words, count);
+  return error_set (p->err, ERROR_INVALID,
+                    "%s:%d: expected \"STATE EVENT -> STATE [ACTION]\", "
+                    "\"initial STATE\" or \"final STATE\"",
+                    p->path, p->line);
+}
+
+/* Marks every state that a marked state leads to (forward), or that leads
+   to a marked state (backward), until nothing changes. */
+static void
+spread (const struct chart *c, bool marked[CHART_MAX_STATES], bool forward)
+{
+  bool changed = true;
+  while (changed)
+    {
+      changed = false;
+      for (int s = 0; s < c->state_count; s++)
+        for (int e = 0; e < c->event_count; e++)
+          {
+            int target = c->table[s][e].target;
+            if (target == INDEX_ABSENT)
+              continue;
+            int from = forward ? s : target, to = forward ? target : s;
+            if (marked[from] && !marked[to])
+              marked[to] = changed = true;
+          }
+    }
+}
+
+/* A state without a mention is reported on the last line. */
+static bool
+refuse_state (const struct parser *p, int state, const char *fault)
+{
+  int line = p->chart->mentioned[state];
+  return error_set (p->err, ERROR_INVALID, "%s:%d: %s state \"%s\"", p->path,
+                    line != 0 ? line : p->line, fault,
+                    p->vocabulary->states[state]);
+}
+
+static bool
+has_exit (const struct chart *c, int state)
+{
+  for (int e = 0; e < c->event_count; e++)
+    if (c->table[state][e].target != INDEX_ABSENT
+        && c->table[state][e].target != state)
+      return true;
+  return false;
+}
+
+static bool
+check_events (const struct parser *p)
+{
+  const struct chart *c = p->chart;
+  for (int e = 0; e < c->event_count; e++)
+    {
+      bool used = false;
+      for (int s = 0; s < c->state_count; s++)
+        {
+          const struct transition *t = &c->table[s][e];
+          used = used || t->target != INDEX_ABSENT;
+          if (t->target != INDEX_ABSENT && c->is_final[s])
+            return error_set (p->err, ERROR_INVALID,
+                              "%s:%d: transition out of final state \"%s\"",
+                              p->path, t->line, p->vocabulary->states[s]);
+        }
+      if (!used)
+        return error_set (p->err, ERROR_INVALID,
+                          "%s:%d: event \"%s\" has no transition", p->path,
+                          p->line, p->vocabulary->events[e]);
+    }
+  return true;
+}
+
+static bool
+check_states (const struct parser *p)
+{
+  const struct chart *c = p->chart;
+  bool reached[CHART_MAX_STATES] = { false };
+  bool ends[CHART_MAX_STATES] = { false };
+  bool any_final = false;
+  reached[c->initial] = true;
+  spread (c, reached, true);
+  for (int s = 0; s < c->state_count; s++)
+    {
+      ends[s] = c->is_final[s];
+      any_final = any_final || c->is_final[s];
+    }
+  spread (c, ends, false);
+  for (int s = 0; s < c->state_count; s++)
+    {
+      if (!reached[s])
+        return refuse_state (p, s, "unreachable");
+      if (!c->is_final[s] && !has_exit (c, s))
+        return refuse_state (p, s, "dead end in");
+      if (any_final && !ends[s])
+        return refuse_state (p, s, "no way to a final state from");
+    }
+  return true;
+}
+
+static bool
+check_chart (const struct parser *p)
+{
+  if (p->chart->initial == INDEX_ABSENT)
+    return error_set (p->err, ERROR_INVALID, "%s:%d: no initial state",
+                      p->path, p->line);
+  return check_states (p) && check_events (p);
+}
+
+struct chart *
+chart_parse (void *parent, const struct chart_vocabulary *v, const char *path,
+             struct bstr text, struct error *err)
+{
+  struct chart *c = talloc_zero (parent, struct chart);
+  struct parser p = { v, path, c, err, 0 };
+  bool ok = false;
+  c->initial = INDEX_ABSENT;
+  c->state_count = name_count (v->states);
+  c->event_count = name_count (v->events);
+  if (c->state_count > CHART_MAX_STATES || c->event_count > CHART_MAX_EVENTS)
+    {
+      error_set (err, ERROR_INTERNAL, "%s: chart \"%s\" is too large", path,
+                 v->name);
+      goto out;
+    }
+  for (int s = 0; s < CHART_MAX_STATES; s++)
+    for (int e = 0; e < CHART_MAX_EVENTS; e++)
+      c->table[s][e].target = INDEX_ABSENT;
+  while (text.len > 0)
+    {
+      p.line++;
+      if (!parse_line (&p, take_line (&text)))
+        goto out;
+    }
+  ok = check_chart (&p);
+out:
+  if (!ok)
+    TALLOC_FREE (c);
+  return c;
+}
+
+struct chart *
+chart_load (void *parent, const struct chart_vocabulary *v, const char *path,
+            struct error *err)
+{
+  struct chart *c = NULL;
+  char *text = talloc_strdup (parent, "");
+  char chunk[4096];
+  size_t n;
+  FILE *file = fopen (path, "rb");
+  if (file == NULL)
+    {
+      error_set (err, ERROR_NOT_FOUND, "%s: cannot open chart \"%s\"", path,
+                 v->name);
+      goto out;
+    }
+  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
+    text = talloc_strndup_append_buffer (text, chunk, n);
+  if (ferror (file))
+    error_set (err, ERROR_UNAVAILABLE, "%s: cannot read chart \"%s\"", path,
+               v->name);
+  else
+    c = chart_parse (parent, v, path, bstr_from (text), err);
+  fclose (file);
+out:
+  talloc_free (text);
+  return c;
+}
+
+int
+chart_initial (const struct chart *c)
+{
+  return c->initial;
+}
+
+bool
+chart_is_final (const struct chart *c, int state)
+{
+  return c->is_final[state];
+}
+
+int
+chart_step (const struct chart *c, int *state, int event)
+{
+  const struct transition *t = &c->table[*state][event];
+  if (t->target == INDEX_ABSENT)
+    return -1;
+  *state = t->target;
+  return t->action;
+}
