--- /dev/null
+++ b/daemon/daemon.c
@@ -0,0 +1,100 @@
+#include "daemon/daemon.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "daemon/front.h"
+#include "daemon/peers.h"
+
+#include <sodium.h>
+
+#define PART "daemon"
+#define DRAIN_CHECK_US (50 * USEC_PER_MSEC)
+/* The balancer needs this long to see that the health check fails. */
+#define DRAIN_MIN_US (1 * USEC_PER_SEC)
+
+struct repeating
+{
+  struct daemon *daemon;
+  int64_t interval_us;
+  void (*run) (void *data);
+  void *data;
+};
+
+static struct timeval
+from_now (int64_t delay_us)
+{
+  if (delay_us < 0)
+    delay_us = 0;
+  return tevent_timeval_current_ofs ((uint32_t)(delay_us / USEC_PER_SEC),
+                                     (uint32_t)(delay_us % USEC_PER_SEC));
+}
+
+static void
+on_repeat (struct tevent_context *ev, struct tevent_timer *te,
+           struct timeval now, void *data)
+{
+  (void)te, (void)now;
+  struct repeating *r = data;
+  tevent_add_timer (ev, r, from_now (r->interval_us), on_repeat, r);
+  r->run (r->data);
+}
+
+void
+daemon_every (struct daemon *d, void *parent, int64_t interval_us,
+              void (*run) (void *data), void *data)
+{
+  struct repeating *r = talloc (parent, struct repeating);
+  *r = (struct repeating){ d, interval_us, run, data };
+  tevent_add_timer (d->ev, r, from_now (interval_us), on_repeat, r);
+}
+
+struct tevent_timer *
+daemon_after (struct daemon *d, void *parent, int64_t delay_us,
+              tevent_timer_handler_t run, void *data)
+{
+  return tevent_add_timer (d->ev, parent, from_now (delay_us), run, data);
+}
+
+uint64_t
+daemon_unique (void)
+{
+  uint64_t value;
+  do
+    randombytes_buf (&value, sizeof value);
+  while (value == 0);
+  return value;
+}
+
+struct drain
+{
+  struct daemon *daemon;
+  int64_t started;
+};
+
+static void
+check_drained (void *data)
+{
+  struct drain *drain = data;
+  struct daemon *d = drain->daemon;
+  int64_t elapsed = clock_now () - drain->started;
+  if (elapsed < DRAIN_MIN_US || front_busy (d->front) > 0)
+    return;
+  if (!d->stopped)
+    log_info (PART, "drained elapsed_ms=%d", (int)(elapsed / USEC_PER_MSEC));
+  d->stopped = true;
+}
+
+void
+daemon_drain (struct daemon *d)
+{
+  if (d->draining)
+    return;
+  struct drain *drain = talloc (d, struct drain);
+  *drain = (struct drain){ d, clock_now () };
+  d->draining = true;
+  log_info (PART, "draining busy=%d", front_busy (d->front));
+  front_drain (d->front);
+  cell_set_leaving (d->cell, true);
+  budget_set_leaving (d->budget, true);
+  daemon_every (d, d, DRAIN_CHECK_US, check_drained, drain);
+}
--- /dev/null
+++ b/daemon/group_object.c
@@ -0,0 +1,110 @@
+#include "daemon/group_object.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static const char *const phases[]
+    = { "stable",   "agreeing",  "fencing", "waiting",
+        "choosing", "promoting", "opening" };
+
+char *
+group_object_name (void *parent, const char *service)
+{
+  return talloc_asprintf (parent, "azurewind/groups/%s", service);
+}
+
+static const char *
+endpoint_name (const struct group *g, int index)
+{
+  return index >= 0 && index < g->endpoint_count ? g->endpoints[index].name
+                                                 : "";
+}
+
+/* Numbers of 64 bits are written as text: JSON readers often use doubles. */
+static json_t *
+number (uint64_t value)
+{
+  char text[24];
+  snprintf (text, sizeof text, "%" PRIu64, value);
+  return json_string (text);
+}
+
+struct bstr
+group_object_render (void *parent, const struct group *g,
+                     const struct group_record *r)
+{
+  json_t *json = json_object ();
+  json_object_set_new (json, "term", number (r->term));
+  json_object_set_new (json, "primary",
+                       json_string (endpoint_name (g, r->primary)));
+  json_object_set_new (json, "candidate",
+                       json_string (endpoint_name (g, r->candidate)));
+  json_object_set_new (json, "phase", json_string (phases[r->phase]));
+  json_object_set_new (json, "driver", number (r->driver));
+  json_object_set_new (json, "op", number (r->op));
+  json_object_set_new (json, "branch_start", number (r->branch_start));
+  char *text = json_dumps (json, JSON_COMPACT);
+  struct bstr value = bstr_copy (parent, bstr_from (text));
+  free (text);
+  json_decref (json);
+  return value;
+}
+
+static bool
+read_number (const json_t *json, const char *name, uint64_t *value)
+{
+  const char *text = json_string_value (json_object_get (json, name));
+  char *end;
+  if (text == NULL || *text == '\0')
+    return false;
+  *value = strtoull (text, &end, 10);
+  return *end == '\0';
+}
+
+static bool
+read_endpoint (const json_t *json, const char *name, const struct group *g,
+               int *index)
+{
+  const char *text = json_string_value (json_object_get (json, name));
+  if (text == NULL)
+    return false;
+  *index = INDEX_NONE;
+  for (int i = 0; i < g->endpoint_count; i++)
+    if (strcmp (text, g->endpoints[i].name) == 0)
+      *index = i;
+  return *text == '\0' || *index != INDEX_NONE;
+}
+
+static bool
+read_phase (const json_t *json, enum failover_phase *phase)
+{
+  const char *text = json_string_value (json_object_get (json, "phase"));
+  for (unsigned i = 0; text != NULL && i < sizeof phases / sizeof phases[0];
+       i++)
+    if (strcmp (text, phases[i]) == 0)
+      {
+        *phase = (enum failover_phase)i;
+        return true;
+      }
+  return false;
+}
+
+bool
+group_object_parse (const struct platform_object *object,
+                    const struct group *g, struct group_record *r)
+{
+  json_t *json = json_loadb (object->value.start, object->value.len, 0, NULL);
+  bool ok = json != NULL && read_number (json, "term", &r->term)
+            && read_number (json, "driver", &r->driver)
+            && read_number (json, "op", &r->op)
+            && read_number (json, "branch_start", &r->branch_start)
+            && read_endpoint (json, "primary", g, &r->primary)
+            && read_endpoint (json, "candidate", g, &r->candidate)
+            && read_phase (json, &r->phase)
+            && (r->phase != FAILOVER_STABLE || r->primary != INDEX_NONE);
+  r->version = object->version;
+  json_decref (json);
+  return ok;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,5 +1,155 @@
+/** @file
+ * azurewindd: reads its settings, starts the parts and runs the loop.
+ */
+#include "common/log.h"
+#include "daemon/admin.h"
+#include "daemon/control.h"
+#include "daemon/daemon.h"
+#include "daemon/front.h"
+#include "daemon/peers.h"
+
+#include "core/request.h"
+
+#include <curl/curl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define PART "daemon"
+
+static char *
+read_file (void *parent, const char *path, struct error *err)
+{
+  FILE *file = fopen (path, "rb");
+  char *text = NULL;
+  char chunk[4096];
+  size_t n;
+  if (file == NULL)
+    {
+      error_set (err, ERROR_NOT_FOUND, "cannot open %s", path);
+      return NULL;
+    }
+  text = talloc_strdup (parent, "");
+  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
+    text = talloc_strndup_append_buffer (text, chunk, n);
+  fclose (file);
+  return text;
+}
+
+/* The file holds 64 hexadecimal digits, for example from
+   "azurewind secret create". */
+static bool
+load_secret (struct daemon *d, struct error *err)
+{
+  unsigned char secret[SECRET_BYTES];
+  size_t len = 0;
+  char *text = read_file (d, d->options->secret_file, err);
+  if (text == NULL)
+    return error_wrap (err, ERROR_INVALID, "fleet secret");
+  int rc = sodium_hex2bin (secret, sizeof secret, text, strcspn (text, "\n"),
+                           " ", &len, NULL);
+  sodium_memzero (text, strlen (text));
+  talloc_free (text);
+  if (rc != 0 || len != sizeof secret)
+    return error_set (err, ERROR_INVALID, "%s must hold %d hexadecimal digits",
+                      d->options->secret_file, 2 * SECRET_BYTES);
+  secret_derive (d->token_key, secret, "session");
+  secret_derive (d->peer_key, secret, "peer");
+  sodium_memzero (secret, sizeof secret);
+  return true;
+}
+
+static bool
+load_tls (struct daemon *d, struct error *err)
+{
+  if (d->options->tls_certificate == NULL)
+    return true;
+  d->tls_certificate_text = read_file (d, d->options->tls_certificate, err);
+  if (d->tls_certificate_text == NULL)
+    return false;
+  d->tls_key_text = read_file (d, d->options->tls_key, err);
+  return d->tls_key_text != NULL;
+}
+
+static bool
+load_charts (struct daemon *d, struct error *err)
+{
+  char *path = talloc_asprintf (d, "%s/request.chart", d->options->charts);
+  d->request_chart = chart_load (d, request_vocabulary (), path, err);
+  talloc_free (path);
+  return d->request_chart != NULL;
+}
+
+static void
+on_signal (struct tevent_context *ev, struct tevent_signal *se, int signum,
+           int count, void *siginfo, void *data)
+{
+  (void)ev, (void)se, (void)signum, (void)count, (void)siginfo;
+  daemon_drain (data);
+}
+
+static bool
+start_parts (struct daemon *d, struct error *err)
+{
+  d->ev = tevent_context_init (d);
+  d->stats = stats_create (d);
+  d->id = daemon_unique ();
+  if (!load_secret (d, err) || !load_tls (d, err) || !load_charts (d, err))
+    return false;
+  d->control = control_create (d, err);
+  if (d->control == NULL)
+    return error_wrap (err, ERROR_UNAVAILABLE, "platform");
+  d->peers = peers_create (d, err);
+  if (d->peers == NULL)
+    return error_wrap (err, ERROR_UNAVAILABLE, "peers");
+  d->admin = admin_create (d, err);
+  if (d->admin == NULL)
+    return error_wrap (err, ERROR_UNAVAILABLE, "admin port");
+  d->front = front_create (d, err);
+  if (d->front == NULL)
+    return error_wrap (err, ERROR_UNAVAILABLE, "callers' port");
+  tevent_add_signal (d->ev, d, SIGTERM, 0, on_signal, d);
+  tevent_add_signal (d->ev, d, SIGINT, 0, on_signal, d);
+  return true;
+}
+
 int
-main (void)
+main (int argc, const char **argv)
 {
-  return 0;
+  struct error err = { 0 };
+  int status = EXIT_FAILURE;
+  struct daemon *d = talloc_zero (NULL, struct daemon);
+  struct daemon_options *options = daemon_options_parse (d, argc, argv, &err);
+  if (options == NULL)
+    {
+      fprintf (stderr, "azurewindd: %s\n", err.text);
+      status = 2;
+      goto done;
+    }
+  if (options->exit_now)
+    {
+      status = EXIT_SUCCESS;
+      goto done;
+    }
+  signal (SIGPIPE, SIG_IGN);
+  d->options = options;
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0
+      || !log_open (options->log_level, &err) || !start_parts (d, &err))
+    {
+      fprintf (stderr, "azurewindd: %s\n", err.text);
+      goto done;
+    }
+  printf ("ready port=%d admin=%d peers=%s\n", front_port (d->front),
+          admin_port (d->admin), bus_address (d->bus));
+  fflush (stdout);
+  while (!d->stopped && tevent_loop_once (d->ev) == 0)
+    ;
+  log_info (PART, "stopped");
+  status = EXIT_SUCCESS;
+done:
+  talloc_free (d);
+  log_close ();
+  curl_global_cleanup ();
+  return status;
 }
--- /dev/null
+++ b/daemon/peers.c
@@ -0,0 +1,511 @@
+#include "daemon/peers.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "daemon/cell_object.h"
+#include "daemon/control.h"
+#include "daemon/group.h"
+#include "proto/message.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PART "peers"
+#define TICK_US (20 * USEC_PER_MSEC)
+/* Reports that changed less than this are left out of a heartbeat, so that
+   quiet organisations cost no traffic. */
+#define REPORT_CHANGE 0.1
+/* Least time between two requests for the same object. */
+#define FETCH_INTERVAL_US (500 * USEC_PER_MSEC)
+
+struct peers
+{
+  struct daemon *daemon;
+  char *object_name;
+  int64_t fetched_at;
+  uint64_t applied_version; /**< Of the member list, for the groups. */
+  bool reading;
+};
+
+static void
+send_to_address (struct daemon *d, const char *address,
+                 const struct message *m)
+{
+  void *scratch = talloc_new (d);
+  struct bstr bytes = message_encode (scratch, m, d->peer_key);
+  if (bytes.len <= MESSAGE_MAX_BYTES)
+    bus_send (d->bus, address, bytes);
+  else
+    log_error (PART, "message too large type=%d bytes=%zu", (int)m->type,
+               bytes.len);
+  talloc_free (scratch);
+}
+
+static void
+send_to (struct daemon *d, uint64_t member, struct message *m)
+{
+  const struct cell_member *to = cell_find (d->cell, member);
+  m->from = d->id;
+  if (to != NULL)
+    send_to_address (d, to->address, m);
+}
+
+/* ---- heartbeats
+ * -------------------------------------------------------------- */
+
+static void
+add_views (struct daemon *d, struct message *m)
+{
+  m->views = talloc_zero_array (d, struct message_view, MESSAGE_MAX_VIEWS);
+  for (struct group *g = d->groups; g != NULL; g = g->next)
+    {
+      if (g->retired || m->view_count == MESSAGE_MAX_VIEWS)
+        continue;
+      struct message_view *v = &m->views[m->view_count++];
+      snprintf (v->group, sizeof v->group, "%s", g->service);
+      v->view = failover_view (g->failover, clock_now ());
+    }
+}
+
+static void
+add_reports (struct daemon *d, struct message *m)
+{
+  struct budget_report report;
+  int64_t now = clock_now ();
+  m->reports
+      = talloc_zero_array (d, struct budget_report, MESSAGE_MAX_REPORTS);
+  for (int i = 0; m->report_count < MESSAGE_MAX_REPORTS
+                  && budget_report (d->budget, i, now, &report);
+       i++)
+    m->reports[m->report_count++] = report;
+}
+
+static void
+send_heartbeat (struct daemon *d, const struct cell_action *a)
+{
+  struct message m = { .type = MESSAGE_HEARTBEAT,
+                       .heartbeat = a->heartbeat,
+                       .config_version = d->config_object.version,
+                       .keys_version = d->keys_object.version };
+  add_views (d, &m);
+  add_reports (d, &m);
+  send_to (d, a->member, &m);
+  talloc_free (m.views);
+  talloc_free (m.reports);
+}
+
+static void
+fetch_if_behind (struct daemon *d, uint64_t from, const char *name,
+                 uint64_t mine, uint64_t theirs)
+{
+  struct peers *p = d->peers;
+  int64_t now = clock_now ();
+  if (theirs <= mine || now - p->fetched_at < FETCH_INTERVAL_US)
+    return;
+  struct message m = { .type = MESSAGE_FETCH, .version = mine };
+  snprintf (m.name, sizeof m.name, "%s", name);
+  p->fetched_at = now;
+  send_to (d, from, &m);
+}
+
+static void
+on_heartbeat (struct daemon *d, const struct message *m)
+{
+  int64_t now = clock_now ();
+  cell_on_heartbeat (d->cell, &m->heartbeat, now);
+  for (int i = 0; i < m->view_count; i++)
+    {
+      struct primary_view view = m->views[i].view;
+      view.received_at = now;
+      group_on_view (d, m->views[i].group, &view);
+    }
+  for (int i = 0; i < m->report_count; i++)
+    budget_on_report (d->budget, &m->reports[i], now);
+  fetch_if_behind (d, m->from, CONTROL_CONFIG, d->config_object.version,
+                   m->config_version);
+  fetch_if_behind (d, m->from, CONTROL_KEYS, d->keys_object.version,
+                   m->keys_version);
+}
+
+/* ---- membership
+ * ----------------------------------------------------------------- */
+
+static void
+on_object_read (void *data, const struct error *err,
+                const struct platform_object *object)
+{
+  struct daemon *d = data;
+  d->peers->reading = false;
+  if (err->code == ERROR_NONE)
+    peers_on_object (d, object);
+}
+
+static void
+read_object (struct daemon *d)
+{
+  if (d->peers->reading)
+    return;
+  d->peers->reading = true;
+  platform_get (d->platform, d->peers->object_name, on_object_read, d);
+}
+
+void
+peers_on_object (struct daemon *d, const struct platform_object *object)
+{
+  struct cell_record record = { 0 };
+  if (object->version > 0
+      && !cell_object_parse (object->value, object->version, &record))
+    {
+      log_error (PART, "cell object is malformed version=%" PRIu64,
+                 object->version);
+      return;
+    }
+  cell_on_record (d->cell, &record, clock_now ());
+  peers_pump (d);
+}
+
+static void
+on_update_done (void *data, const struct error *err,
+                const struct platform_object *object)
+{
+  struct daemon *d = data;
+  int result = err->code == ERROR_NONE       ? UPDATE_DONE
+               : err->code == ERROR_CONFLICT ? UPDATE_CONFLICT
+                                             : UPDATE_LOST;
+  cell_on_update (d->cell, result, result == UPDATE_DONE ? object->version : 0,
+                  clock_now ());
+  if (result == UPDATE_CONFLICT && object != NULL)
+    peers_on_object (d, object);
+  else
+    peers_pump (d);
+}
+
+static void
+send_freeze (struct daemon *d, const struct cell_action *a)
+{
+  void *scratch = talloc_new (d);
+  struct message m = { .type = MESSAGE_FREEZE,
+                       .version = a->record.version,
+                       .value = cell_object_render (scratch, &a->record) };
+  send_to (d, a->member, &m);
+  talloc_free (scratch);
+}
+
+static void
+send_holdings (struct daemon *d, uint64_t coordinator)
+{
+  struct message m = { .type = MESSAGE_HOLDINGS };
+  struct budget_holding holding;
+  int64_t now = clock_now ();
+  m.version = cell_record (d->cell)->version;
+  m.age_us = cell_outsider_age (d->cell, now);
+  while (budget_holding (d->budget, m.share_count, &holding))
+    {
+      m.shares = talloc_realloc (d, m.shares, struct message_share,
+                                 m.share_count + 1);
+      struct message_share *s = &m.shares[m.share_count++];
+      memcpy (s->organisation, holding.organisation, sizeof s->organisation);
+      s->fraction = holding.fraction;
+    }
+  send_to (d, coordinator, &m);
+  talloc_free (m.shares);
+}
+
+static void
+on_freeze (struct daemon *d, const struct message *m)
+{
+  struct cell_record record;
+  if (!cell_object_parse (m->value, m->version, &record))
+    return;
+  cell_on_record (d->cell, &record, clock_now ());
+  peers_pump (d);
+  if (cell_record (d->cell)->version == m->version && cell_is_member (d->cell))
+    send_holdings (d, m->from);
+}
+
+static void
+on_holdings (struct daemon *d, const struct message *m)
+{
+  for (int i = 0; i < m->share_count; i++)
+    {
+      struct budget_holding holding = { .member = m->from };
+      memcpy (holding.organisation, m->shares[i].organisation,
+              sizeof holding.organisation);
+      holding.fraction = m->shares[i].fraction;
+      budget_on_holding (d->budget, m->version, &holding);
+    }
+  cell_on_holdings (d->cell, m->from, m->version, m->age_us, clock_now ());
+}
+
+static void
+send_allot (struct daemon *d, const struct cell_action *a)
+{
+  struct message m = { .type = MESSAGE_ALLOT, .version = a->version };
+  struct budget_holding share;
+  while (budget_allotment (d->budget, a->member, m.share_count, &share))
+    {
+      m.shares = talloc_realloc (d, m.shares, struct message_share,
+                                 m.share_count + 1);
+      struct message_share *s = &m.shares[m.share_count++];
+      memcpy (s->organisation, share.organisation, sizeof s->organisation);
+      s->fraction = share.fraction;
+    }
+  send_to (d, a->member, &m);
+  talloc_free (m.shares);
+}
+
+static void
+on_allot (struct daemon *d, const struct message *m)
+{
+  int64_t now = clock_now ();
+  for (int i = 0; i < m->share_count; i++)
+    budget_allot (d->budget, m->version, m->shares[i].organisation,
+                  m->shares[i].fraction, now);
+  if (budget_settle (d->budget, m->version, now))
+    {
+      cell_on_allot (d->cell, m->version, now);
+      log_info (PART, "budget settled version=%" PRIu64, m->version);
+    }
+}
+
+static void
+update_object (struct daemon *d, const struct cell_action *a)
+{
+  void *scratch = talloc_new (d);
+  struct bstr value = cell_object_render (scratch, &a->record);
+  log_info (PART, "updating cell object version=%" PRIu64 " members=%d",
+            a->record.version, a->record.member_count);
+  platform_put (d->platform, d->peers->object_name, a->record.version, value,
+                on_update_done, d);
+  talloc_free (scratch);
+}
+
+static void
+adopt (struct daemon *d, const struct cell_action *a)
+{
+  const char *addresses[CELL_MAX_MEMBERS];
+  for (int i = 0; i < a->record.member_count; i++)
+    addresses[i] = a->record.members[i].address;
+  log_info (PART, "member list version=%" PRIu64 " members=%d member=%s",
+            a->record.version, a->record.member_count,
+            cell_is_member (d->cell) ? "yes" : "no");
+  budget_freeze (d->budget, &a->record, a->keep, clock_now ());
+  bus_keep_only (d->bus, addresses, a->record.member_count);
+  group_on_members (d);
+}
+
+static void
+perform (struct daemon *d, const struct cell_action *a)
+{
+  struct message m = { .type = MESSAGE_JOIN, .member = a->self };
+  switch (a->kind)
+    {
+    case CELL_ADOPT:
+      adopt (d, a);
+      break;
+    case CELL_SEND_HEARTBEAT:
+      send_heartbeat (d, a);
+      break;
+    case CELL_SEND_JOIN:
+      send_to (d, a->member, &m);
+      break;
+    case CELL_UPDATE:
+      update_object (d, a);
+      break;
+    case CELL_READ:
+      read_object (d);
+      break;
+    case CELL_FREEZE:
+      send_freeze (d, a);
+      break;
+    case CELL_ALLOT:
+      send_allot (d, a);
+      break;
+    }
+}
+
+void
+peers_pump (struct daemon *d)
+{
+  struct cell_action action;
+  struct budget_message budget;
+  while (cell_next (d->cell, clock_now (), daemon_unique (), &action))
+    perform (d, &action);
+  while (budget_next (d->budget, clock_now (), &budget))
+    {
+      struct message m = { .type = MESSAGE_BUDGET, .budget = budget };
+      send_to (d, budget.to, &m);
+    }
+}
+
+static void
+on_tick (void *data)
+{
+  peers_pump (data);
+}
+
+/* ---- change of primary
+ * ------------------------------------------------------------ */
+
+static void
+send_to_members (struct daemon *d, struct message *m)
+{
+  const struct cell_record *record = cell_record (d->cell);
+  for (int i = 0; i < record->member_count; i++)
+    if (record->members[i].id != d->id)
+      send_to (d, record->members[i].id, m);
+}
+
+void
+peers_send_release (struct daemon *d, const char *service, uint64_t term)
+{
+  struct message m = { .type = MESSAGE_RELEASE, .version = term };
+  snprintf (m.name, sizeof m.name, "%s", service);
+  send_to_members (d, &m);
+}
+
+static void
+on_release (struct daemon *d, const struct message *m)
+{
+  struct message reply = { .type = MESSAGE_RELEASED, .version = m->version };
+  memcpy (reply.name, m->name, sizeof reply.name);
+  group_on_release (d, m->name, m->version);
+  send_to (d, m->from, &reply);
+}
+
+struct members_read
+{
+  struct daemon *daemon;
+  void (*done) (void *data, int64_t sent_at);
+  void *data;
+  int64_t sent_at;
+};
+
+static void
+on_members_read (void *data, const struct error *err,
+                 const struct platform_object *object)
+{
+  struct members_read *r = data;
+  if (err->code == ERROR_NONE)
+    {
+      peers_on_object (r->daemon, object);
+      r->done (r->data, r->sent_at);
+    }
+  talloc_free (r);
+}
+
+void
+peers_read_members (struct daemon *d, void (*done) (void *, int64_t),
+                    void *data)
+{
+  struct members_read *r = talloc (d, struct members_read);
+  *r = (struct members_read){ d, done, data, clock_now () };
+  platform_get (d->platform, d->peers->object_name, on_members_read, r);
+}
+
+/* ---- objects from peers
+ * -------------------------------------------------------------- */
+
+static void
+on_fetch (struct daemon *d, const struct message *m)
+{
+  const struct known_object *known
+      = strcmp (m->name, CONTROL_CONFIG) == 0 ? &d->config_object
+        : strcmp (m->name, CONTROL_KEYS) == 0 ? &d->keys_object
+                                              : NULL;
+  if (known == NULL || known->version <= m->version
+      || known->value.len > MESSAGE_MAX_BYTES / 2)
+    return;
+  struct message reply = { .type = MESSAGE_SNAPSHOT,
+                           .version = known->version,
+                           .value = known->value };
+  memcpy (reply.name, m->name, sizeof reply.name);
+  send_to (d, m->from, &reply);
+}
+
+static void
+on_message (void *data, struct bstr bytes)
+{
+  struct daemon *d = data;
+  struct error err = { 0 };
+  struct message m;
+  void *scratch = talloc_new (d);
+  if (!message_decode (scratch, bytes, d->peer_key, &m, &err))
+    {
+      log_warn (PART, "message refused error=\"%s\"", err.text);
+      goto done;
+    }
+  switch (m.type)
+    {
+    case MESSAGE_HEARTBEAT:
+      on_heartbeat (d, &m);
+      break;
+    case MESSAGE_BUDGET:
+      budget_on_message (d->budget, &m.budget, clock_now ());
+      break;
+    case MESSAGE_JOIN:
+      cell_on_join (d->cell, &m.member, clock_now ());
+      break;
+    case MESSAGE_FREEZE:
+      on_freeze (d, &m);
+      break;
+    case MESSAGE_HOLDINGS:
+      on_holdings (d, &m);
+      break;
+    case MESSAGE_ALLOT:
+      on_allot (d, &m);
+      break;
+    case MESSAGE_RELEASE:
+      on_release (d, &m);
+      break;
+    case MESSAGE_RELEASED:
+      group_on_released (d, m.name, m.from, m.version);
+      break;
+    case MESSAGE_FETCH:
+      on_fetch (d, &m);
+      break;
+    case MESSAGE_SNAPSHOT:
+      control_on_snapshot (d, m.name, m.version, m.value);
+      break;
+    }
+  peers_pump (d);
+done:
+  talloc_free (scratch);
+}
+
+struct peers *
+peers_create (struct daemon *d, struct error *err)
+{
+  const struct daemon_options *o = d->options;
+  struct peers *p = talloc_zero (d, struct peers);
+  int64_t now = clock_now ();
+  p->daemon = d;
+  d->peers = p;
+  p->object_name = cell_object_name (p, o->cell);
+  d->bus = bus_create (d,
+                       &(struct bus_options){ .ev = d->ev,
+                                              .address = o->peer_listen,
+                                              .max_message = MESSAGE_MAX_BYTES,
+                                              .received = on_message,
+                                              .data = d },
+                       err);
+  if (d->bus == NULL)
+    return NULL;
+  struct cell_options cell = {
+    .heartbeat_us = o->heartbeat_ms * USEC_PER_MSEC,
+    .hold_us = o->hold_ms * USEC_PER_MSEC,
+    .dead_after_us = 2 * o->hold_ms * USEC_PER_MSEC,
+  };
+  cell.self.id = d->id;
+  snprintf (cell.self.name, sizeof cell.self.name, "%s", o->name);
+  snprintf (cell.self.address, sizeof cell.self.address, "%s",
+            bus_address (d->bus));
+  d->cell = cell_create (d, &cell, now);
+  d->budget = budget_create (
+      d, &(struct budget_options){ .self = d->id,
+                                   .resend_us = 100 * USEC_PER_MSEC });
+  daemon_every (d, p, TICK_US, on_tick, d);
+  read_object (d);
+  return p;
+}
--- /dev/null
+++ b/daemon/peers.h
@@ -0,0 +1,22 @@
+/** @file
+ * Messages between this daemon and the other members of its cell, and the
+ * actions of core/cell and core/budget.
+ */
+#ifndef DAEMON_PEERS_H
+#define DAEMON_PEERS_H
+
+#include "daemon/daemon.h"
+
+struct peers *peers_create (struct daemon *d, struct error *err);
+/** The cell's object was read; @p object is NULL if it does not exist. */
+void peers_on_object (struct daemon *d, const struct platform_object *object);
+/** Perform what core/cell and core/budget ask for now. */
+void peers_pump (struct daemon *d);
+/** Ask all members to give up authority for terms below @p term. */
+void peers_send_release (struct daemon *d, const char *service, uint64_t term);
+/** Read the cell object for a driver of a change of primary. */
+void peers_read_members (struct daemon *d,
+                         void (*done) (void *data, int64_t sent_at),
+                         void *data);
+
+#endif
--- /dev/null
+++ b/daemon/transaction.c
@@ -0,0 +1,361 @@
+#include "daemon/transaction.h"
+
+#include "common/clock.h"
+#include "common/log.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define PART "transaction"
+
+/* An open transaction holds locks and one of the scarce connections. */
+#define IDLE_LIMIT_US (10 * USEC_PER_SEC)
+#define RETRY_US (2 * USEC_PER_MSEC)
+
+struct transaction
+{
+  struct transaction *next;
+  struct group *group;
+  struct organisation *organisation;
+  struct endpoint *endpoint;
+  struct pgsql_connection *connection;
+  struct http_request *http; /**< Being answered, NULL if idle. */
+  char *request_id;
+  char *id;
+  char *key_id;
+  uint64_t client;
+  int64_t started, deadline;
+  struct tevent_timer *idle;
+  int statement_count;
+  bool opening;
+  bool abandoned; /**< The client went away while it was busy. */
+};
+
+static void try_open (struct transaction *t);
+
+static void
+unlink_transaction (struct transaction *t)
+{
+  struct transaction **at = &t->group->daemon->transactions;
+  while (*at != t)
+    at = &(*at)->next;
+  *at = t->next;
+}
+
+static void
+end_transaction (struct transaction *t, bool reusable)
+{
+  int64_t now = clock_now ();
+  unlink_transaction (t);
+  if (t->connection != NULL)
+    {
+      if (reusable)
+        pgsql_release (t->connection);
+      else
+        pgsql_abort (t->connection);
+    }
+  if (t->endpoint != NULL)
+    {
+      admission_limit_end (t->endpoint->limit, 0, false, now);
+      t->group->running--;
+    }
+  talloc_free (t);
+}
+
+static void
+reply_json (struct transaction *t, unsigned status, json_t *json)
+{
+  char *text = json_dumps (json, JSON_COMPACT);
+  struct http_request *http = t->http;
+  t->http = NULL;
+  http_reply (http, status, "application/json", bstr_from (text), NULL);
+  free (text);
+  json_decref (json);
+}
+
+static void
+reply_error (struct transaction *t, unsigned status, enum outcome outcome,
+             const char *code, const char *message)
+{
+  struct http_request *http = t->http;
+  t->http = NULL;
+  call_reply_error (http, status, t->request_id, outcome, code, message, 0);
+}
+
+static json_t *
+reply_head (const struct transaction *t)
+{
+  json_t *json = json_object ();
+  json_object_set_new (json, "request_id", json_string (t->request_id));
+  json_object_set_new (json, "transaction", json_string (t->id));
+  return json;
+}
+
+static void
+on_idle (struct tevent_context *ev, struct tevent_timer *te,
+         struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  struct transaction *t = data;
+  log_info (PART, "rolled back after idle time service=%s organisation=%s",
+            t->group->service, t->organisation->name);
+  end_transaction (t, true);
+}
+
+static void
+start_idle (struct transaction *t)
+{
+  t->idle = daemon_after (t->group->daemon, t, IDLE_LIMIT_US, on_idle, t);
+}
+
+static void
+set_request (struct transaction *t, struct http_request *http,
+             const char *request_id)
+{
+  TALLOC_FREE (t->idle);
+  TALLOC_FREE (t->request_id);
+  t->request_id = talloc_strdup (t, request_id);
+  t->http = http;
+}
+
+/* ---- opening ---------------------------------------------------------------
+ */
+
+static void
+on_begin_done (void *data, const struct pgsql_reply *reply)
+{
+  struct transaction *t = data;
+  if (reply->end != PGSQL_DONE)
+    {
+      if (reply->end != PGSQL_FAILED)
+        t->connection = NULL;
+      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost",
+                   "the transaction could not be opened");
+      end_transaction (t, true);
+      return;
+    }
+  json_t *json = reply_head (t);
+  json_object_set_new (json, "outcome", json_string ("ran"));
+  reply_json (t, 200, json);
+  if (t->abandoned)
+    end_transaction (t, true);
+  else
+    start_idle (t);
+}
+
+static void
+on_open_connection (void *data, struct pgsql_connection *c,
+                    const struct error *err)
+{
+  static const struct pgsql_statement begin = { "BEGIN", NULL, 0 };
+  struct transaction *t = data;
+  t->opening = false;
+  t->connection = c;
+  if (c == NULL)
+    {
+      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost", err->text);
+      end_transaction (t, false);
+      return;
+    }
+  pgsql_run (c, &begin, 1, on_begin_done, t);
+}
+
+static void
+on_retry (struct tevent_context *ev, struct tevent_timer *te,
+          struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  try_open (data);
+}
+
+static void
+try_open (struct transaction *t)
+{
+  int64_t now = clock_now ();
+  struct endpoint *e = group_writable (t->group, now);
+  if (now >= t->deadline || t->abandoned)
+    {
+      reply_error (t, 503, OUTCOME_NOT_RUN, "overloaded",
+                   "no connection to a primary before the deadline");
+      end_transaction (t, false);
+      return;
+    }
+  if (e == NULL || !pgsql_pool_has_room (e->pool)
+      || !admission_limit_start (e->limit))
+    {
+      daemon_after (t->group->daemon, t, RETRY_US, on_retry, t);
+      return;
+    }
+  t->endpoint = e;
+  t->group->running++;
+  t->opening = true;
+  pgsql_acquire (e->pool, on_open_connection, t);
+}
+
+void
+transaction_start (const struct transaction_begin *o)
+{
+  struct daemon *d = o->group->daemon;
+  struct transaction *t = talloc_zero (o->group, struct transaction);
+  t->group = o->group;
+  t->organisation = o->organisation;
+  t->http = o->http;
+  t->client = o->http->connection;
+  t->request_id = talloc_strdup (t, o->request_id);
+  t->key_id = talloc_strdup (t, o->key_id);
+  t->id = talloc_asprintf (t, "%016" PRIx64 "%016" PRIx64, daemon_unique (),
+                           daemon_unique ());
+  t->started = clock_now ();
+  t->deadline = o->deadline;
+  t->next = d->transactions;
+  d->transactions = t;
+  try_open (t);
+}
+
+/* ---- statements
+ * -------------------------------------------------------------- */
+
+static void
+on_query_done (void *data, const struct pgsql_reply *reply)
+{
+  struct transaction *t = data;
+  if (reply->end == PGSQL_LOST || reply->end == PGSQL_NOT_SENT)
+    {
+      t->connection = NULL;
+      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost",
+                   "the connection broke; the transaction was rolled back");
+      end_transaction (t, false);
+      return;
+    }
+  if (t->abandoned)
+    {
+      reply_error (t, 503, OUTCOME_NOT_RUN, "closed", "the client went away");
+      end_transaction (t, true);
+      return;
+    }
+  if (reply->end == PGSQL_FAILED)
+    reply_error (t, 422, OUTCOME_NOT_RUN, "statement_failed", reply->message);
+  else
+    {
+      json_t *json = reply_head (t), *results = json_array ();
+      for (int i = 0; i < reply->count; i++)
+        json_array_append_new (results, call_result_json (reply->results[i]));
+      json_object_set_new (json, "outcome", json_string ("ran"));
+      json_object_set_new (json, "results", results);
+      reply_json (t, 200, json);
+    }
+  start_idle (t);
+}
+
+void
+transaction_query (struct transaction *t, struct http_request *http,
+                   const char *request_id, struct query *q)
+{
+  struct pgsql_statement all[CALL_MAX_STATEMENTS];
+  set_request (t, http, request_id);
+  for (int i = 0; i < q->statement_count; i++)
+    all[i] = (struct pgsql_statement){ q->statements[i].sql,
+                                       q->statements[i].params,
+                                       q->statements[i].param_count };
+  pgsql_run (t->connection, all, q->statement_count, on_query_done, t);
+  talloc_free (q);
+}
+
+void
+transaction_commit (struct transaction *t, struct http_request *http,
+                    const char *request_id)
+{
+  struct call_options options = {
+    .group = t->group,
+    .organisation = t->organisation,
+    .http = http,
+    .request_id = request_id,
+    .deadline_us = t->organisation->values.deadline_ms * USEC_PER_MSEC,
+  };
+  struct call *c = call_create (&options);
+  struct endpoint *e = t->endpoint;
+  struct pgsql_connection *connection = t->connection;
+  t->endpoint = NULL;
+  t->connection = NULL;
+  end_transaction (t, false);
+  call_commit (c, e, connection);
+}
+
+void
+transaction_rollback (struct transaction *t, struct http_request *http,
+                      const char *request_id)
+{
+  set_request (t, http, request_id);
+  json_t *json = reply_head (t);
+  json_object_set_new (json, "outcome", json_string ("not_run"));
+  reply_json (t, 200, json);
+  end_transaction (t, true);
+}
+
+/* ---- binding
+ * ------------------------------------------------------------------ */
+
+struct transaction *
+transaction_find (struct daemon *d, struct bstr id)
+{
+  for (struct transaction *t = d->transactions; t != NULL; t = t->next)
+    if (bstr_equals_text (id, t->id))
+      return t;
+  return NULL;
+}
+
+bool
+transaction_belongs (const struct transaction *t, const char *key_id,
+                     uint64_t connection)
+{
+  return t->client == connection && strcmp (t->key_id, key_id) == 0;
+}
+
+bool
+transaction_is_busy (const struct transaction *t)
+{
+  return t->http != NULL;
+}
+
+static void
+abandon (struct transaction *t)
+{
+  if (t->http != NULL)
+    t->abandoned = true;
+  else
+    end_transaction (t, true);
+}
+
+void
+transaction_connection_closed (struct daemon *d, uint64_t connection)
+{
+  struct transaction *next;
+  for (struct transaction *t = d->transactions; t != NULL; t = next)
+    {
+      next = t->next;
+      if (t->client == connection)
+        abandon (t);
+    }
+}
+
+void
+transaction_recheck_keys (struct daemon *d)
+{
+  struct transaction *next;
+  for (struct transaction *t = d->transactions; t != NULL; t = next)
+    {
+      next = t->next;
+      if (!keys_is_active (d->keys, t->key_id))
+        abandon (t);
+    }
+}
+
+int
+transaction_count (const struct daemon *d)
+{
+  int count = 0;
+  for (const struct transaction *t = d->transactions; t != NULL; t = t->next)
+    count++;
+  return count;
+}
--- a/proto/message.c
+++ b/proto/message.c
@@ -10,8 +10,12 @@
 static void
 pack_heartbeat (struct pack *p, const struct message *m)
 {
-  pack_array (p, 8);
+  pack_array (p, 10);
   pack_uint (p, m->heartbeat.version);
+  pack_uint (p, m->heartbeat.settled);
+  pack_array (p, (unsigned)m->heartbeat.silent_count);
+  for (int i = 0; i < m->heartbeat.silent_count; i++)
+    pack_uint (p, m->heartbeat.silent[i]);
   pack_int (p, m->heartbeat.sent_at);
   pack_int (p, m->heartbeat.echo);
   pack_bool (p, m->heartbeat.leaving);
@@ -40,7 +44,7 @@
 static void
 pack_budget (struct pack *p, const struct budget_message *b)
 {
-  pack_array (p, 7);
+  pack_array (p, 10);
   pack_uint (p, b->kind);
   pack_uint (p, b->to);
   pack_uint (p, b->version);
@@ -48,6 +52,18 @@
   pack_uint (p, b->id);
   pack_double (p, b->fraction);
   pack_double (p, b->tokens);
+  pack_bool (p, b->urgent);
+  pack_double (p, b->held_fraction);
+  pack_double (p, b->held_tokens);
+}
+
+static void
+pack_member (struct pack *p, const struct cell_member *m)
+{
+  pack_array (p, 3);
+  pack_uint (p, m->id);
+  pack_bstr (p, bstr_from (m->name));
+  pack_bstr (p, bstr_from (m->address));
 }
 
 static void
@@ -77,9 +93,13 @@
     case MESSAGE_BUDGET:
       pack_budget (p, &m->budget);
       break;
+    case MESSAGE_JOIN:
+      pack_member (p, &m->member);
+      break;
     default:
-      pack_array (p, 4);
+      pack_array (p, 5);
       pack_uint (p, m->version);
+      pack_int (p, m->age_us);
       pack_bstr (p, bstr_from (m->name));
       pack_bstr (p, m->value);
       pack_shares (p, m);
@@ -108,9 +128,14 @@
 static void
 unpack_heartbeat (struct unpack *u, void *parent, struct message *m)
 {
-  unpack_array (u, 8);
+  unpack_array (u, 10);
   m->heartbeat.from = m->from;
   m->heartbeat.version = unpack_uint (u);
+  m->heartbeat.settled = unpack_uint (u);
+  unsigned silent = unpack_array_any (u, CELL_MAX_MEMBERS);
+  for (unsigned i = 0; i < silent && !u->failed; i++)
+    m->heartbeat.silent[i] = unpack_uint (u);
+  m->heartbeat.silent_count = (int)silent;
   m->heartbeat.sent_at = unpack_int (u);
   m->heartbeat.echo = unpack_int (u);
   m->heartbeat.leaving = unpack_bool (u);
@@ -147,7 +172,7 @@
 unpack_budget (struct unpack *u, struct message *m)
 {
   struct budget_message *b = &m->budget;
-  unpack_array (u, 7);
+  unpack_array (u, 10);
   uint64_t kind = unpack_uint (u);
   if (kind > BUDGET_GRANT_ACK)
     u->failed = true;
@@ -159,15 +184,29 @@
   b->id = unpack_uint (u);
   b->fraction = unpack_double (u);
   b->tokens = unpack_double (u);
-  if (b->fraction < 0 || b->fraction > 1 || b->tokens < 0)
+  b->urgent = unpack_bool (u);
+  b->held_fraction = unpack_double (u);
+  b->held_tokens = unpack_double (u);
+  if (b->fraction < 0 || b->fraction > 1 || b->tokens < 0
+      || b->held_fraction < 0 || b->held_tokens < 0)
     u->failed = true;
 }
 
+static void
+unpack_member (struct unpack *u, struct cell_member *m)
+{
+  unpack_array (u, 3);
+  m->id = unpack_uint (u);
+  unpack_text (u, m->name, sizeof m->name);
+  unpack_text (u, m->address, sizeof m->address);
+}
+
 static void
 unpack_plain (struct unpack *u, void *parent, struct message *m)
 {
-  unpack_array (u, 4);
+  unpack_array (u, 5);
   m->version = unpack_uint (u);
+  m->age_us = unpack_int (u);
   unpack_text (u, m->name, sizeof m->name);
   m->value = bstr_copy (parent, unpack_bstr (u));
   unsigned count = unpack_array_any (u, MAX_SHARES);
@@ -203,6 +242,9 @@
     case MESSAGE_BUDGET:
       unpack_budget (u, m);
       break;
+    case MESSAGE_JOIN:
+      unpack_member (u, &m->member);
+      break;
     default:
       unpack_plain (u, parent, m);
     }
--- a/proto/message.h
+++ b/proto/message.h
@@ -20,6 +20,7 @@
 {
   MESSAGE_HEARTBEAT = 1,
   MESSAGE_BUDGET,
+  MESSAGE_JOIN,
   MESSAGE_FREEZE,
   MESSAGE_HOLDINGS,
   MESSAGE_ALLOT,
@@ -55,7 +56,9 @@
   struct budget_report *reports;
   int report_count;
   struct budget_message budget;
-  uint64_t version; /**< Cell version, term or object version. */
+  struct cell_member member; /**< In JOIN. */
+  uint64_t version;          /**< Cell version, term or object version. */
+  int64_t age_us;            /**< In HOLDINGS. */
   struct message_share *shares;
   int share_count;
   char name[64]; /**< Group or object. */
