failover: decide authority, replacement of a primary and read routing

Cause: the daemon needs the decisions of sections 3.1, 3.2 and 3.4. Ruled out: counting the old primary among the endpoints that must be fenced. It cannot be promoted, so a write that is held by it and one unfenced replica would be lost; N - confirm_replicas other endpoints are required, or a candidate that reached the old primary's final position. Ruled out: stepping back after the new term is recorded. Any member may have seen it and given up the old term for good. Ruled out: a branch start of a term that was skipped; a write is only called not_run when every opening since its term is known. The group record also carries base_term and base_start, so that a driver two terms later knows which log is part of the opened history. FAILOVER_READ_MEMBERS and failover_on_members_read make skipping the lease wait safe; failover_view_due tells the host when to send the view at once. Conclusion: the interface can be built against.

--- a/core/failover.h
+++ b/core/failover.h
@@ -3,7 +3,14 @@
  * choose, promote, open.  docs/design.md, section 3.2.
  *
  * The host performs each action that failover_next returns and reports the
- * result with the matching event function.
+ * result with the matching event function, exactly once per action; a
+ * result that does not come is reported as lost or failed.
+ *
+ * A control command may reach its endpoint late, after its sender was
+ * replaced.  The endpoint therefore checks the marker in the same statement:
+ * FENCE is refused if the marker is above the term, PROMOTE unless the
+ * marker equals the term, FOLLOW if the marker is above the term; FOLLOW
+ * leaves the term as the marker.
  */
 #ifndef CORE_FAILOVER_H
 #define CORE_FAILOVER_H
@@ -33,7 +40,11 @@
   enum failover_phase phase;
   uint64_t driver; /**< Member that drives the change. */
   uint64_t op;     /**< Unique per update; recognises a lost answer. */
+  /** Last position that @c term shares with @c base_term; valid when there
+   * is a candidate, or when stable. */
   uint64_t branch_start;
+  uint64_t base_term;  /**< Newest term that was opened. */
+  uint64_t base_start; /**< Branch start of @c base_term. */
 };
 
 struct failover_options
@@ -49,13 +60,18 @@
 
 enum failover_action_kind
 {
-  FAILOVER_UPDATE,  /**< Conditional update of the group object to record. */
-  FAILOVER_READ,    /**< Read the group object back. */
-  FAILOVER_FENCE,   /**< Set the fence marker for term on endpoint. */
+  FAILOVER_UPDATE, /**< Conditional update of the group object to record. */
+  FAILOVER_READ,   /**< Read the group object back. */
+  /** Set the fence marker for term on endpoint, and answer when its WAL
+   * receiver has stopped. */
+  FAILOVER_FENCE,
   FAILOVER_RELEASE, /**< Ask all members to release up to term - 1. */
   FAILOVER_PROMOTE, /**< Promote endpoint to term. */
   FAILOVER_FOLLOW,  /**< Let endpoint follow record.primary. */
-  FAILOVER_POLL     /**< Poll endpoint now. */
+  FAILOVER_POLL,    /**< Poll endpoint now. */
+  /** Read the cell object, then report it with failover_set_members and
+   * failover_on_members_read. */
+  FAILOVER_READ_MEMBERS
 };
 
 struct failover_action
@@ -87,14 +103,17 @@
                                   const struct failover_options *options,
                                   int64_t now);
 
-/** The group object was read or its watch fired. */
+/** The group object was read or its watch fired.  Version 0 says that it
+ * does not exist. */
 void failover_on_record (struct failover *f, const struct group_record *r,
                          int64_t now);
+/** @param version of the object if the update was done. */
 void failover_on_update (struct failover *f, enum update_result result,
                          uint64_t version, int64_t now);
 /** An endpoint answered a poll. */
 void failover_on_status (struct failover *f, int endpoint,
                          const struct endpoint_status *status, int64_t now);
+/** @param status measured after the fence, ignored if not @p ok. */
 void failover_on_fenced (struct failover *f, int endpoint, bool ok,
                          const struct endpoint_status *status, int64_t now);
 void failover_on_promoted (struct failover *f, int endpoint, bool ok,
@@ -108,6 +127,10 @@
 /** The members of the cell that count, in order; set at each change. */
 void failover_set_members (struct failover *f, const uint64_t *members,
                            int count, int64_t now);
+/** The members last set are those of a read that was sent at @p sent_at.
+ * Without this event the driver always waits for the lease. */
+void failover_on_members_read (struct failover *f, int64_t sent_at,
+                               int64_t now);
 
 /** Advance time.  Call at least every 50 ms and after each event.
  * @param op a fresh unique number for a new update.
@@ -117,6 +140,9 @@
 
 /** This member's own view, to be sent to peers. */
 struct primary_view failover_view (const struct failover *f, int64_t now);
+/** @return true once after each change of this member's vote: peers are
+ * then sent the view at once. */
+bool failover_view_due (struct failover *f, int64_t now);
 enum failover_phase failover_phase (const struct failover *f);
 const struct group_record *failover_record (const struct failover *f);
 
--- /dev/null
+++ b/core/routing.c
@@ -0,0 +1,346 @@
+#include "core/routing.h"
+
+/* At one poll every 250 ms this covers the last 16 s, more than any bound
+   on staleness that is worth asking a replica for. */
+#define PRIMARY_SAMPLES 64
+
+/* Weight of the newest interval in the replay rate. */
+#define RATE_GAIN 0.3
+
+struct route_endpoint
+{
+  struct endpoint_status status;
+  int64_t polled_at;
+  double replay_rate; /* LSN bytes per microsecond. */
+  int running, slots;
+  uint64_t chosen; /* Number of the choice that took it last. */
+  bool known;
+  bool failed;
+  bool leaving;
+};
+
+struct primary_sample
+{
+  int64_t at;
+  uint64_t lsn;
+};
+
+struct routing
+{
+  struct routing_options options;
+  struct route_endpoint endpoints[GROUP_MAX_ENDPOINTS];
+  struct primary_sample samples[PRIMARY_SAMPLES]; /* Of the current term. */
+  int sample_count, sample_next;
+  int primary;
+  uint64_t term;
+  uint64_t branch_start;
+  uint64_t choices;
+};
+
+struct routing *
+routing_create (void *parent, const struct routing_options *options)
+{
+  struct routing *r = talloc_zero (parent, struct routing);
+  r->options = *options;
+  if (r->options.endpoint_count > GROUP_MAX_ENDPOINTS)
+    r->options.endpoint_count = GROUP_MAX_ENDPOINTS;
+  r->primary = INDEX_NONE;
+  return r;
+}
+
+static struct route_endpoint *
+find_endpoint (struct routing *r, int endpoint)
+{
+  if (endpoint < 0 || endpoint >= r->options.endpoint_count)
+    return NULL;
+  return &r->endpoints[endpoint];
+}
+
+static void
+add_primary_sample (struct routing *r, uint64_t lsn, int64_t now)
+{
+  r->samples[r->sample_next] = (struct primary_sample){ now, lsn };
+  r->sample_next = (r->sample_next + 1) % PRIMARY_SAMPLES;
+  if (r->sample_count < PRIMARY_SAMPLES)
+    r->sample_count++;
+}
+
+void
+routing_observe (struct routing *r, int endpoint,
+                 const struct endpoint_status *status, int64_t now)
+{
+  struct route_endpoint *e = find_endpoint (r, endpoint);
+  if (e == NULL)
+    return;
+  int64_t elapsed = now - e->polled_at;
+  if (!e->known || status->term != e->status.term
+      || status->replayed < e->status.replayed)
+    e->replay_rate = 0;
+  else if (elapsed > 0)
+    {
+      double rate
+          = (double)(status->replayed - e->status.replayed) / (double)elapsed;
+      e->replay_rate += RATE_GAIN * (rate - e->replay_rate);
+    }
+  e->status = *status;
+  e->polled_at = now;
+  e->known = true;
+  e->failed = false;
+  if (endpoint == r->primary && !status->in_recovery
+      && status->term == r->term)
+    add_primary_sample (r, status->received, now);
+}
+
+void
+routing_failed (struct routing *r, int endpoint, int64_t now)
+{
+  (void)now;
+  struct route_endpoint *e = find_endpoint (r, endpoint);
+  if (e != NULL)
+    e->failed = true;
+}
+
+void
+routing_set_primary (struct routing *r, int endpoint, uint64_t term,
+                     uint64_t branch_start)
+{
+  if (term <= r->term)
+    return;
+  r->primary = endpoint;
+  r->term = term;
+  r->branch_start = branch_start;
+  r->sample_count = 0;
+  r->sample_next = 0;
+}
+
+void
+routing_set_leaving (struct routing *r, int endpoint, bool leaving)
+{
+  struct route_endpoint *e = find_endpoint (r, endpoint);
+  if (e != NULL)
+    e->leaving = leaving;
+}
+
+void
+routing_set_load (struct routing *r, int endpoint, int running, int slots)
+{
+  struct route_endpoint *e = find_endpoint (r, endpoint);
+  if (e == NULL)
+    return;
+  e->running = running;
+  e->slots = slots;
+}
+
+/* Whether everything the endpoint shows is part of the newest opened term.
+   An endpoint of an older term that is past the branch start shows writes
+   that were discarded. */
+static bool
+is_in_history (const struct routing *r, const struct endpoint_status *status)
+{
+  return status->term >= r->term || status->replayed <= r->branch_start;
+}
+
+static bool
+is_usable (const struct routing *r, int index, int64_t now)
+{
+  const struct route_endpoint *e = &r->endpoints[index];
+  if (!e->known || e->failed || e->leaving
+      || now - e->polled_at > r->options.stale_poll_us)
+    return false;
+  if (index == r->primary)
+    return !e->status.in_recovery && e->status.term == r->term;
+  /* A replaced primary that is back gets no work. */
+  return e->status.in_recovery && is_in_history (r, &e->status);
+}
+
+static uint64_t
+predict_replayed (const struct route_endpoint *e, int64_t now)
+{
+  return e->status.replayed
+         + (uint64_t)(e->replay_rate * (double)(now - e->polled_at));
+}
+
+/* A replica that had replayed all it received is expected to replay a new
+   record as it arrives, also when its average rate is low. */
+static bool
+keeps_up (const struct route_endpoint *e)
+{
+  return e->status.replayed >= e->status.received;
+}
+
+static bool
+is_less_loaded (const struct route_endpoint *a, const struct route_endpoint *b)
+{
+  int64_t slots_a = a->slots > 0 ? a->slots : 1;
+  int64_t slots_b = b->slots > 0 ? b->slots : 1;
+  int64_t load_a = (int64_t)a->running * slots_b;
+  int64_t load_b = (int64_t)b->running * slots_a;
+  return load_a != load_b ? load_a < load_b : a->chosen < b->chosen;
+}
+
+enum replica_filter
+{
+  REPLICA_PREDICTED, /* Predicted to have replayed the position. */
+  REPLICA_KEEPS_UP,  /* Expected to replay it on arrival. */
+  REPLICA_ANY_TERM   /* Follows a term that can contain the position. */
+};
+
+static bool
+passes (const struct route_endpoint *e, const struct position *after,
+        enum replica_filter filter, int64_t now)
+{
+  /* A replica of an older term can never show a position of a newer one. */
+  if (e->status.term < after->term)
+    return false;
+  switch (filter)
+    {
+    case REPLICA_PREDICTED:
+      return predict_replayed (e, now) >= after->lsn;
+    case REPLICA_KEEPS_UP:
+      return keeps_up (e) && e->status.fence <= e->status.term;
+    default:
+      return true;
+    }
+}
+
+static int
+pick_replica (const struct routing *r, const struct position *after,
+              unsigned tried, enum replica_filter filter, int64_t now)
+{
+  int best = INDEX_NONE;
+  for (int i = 0; i < r->options.endpoint_count; i++)
+    {
+      if (i == r->primary || (tried & (1U << i)) != 0 || !is_usable (r, i, now)
+          || !passes (&r->endpoints[i], after, filter, now))
+        continue;
+      if (best == INDEX_NONE
+          || is_less_loaded (&r->endpoints[i], &r->endpoints[best]))
+        best = i;
+    }
+  return best;
+}
+
+static struct route
+route_to (struct routing *r, int endpoint, struct position guard)
+{
+  r->endpoints[endpoint].chosen = ++r->choices;
+  return (struct route){ .kind = ROUTE_ENDPOINT,
+                         .endpoint = endpoint,
+                         .is_replica = endpoint != r->primary,
+                         .guard = guard };
+}
+
+static struct route
+route_wait (int64_t wait_us)
+{
+  return (struct route){ .kind = ROUTE_WAIT,
+                         .endpoint = INDEX_NONE,
+                         .wait_us = wait_us };
+}
+
+/* Time until the first replica is predicted to reach the position, at most
+   the longest wait; -1 if none will. */
+static int64_t
+time_to_catch_up (const struct routing *r, const struct position *after,
+                  unsigned tried, int64_t now)
+{
+  int64_t least = -1;
+  for (int i = 0; i < r->options.endpoint_count; i++)
+    {
+      const struct route_endpoint *e = &r->endpoints[i];
+      if (i == r->primary || (tried & (1U << i)) != 0 || !is_usable (r, i, now)
+          || e->status.term < after->term || e->replay_rate <= 0)
+        continue;
+      uint64_t predicted = predict_replayed (e, now);
+      double missing
+          = predicted < after->lsn ? (double)(after->lsn - predicted) : 0;
+      double us = missing / e->replay_rate;
+      if (us < (double)r->options.catch_up_us
+          && (least < 0 || us < (double)least))
+        least = (int64_t)us;
+    }
+  return least;
+}
+
+/* The position that a replica must have replayed so that it shows
+   everything the primary had written max_staleness ago. */
+static bool
+bounded_position (const struct routing *r, int64_t max_staleness,
+                  struct position *position, int64_t now)
+{
+  bool found = false;
+  int64_t oldest = 0;
+  for (int i = 0; i < r->sample_count; i++)
+    {
+      const struct primary_sample *s = &r->samples[i];
+      if (now - s->at <= max_staleness && (!found || s->at < oldest))
+        {
+          found = true;
+          oldest = s->at;
+          *position = (struct position){ r->term, s->lsn };
+        }
+    }
+  return found;
+}
+
+struct route
+routing_choose (struct routing *r, const struct read_request *request,
+                int64_t now)
+{
+  struct position after = { 0, 0 };
+  bool has_primary = r->primary != INDEX_NONE && is_usable (r, r->primary, now)
+                     && (request->tried & (1U << r->primary)) == 0;
+  bool replicas_allowed = true;
+  if (request->freshness == FRESHNESS_READ_YOUR_WRITES)
+    after = request->after;
+  else if (request->freshness == FRESHNESS_BOUNDED)
+    replicas_allowed
+        = bounded_position (r, request->max_staleness_us, &after, now);
+
+  int replica = INDEX_NONE;
+  /* The primary's own guard asks for the term that the caller has seen; its
+     position can only be past the caller's. */
+  if (request->waited_us == 0 && request->tried != 0)
+    /* A guard failed: wait once for the replicas to catch up. */
+    return route_wait (r->options.catch_up_us);
+  if (replicas_allowed && request->tried == 0)
+    {
+      replica = pick_replica (r, &after, 0, REPLICA_PREDICTED, now);
+      if (replica == INDEX_NONE)
+        replica = pick_replica (r, &after, 0, REPLICA_KEEPS_UP, now);
+      if (replica == INDEX_NONE && request->waited_us == 0)
+        {
+          int64_t wait = time_to_catch_up (r, &after, 0, now);
+          if (wait > 0)
+            return route_wait (wait);
+        }
+    }
+  if (replica != INDEX_NONE)
+    return route_to (r, replica, after);
+  if (has_primary)
+    return route_to (r, r->primary, after);
+  /* Without a primary a replica that may lag is better than none: the guard
+     still decides. */
+  if (replicas_allowed)
+    {
+      replica
+          = pick_replica (r, &after, request->tried, REPLICA_PREDICTED, now);
+      if (replica == INDEX_NONE)
+        replica
+            = pick_replica (r, &after, request->tried, REPLICA_ANY_TERM, now);
+      if (replica != INDEX_NONE)
+        return route_to (r, replica, after);
+    }
+  return (struct route){ .kind = ROUTE_NONE, .endpoint = INDEX_NONE };
+}
+
+bool
+routing_guard_holds (const struct routing *r, const struct route *route,
+                     const struct endpoint_status *status)
+{
+  if (status->term < route->guard.term || status->replayed < route->guard.lsn)
+    return false;
+  /* A replica may have been left behind by a newer term since it was
+     chosen. */
+  return is_in_history (r, status);
+}
