--- a/core/budget.c
+++ b/core/budget.c
@@ -54,7 +54,7 @@
 
 struct share
 {
-  char organisation[64];
+  char organisation[BUDGET_NAME_SIZE];
   double rate, burst;
   double fraction, level;
   int64_t refilled_at;
@@ -71,7 +71,7 @@
 
 struct reported
 {
-  char organisation[64];
+  char organisation[BUDGET_NAME_SIZE];
   double fraction[CELL_MAX_MEMBERS];
 };
 
--- a/core/budget.h
+++ b/core/budget.h
@@ -70,7 +70,7 @@
 struct budget_holding
 {
   uint64_t member;
-  char organisation[64];
+  char organisation[BUDGET_NAME_SIZE];
   double fraction;
 };
 
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -34,7 +34,7 @@
   struct query *query;
   struct group *group;
   struct organisation *organisation;
-  struct key_owner owner;
+  char key_id[KEY_ID_LENGTH + 1];
   struct token token;
   int64_t deadline;
   int64_t admitted_at; /**< First question to the budget, 0 before. */
@@ -98,15 +98,21 @@
       refuse (a, 401, "unauthenticated", "no key was given", 0);
       return false;
     }
-  if (d->keys == NULL || !keys_authenticate (d->keys, key, &a->owner))
+  const struct key *found = NULL;
+  enum key_verdict verdict
+      = d->keys != NULL ? keys_find (d->keys, key, &found) : KEY_UNKNOWN;
+  if (verdict != KEY_VALID)
     {
-      refuse (a, 401, "unauthenticated", "the key is unknown or revoked", 0);
+      bool revoked = verdict == KEY_REVOKED;
+      refuse (a, 401, revoked ? "key_revoked" : "unauthenticated",
+              revoked ? "the key is revoked" : "the key is unknown", 0);
       return false;
     }
+  memcpy (a->key_id, found->id, sizeof a->key_id);
   if (a->group == NULL)
     return true;
   a->organisation
-      = group_organisation (a->group, bstr_from (a->owner.organisation));
+      = group_organisation (a->group, bstr_from (found->organisation));
   if (a->organisation == NULL || !a->organisation->values.enabled)
     {
       refuse (a, 403, "forbidden", "the organisation may not use this service",
@@ -204,7 +210,7 @@
     .organisation = a->organisation,
     .http = a->http,
     .request_id = a->request_id,
-    .key_id = a->owner.id,
+    .key_id = a->key_id,
     .deadline = a->deadline,
   };
   transaction_start (&begin);
@@ -334,7 +340,7 @@
   if (!authenticate (a, false))
     return;
   struct transaction *t = transaction_find (a->front->daemon, id);
-  if (t == NULL || !transaction_belongs (t, a->owner.id, a->http->connection))
+  if (t == NULL || !transaction_belongs (t, a->key_id, a->http->connection))
     {
       refuse (a, 404, "unknown_transaction",
               "no such transaction on this connection", 0);
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -394,6 +394,14 @@
   peers_send_release (g->daemon, g->service, term);
 }
 
+static void
+on_members_read (void *data, int64_t sent_at)
+{
+  struct group *g = data;
+  failover_on_members_read (g->failover, sent_at, clock_now ());
+  pump_failover (g);
+}
+
 static void
 perform (struct group *g, const struct failover_action *a)
 {
@@ -444,6 +452,9 @@
     case FAILOVER_POLL:
       poll_endpoint (e);
       break;
+    case FAILOVER_READ_MEMBERS:
+      peers_read_members (g->daemon, on_members_read, g);
+      break;
     }
 }
 
--- a/daemon/group_object.c
+++ b/daemon/group_object.c
@@ -45,6 +45,8 @@
   json_object_set_new (json, "driver", number (r->driver));
   json_object_set_new (json, "op", number (r->op));
   json_object_set_new (json, "branch_start", number (r->branch_start));
+  json_object_set_new (json, "base_term", number (r->base_term));
+  json_object_set_new (json, "base_start", number (r->base_start));
   char *text = json_dumps (json, JSON_COMPACT);
   struct bstr value = bstr_copy (parent, bstr_from (text));
   free (text);
@@ -100,6 +102,8 @@
             && read_number (json, "driver", &r->driver)
             && read_number (json, "op", &r->op)
             && read_number (json, "branch_start", &r->branch_start)
+            && read_number (json, "base_term", &r->base_term)
+            && read_number (json, "base_start", &r->base_start)
             && read_endpoint (json, "primary", g, &r->primary)
             && read_endpoint (json, "candidate", g, &r->candidate)
             && read_phase (json, &r->phase)
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -346,7 +346,8 @@
   for (struct transaction *t = d->transactions; t != NULL; t = next)
     {
       next = t->next;
-      if (!keys_is_active (d->keys, t->key_id))
+      const struct key *key = keys_find_id (d->keys, t->key_id);
+      if (key == NULL || key->revoked)
         abandon (t);
     }
 }
--- a/net/bus.c
+++ b/net/bus.c
@@ -109,7 +109,7 @@
   set_option (bus->receiver, ZMQ_RCVHWM, RECEIVE_QUEUE);
   zmq_setsockopt (bus->receiver, ZMQ_MAXMSGSIZE, &max_message,
                   sizeof max_message);
-  snprintf (endpoint, sizeof endpoint, "tcp://%s", options->address);
+  snprintf (endpoint, sizeof endpoint, "%s", options->address);
   if (zmq_bind (bus->receiver, endpoint) != 0
       || zmq_getsockopt (bus->receiver, ZMQ_LAST_ENDPOINT, endpoint, &len)
              != 0)
@@ -119,7 +119,7 @@
       talloc_free (bus);
       return NULL;
     }
-  bus->address = talloc_strdup (bus, endpoint + strlen ("tcp://"));
+  bus->address = talloc_strdup (bus, endpoint);
   len = sizeof fd;
   zmq_getsockopt (bus->receiver, ZMQ_FD, &fd, &len);
   tevent_add_fd (bus->ev, bus, fd, TEVENT_FD_READ, on_readable, bus);
@@ -137,15 +137,13 @@
 connect_peer (struct bus *bus, const char *address)
 {
   struct peer_socket *p = talloc_zero (bus, struct peer_socket);
-  char endpoint[128];
   p->address = talloc_strdup (p, address);
   p->socket = zmq_socket (bus->context, ZMQ_PUSH);
   set_option (p->socket, ZMQ_LINGER, 0);
   set_option (p->socket, ZMQ_SNDHWM, SEND_QUEUE);
   set_option (p->socket, ZMQ_RECONNECT_IVL, 100);
   set_option (p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
-  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
-  if (zmq_connect (p->socket, endpoint) != 0)
+  if (zmq_connect (p->socket, address) != 0)
     {
       zmq_close (p->socket);
       talloc_free (p);
--- a/net/bus.h
+++ b/net/bus.h
@@ -17,7 +17,7 @@
 struct bus_options
 {
   struct tevent_context *ev;
-  const char *address; /**< HOST:PORT; port 0 takes a free one. */
+  const char *address; /**< tcp://IP:PORT; port * takes a free one. */
   size_t max_message;  /**< Larger messages are dropped by the socket. */
   void (*received) (void *data, struct bstr bytes);
   void *data;
@@ -25,9 +25,9 @@
 
 struct bus *bus_create (void *parent, const struct bus_options *options,
                         struct error *err);
-/** @return the bound address, HOST:PORT. */
+/** @return the bound address, tcp://IP:PORT. */
 const char *bus_address (const struct bus *bus);
-/** Send to the daemon at HOST:PORT.
+/** Send to the daemon at tcp://IP:PORT.
  * @return false if it was dropped. */
 bool bus_send (struct bus *bus, const char *address, struct bstr bytes);
 /** Close connections to peers other than those in @p addresses. */
