--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,7 @@
 #include "common/log.h"
 
 #include <log4c.h>
+#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,6 +42,10 @@
   log4c_layout_t *layout = log4c_layout_get ("azurewind");
   log4c_layout_set_type (layout, &line_layout);
   log4c_appender_t *appender = log4c_appender_get ("stderr");
+  /* The default type puts the appender's name before each line. */
+  log4c_appender_set_type (appender, log4c_appender_type_get ("stream2"));
+  log4c_stream2_set_fp (appender, stderr);
+  log4c_stream2_set_flags (appender, LOG4C_STREAM2_UNBUFFERED);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("azurewind");
   log4c_category_set_appender (category, appender);
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -356,9 +356,8 @@
   struct group *g = c->group;
   c->next = g->held;
   g->held = c;
+  group_hurry (g);
   decide (c);
-  if (g->held != NULL)
-    group_hurry (g);
 }
 
 /* ---- sending
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -21,16 +21,21 @@
 #define HURRY_US (1 * USEC_PER_MSEC)
 /* Connections for polls and for commands of a change of primary. */
 #define CONTROL_CONNECTIONS 2
+/* Key of the advisory lock; any number that applications do not use. */
+#define COMMAND_LOCK 1635414647
 
 static void poll_endpoint (struct endpoint *e);
 static void pump_failover (struct group *g);
 
 /* ---- commands to one endpoint ------------------------------------------ */
 
-#define COMMAND_MAX 3
+#define COMMAND_MAX 5
 
 /* A chain of single statements, each in a transaction of its own, because
-   ALTER SYSTEM refuses to run inside a transaction block. */
+   ALTER SYSTEM refuses to run inside a transaction block.  The first one
+   checks the fence marker under an advisory lock that lasts until the
+   connection is released, so that a command of a replaced driver that
+   arrives late is refused. */
 struct command
 {
   struct endpoint *endpoint;
@@ -118,16 +123,39 @@
   run_next_statement (cmd, c);
 }
 
-static void
-run_command (struct endpoint *e, enum failover_action_kind kind,
-             const char *first)
+/* Stops with a division by zero unless the marker is at most, or equal to,
+   the term. */
+static char *
+check_statement (void *parent, bool equal, uint64_t term)
 {
+  return talloc_asprintf (
+      parent,
+      "/* azurewind:check %s=%" PRIu64 " */ SELECT pg_advisory_lock(%d), "
+      "1 / (CASE WHEN coalesce(substring(current_setting('primary_conninfo')"
+      " from 'azurewind_fence_([0-9]+)')::int, 0) %s %" PRIu64
+      " THEN 1 ELSE 0 END)",
+      equal ? "equal" : "max", term, COMMAND_LOCK, equal ? "=" : "<=", term);
+}
+
+static void
+run_command (struct endpoint *e, enum failover_action_kind kind, uint64_t term,
+             const char *main_sql)
+{
+  static const char reload[]
+      = "/* azurewind:reload */ SELECT pg_reload_conf()";
+  static const char receiver_stopped[]
+      = "/* azurewind:receiver_stopped */ SELECT 1 / (CASE WHEN count(*) = 0 "
+        "THEN 1 ELSE 0 END) FROM pg_stat_wal_receiver";
   struct command *cmd = talloc_zero (e->group, struct command);
   cmd->endpoint = e;
   cmd->kind = kind;
-  cmd->sql[cmd->count++] = talloc_strdup (cmd, first);
+  cmd->sql[cmd->count++]
+      = check_statement (cmd, kind == FAILOVER_PROMOTE, term);
+  cmd->sql[cmd->count++] = talloc_strdup (cmd, main_sql);
   if (kind != FAILOVER_PROMOTE)
-    cmd->sql[cmd->count++] = "/* azurewind:reload */ SELECT pg_reload_conf()";
+    cmd->sql[cmd->count++] = reload;
+  if (kind == FAILOVER_FENCE)
+    cmd->sql[cmd->count++] = receiver_stopped;
   cmd->sql[cmd->count++] = pgsql_status_sql ("poll");
   pgsql_acquire (e->control_pool, on_command_connection, cmd);
 }
@@ -405,9 +433,8 @@
 static void
 perform (struct group *g, const struct failover_action *a)
 {
-  struct endpoint *e = a->endpoint >= 0 && a->endpoint < g->endpoint_count
-                           ? &g->endpoints[a->endpoint]
-                           : NULL;
+  bool at_endpoint = a->endpoint >= 0 && a->endpoint < g->endpoint_count;
+  struct endpoint *e = &g->endpoints[at_endpoint ? a->endpoint : 0];
   char sql[256];
   switch (a->kind)
     {
@@ -425,7 +452,7 @@
                 "/* azurewind:fence */ ALTER SYSTEM SET primary_conninfo = "
                 "'application_name=azurewind_fence_%" PRIu64 "'",
                 a->term);
-      run_command (e, a->kind, sql);
+      run_command (e, a->kind, a->term, sql);
       break;
     case FAILOVER_RELEASE:
       release_term (g, a->term);
@@ -437,16 +464,18 @@
                 "/* azurewind:promote term=%" PRIu64
                 " */ SELECT pg_promote(true, 5)",
                 a->term);
-      run_command (e, a->kind, sql);
+      run_command (e, a->kind, a->term, sql);
       break;
     case FAILOVER_FOLLOW:
       {
         struct endpoint *primary = &g->endpoints[a->record.primary];
         snprintf (sql, sizeof sql,
                   "/* azurewind:follow primary=%s:%d */ ALTER SYSTEM SET "
-                  "primary_conninfo = 'host=%s port=%d'",
-                  primary->host, primary->port, primary->host, primary->port);
-        run_command (e, a->kind, sql);
+                  "primary_conninfo = 'host=%s port=%d "
+                  "application_name=azurewind_fence_%" PRIu64 "'",
+                  primary->host, primary->port, primary->host, primary->port,
+                  a->term);
+        run_command (e, a->kind, a->term, sql);
         break;
       }
     case FAILOVER_POLL:
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -175,7 +175,7 @@
                                              : UPDATE_LOST;
   cell_on_update (d->cell, result, result == UPDATE_DONE ? object->version : 0,
                   clock_now ());
-  if (result == UPDATE_CONFLICT && object != NULL)
+  if (result == UPDATE_CONFLICT)
     peers_on_object (d, object);
   else
     peers_pump (d);
--- a/standins/postgres.c
+++ b/standins/postgres.c
@@ -47,6 +47,7 @@
   int ship_delay_ms;
   int statement_delay_ms;
   int connect_delay_ms;
+  struct session *lock_owner; /**< Of the advisory lock for commands. */
   bool cut; /**< Partitioned: only control sessions are served. */
   bool auto_rebuild;
   bool drop_commit_answer; /**< Commit, then close without an answer. */
@@ -371,6 +372,9 @@
     {
       at += strlen ("primary=");
       server->primary = talloc_strndup (server, at, strcspn (at, " ;'"));
+      uint64_t mark = (uint64_t)tag_value (s->sql, "azurewind_fence_", 0);
+      if (mark > server->fence)
+        server->fence = mark;
       server->store->in_recovery = true;
       connect_upstream (server);
     }
@@ -399,6 +403,29 @@
   send_complete (s, "SELECT 1");
 }
 
+/* Evaluate "check max=N" or "check equal=N" on the fence marker, under the
+   advisory lock that the real statement takes. */
+static void
+run_check (struct session *s)
+{
+  struct server *server = s->server;
+  long max = tag_value (s->sql, "max=", -1);
+  long equal = tag_value (s->sql, "equal=", -1);
+  bool holds = max >= 0 ? server->fence <= (uint64_t)max
+                        : server->fence == (uint64_t)equal;
+  server->lock_owner = s;
+  if (holds)
+    send_complete (s, "SELECT 1");
+  else
+    send_error (s, "22012", "division by zero");
+}
+
+static void
+run_nothing (struct session *s)
+{
+  send_complete (s, "SELECT 1");
+}
+
 struct special
 {
   const char *tag;
@@ -406,6 +433,9 @@
 };
 
 static const struct special specials[] = {
+  { "/* azurewind:check", run_check },
+  { "/* azurewind:reload", run_nothing },
+  { "/* azurewind:receiver_stopped", run_nothing },
   { "/* azurewind:fence", run_fence },
   { "/* azurewind:promote", run_promote },
   { "/* azurewind:follow", run_follow },
@@ -640,8 +670,13 @@
     }
   if (special != NULL)
     {
+      if (special->run == run_check && s->server->lock_owner != NULL
+          && s->server->lock_owner != s)
+        return RUN_BLOCKED;
+      size_t before = s->out.used;
       special->run (s);
-      return RUN_DONE;
+      return s->out.used > before && s->out.bytes[before] == 'E' ? RUN_ERROR
+                                                                 : RUN_DONE;
     }
   if (s->state == 'E' && !is_transaction_end (s->sql))
     {
@@ -654,6 +689,8 @@
     return run_end (s, word_is (s->sql, "COMMIT"));
   if (word_is (s->sql, "DISCARD ALL") || word_is (s->sql, "SET "))
     {
+      if (s->server->lock_owner == s)
+        s->server->lock_owner = NULL;
       send_complete (s, "SET");
       return RUN_DONE;
     }
@@ -1002,6 +1039,8 @@
     s->next->prev = s->prev;
   if (server->upstream == s)
     server->upstream = NULL;
+  if (server->lock_owner == s)
+    server->lock_owner = NULL;
   finish_statement (s);
   if (s->db != NULL)
     sqlite3_close (s->db);
