--- a/common/log.c
+++ b/common/log.c
@@ -1,7 +1,6 @@
 #include "common/log.h"
 
 #include <log4c.h>
-#include <log4c/appender_type_stream2.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -29,6 +28,17 @@
 static const log4c_layout_type_t line_layout
     = { .name = "azurewind-line", .format = format_line };
 
+/* log4c's own stream type puts the appender's name before each line. */
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  (void)appender;
+  return fputs (event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t line_appender
+    = { .name = "azurewind-stderr", .append = append_line };
+
 bool
 log_open (const char *level, struct error *err)
 {
@@ -41,11 +51,9 @@
   log4c_layout_type_set (&line_layout);
   log4c_layout_t *layout = log4c_layout_get ("azurewind");
   log4c_layout_set_type (layout, &line_layout);
-  log4c_appender_t *appender = log4c_appender_get ("stderr");
-  /* The default type puts the appender's name before each line. */
-  log4c_appender_set_type (appender, log4c_appender_type_get ("stream2"));
-  log4c_stream2_set_fp (appender, stderr);
-  log4c_stream2_set_flags (appender, LOG4C_STREAM2_UNBUFFERED);
+  log4c_appender_t *appender = log4c_appender_get ("azurewind");
+  log4c_appender_type_set (&line_appender);
+  log4c_appender_set_type (appender, &line_appender);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("azurewind");
   log4c_category_set_appender (category, appender);
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,564 @@
+/** @file
+ * Guarantees with real processes under kill -9, SIGSTOP, partitions, lost
+ * answers and a stopped platform.
+ */
+#include "tests/fleet.h"
+#include "tests/tests.h"
+
+#include <signal.h>
+#include <stdio.h>
+
+/* The users' bound for a change of primary. */
+#define FAILOVER_BOUND_MS 19000
+/* In force everywhere, and revoked everywhere, within this. */
+#define CONFIG_BOUND_MS 3000
+
+#define REQUIRE(condition)                                                    \
+  do                                                                          \
+    {                                                                         \
+      bool holds_ = (condition);                                              \
+      CU_ASSERT (holds_);                                                     \
+      if (!holds_)                                                            \
+        {                                                                     \
+          printf ("%s:%d: %s\n", __FILE__, __LINE__, #condition);             \
+          goto done;                                                          \
+        }                                                                     \
+    }                                                                         \
+  while (0)
+
+static const struct fleet_options three = { .daemons = 3 };
+
+static bool
+run_is (struct fleet *f, int daemon, const char *mode, const char *session,
+        const char *extra, const char *sql, const char *outcome)
+{
+  struct fleet_answer a = fleet_sql (f, daemon, mode, session, extra, sql);
+  bool same = strcmp (fleet_text (&a, "outcome"), outcome) == 0;
+  if (!same)
+    printf ("status %ld: %s\n", a.status,
+            a.json != NULL ? json_dumps (a.json, 0) : "no answer");
+  json_decref (a.json);
+  return same;
+}
+
+static long
+count_rows (struct fleet *f, int daemon, const char *id)
+{
+  char *body = talloc_asprintf (
+      f,
+      "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+      "\"SELECT count(*) FROM bookings WHERE id = $1\",\"params\":[\"%s\"]}]}",
+      id);
+  struct fleet_answer a
+      = fleet_post (f, daemon, NULL, "/v1/query", f->key, NULL, body);
+  long count = fleet_number (&a);
+  if (count < 0)
+    printf ("count at daemon %d: status %ld code \"%s\" %s\n", daemon,
+            a.status, fleet_text (&a, "code"), fleet_text (&a, "message"));
+  json_decref (a.json);
+  return count;
+}
+
+/* Guards against a stale read after the session moves to another daemon:
+   the replicas replay 300 ms late. */
+static void
+reads_its_own_write_through_any_daemon (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 1, "apply_lag_ms=300"));
+  REQUIRE (fleet_fault (f, 2, "apply_lag_ms=300"));
+  for (int i = 0; i < 12; i++)
+    {
+      char sql[128];
+      snprintf (sql, sizeof sql, "INSERT INTO bookings VALUES ('r%d', 1)", i);
+      struct fleet_answer w = fleet_sql (f, i % 3, "write", NULL, "", sql);
+      snprintf (sql, sizeof sql, "SELECT n FROM bookings WHERE id = 'r%d'", i);
+      struct fleet_answer r = fleet_sql (f, (i + 1) % 3, "read",
+                                         fleet_text (&w, "session"), "", sql);
+      bool found = fleet_has_rows (&r);
+      json_decref (w.json);
+      json_decref (r.json);
+      REQUIRE (found);
+    }
+done:
+  talloc_free (f);
+}
+
+/* Guards against a lost acknowledged write and against a service that does
+   not come back when the primary's process is killed. */
+static void
+primary_killed (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (run_is (f, 0, "write", NULL, "",
+                   "INSERT INTO bookings VALUES ('before', 1)", "ran"));
+  process_signal (f->endpoints[0], SIGKILL);
+  int64_t killed = fleet_now_ms ();
+  REQUIRE (run_is (f, 1, "write", NULL, ",\"deadline_ms\":19000",
+                   "INSERT INTO bookings VALUES ('after', 1)", "ran"));
+  CU_ASSERT (fleet_now_ms () - killed <= FAILOVER_BOUND_MS);
+  printf ("gap %d ms ", (int)(fleet_now_ms () - killed));
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_EQUAL (count_rows (f, i, "before"), 1);
+      CU_ASSERT_EQUAL (count_rows (f, i, "after"), 1);
+    }
+done:
+  talloc_free (f);
+}
+
+/* Guards against an acknowledgement by a primary that was replaced while it
+   was cut off, and against reads from its old branch after it returns. */
+static void
+primary_cut_off_and_back (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (run_is (f, 0, "write", NULL, "",
+                   "INSERT INTO bookings VALUES ('before', 1)", "ran"));
+  REQUIRE (fleet_fault (f, 0, "cut=1"));
+  REQUIRE (fleet_wait_primary (f, 0, 2, FAILOVER_BOUND_MS) > 0);
+  REQUIRE (run_is (f, 0, "write", NULL, ",\"deadline_ms\":5000",
+                   "INSERT INTO bookings VALUES ('after', 1)", "ran"));
+  REQUIRE (fleet_fault (f, 0, "cut=0"));
+  for (int i = 0; i < 30; i++)
+    {
+      struct fleet_answer w
+          = fleet_sql (f, i % 3, "write", NULL, ",\"deadline_ms\":5000",
+                       "INSERT INTO bookings VALUES (hex(randomblob(8)), 1)");
+      struct fleet_answer r
+          = fleet_sql (f, (i + 1) % 3, "read", fleet_text (&w, "session"), "",
+                       "SELECT n FROM bookings WHERE id = 'after'");
+      bool ok = w.status == 200 && fleet_has_rows (&r);
+      json_decref (w.json);
+      json_decref (r.json);
+      REQUIRE (ok);
+    }
+  CU_ASSERT_EQUAL (count_rows (f, 2, "before"), 1);
+done:
+  talloc_free (f);
+}
+
+/* Guards against a second promotion while the primary is only slow. */
+static void
+slow_primary_is_kept (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 0, "statement_delay_ms=400"));
+  int64_t end = fleet_now_ms () + 4000;
+  while (fleet_now_ms () < end)
+    {
+      struct fleet_answer a
+          = fleet_sql (f, 0, "write", NULL, ",\"deadline_ms\":8000",
+                       "INSERT INTO bookings VALUES (hex(randomblob(8)), 1)");
+      json_decref (a.json);
+    }
+  REQUIRE (fleet_fault (f, 0, "statement_delay_ms=0"));
+  REQUIRE (fleet_wait_primary (f, 0, 1, FAILOVER_BOUND_MS) == 0);
+  json_t *status = fleet_status (f, 0);
+  json_t *group = json_array_get (json_object_get (status, "groups"), 0);
+  CU_ASSERT_EQUAL (json_integer_value (json_object_get (group, "term")), 1);
+  json_decref (status);
+done:
+  talloc_free (f);
+}
+
+/* Guards against a second execution when the answer to COMMIT is lost and
+   the caller tries again with its key through another daemon. */
+static void
+lost_commit_answer_with_key (void)
+{
+  static const char insert[] = "INSERT INTO bookings VALUES ('once', 1)";
+  static const char key[] = ",\"idempotency_key\":\"k1\"";
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 0, "drop_commit_answer=1"));
+  struct fleet_answer a = fleet_sql (f, 0, "write", NULL, key, insert);
+  REQUIRE (fleet_fault (f, 0, "drop_commit_answer=0"));
+  CU_ASSERT_STRING_NOT_EQUAL (fleet_text (&a, "outcome"), "not_run");
+  json_decref (a.json);
+  REQUIRE (run_is (f, 1, "write", NULL, key, insert, "ran"));
+  a = fleet_get (f, 2, "/v1/requests/k1?service=lending", f->key);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "ran");
+  json_decref (a.json);
+  CU_ASSERT_EQUAL (count_rows (f, 2, "once"), 1);
+done:
+  talloc_free (f);
+}
+
+/* Guards against "not_run" for a write whose fate is open. */
+static void
+lost_commit_answer_without_key (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 0, "drop_commit_answer=1"));
+  REQUIRE (run_is (f, 0, "write", NULL, "",
+                   "INSERT INTO bookings VALUES ('open', 1)", "unknown"));
+  REQUIRE (fleet_fault (f, 0, "drop_commit_answer=0"));
+  CU_ASSERT_EQUAL (count_rows (f, 1, "open"), 1);
+done:
+  talloc_free (f);
+}
+
+static char *
+begin (struct fleet *f, int daemon, CURL *curl, const char *key)
+{
+  struct fleet_answer a = fleet_post (f, daemon, curl, "/v1/transactions", key,
+                                      NULL, "{\"service\":\"lending\"}");
+  char *id = talloc_strdup (f, fleet_text (&a, "transaction"));
+  json_decref (a.json);
+  return id;
+}
+
+static const char *
+in_transaction (struct fleet *f, int daemon, CURL *curl, const char *key,
+                const char *id, const char *verb, const char *sql)
+{
+  char *path = talloc_asprintf (f, "/v1/transactions/%s/%s", id, verb);
+  char *body = talloc_asprintf (
+      f,
+      "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+      "\"%s\"}]}",
+      sql);
+  struct fleet_answer a = fleet_post (f, daemon, curl, path, key, NULL, body);
+  char *result = talloc_asprintf (f, "%s %s", fleet_text (&a, "outcome"),
+                                  fleet_text (&a, "code"));
+  json_decref (a.json);
+  return result;
+}
+
+/* Guards against a transaction that another key or another connection can
+   use, and against one that its client left open. */
+static void
+transaction_belongs_to_key_and_connection (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  CURL *mine = curl_easy_init (), *other = curl_easy_init ();
+  REQUIRE (f != NULL);
+  char *id = begin (f, 0, mine, f->key);
+  REQUIRE (id[0] != '\0');
+  CU_ASSERT_STRING_EQUAL (
+      in_transaction (f, 0, mine, f->key, id, "query",
+                      "INSERT INTO bookings VALUES ('t1', 1)"),
+      "ran ");
+  CU_ASSERT_STRING_EQUAL (
+      in_transaction (f, 0, other, f->key, id, "query", "SELECT 1"),
+      "not_run unknown_transaction");
+  CU_ASSERT_STRING_EQUAL (
+      in_transaction (f, 0, mine, f->other_key, id, "commit", "SELECT 1"),
+      "not_run unknown_transaction");
+  CU_ASSERT_STRING_EQUAL (
+      in_transaction (f, 0, mine, f->key, id, "commit", "SELECT 1"), "ran ");
+  CU_ASSERT_EQUAL (count_rows (f, 1, "t1"), 1);
+
+  id = begin (f, 0, mine, f->key);
+  in_transaction (f, 0, mine, f->key, id, "query",
+                  "INSERT INTO bookings VALUES ('t2', 1)");
+  curl_easy_cleanup (mine);
+  mine = NULL;
+  /* The write waits for the writer's lock until the rollback. */
+  REQUIRE (run_is (f, 1, "write", NULL, ",\"deadline_ms\":9000",
+                   "INSERT INTO bookings VALUES ('t3', 1)", "ran"));
+  CU_ASSERT_EQUAL (count_rows (f, 1, "t2"), 0);
+done:
+  if (mine != NULL)
+    curl_easy_cleanup (mine);
+  curl_easy_cleanup (other);
+  talloc_free (f);
+}
+
+/* Guards against an open transaction that survives its daemon. */
+static void
+daemon_killed_in_a_transaction (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  CURL *curl = curl_easy_init ();
+  REQUIRE (f != NULL);
+  char *id = begin (f, 0, curl, f->key);
+  in_transaction (f, 0, curl, f->key, id, "query",
+                  "INSERT INTO bookings VALUES ('lost', 1)");
+  process_signal (f->daemons[0], SIGKILL);
+  REQUIRE (run_is (f, 1, "write", NULL, ",\"deadline_ms\":9000",
+                   "INSERT INTO bookings VALUES ('kept', 1)", "ran"));
+  CU_ASSERT_EQUAL (count_rows (f, 2, "lost"), 0);
+  CU_ASSERT_EQUAL (count_rows (f, 2, "kept"), 1);
+done:
+  curl_easy_cleanup (curl);
+  talloc_free (f);
+}
+
+/* Guards against a daemon that goes on with its leases after a pause: the
+   primary is replaced while the daemon is stopped. */
+static void
+daemon_paused_during_a_failover (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  process_signal (f->daemons[0], SIGSTOP);
+  REQUIRE (fleet_fault (f, 0, "cut=1"));
+  REQUIRE (fleet_wait_primary (f, 1, 2, FAILOVER_BOUND_MS) > 0);
+  REQUIRE (fleet_fault (f, 0, "cut=0"));
+  process_signal (f->daemons[0], SIGCONT);
+  for (int i = 0; i < 20; i++)
+    {
+      char id[32], sql[128];
+      snprintf (id, sizeof id, "p%d", i);
+      snprintf (sql, sizeof sql, "INSERT INTO bookings VALUES ('%s', 1)", id);
+      struct fleet_answer a
+          = fleet_sql (f, 0, "write", NULL, ",\"deadline_ms\":3000", sql);
+      bool ran = strcmp (fleet_text (&a, "outcome"), "ran") == 0;
+      bool refused = strcmp (fleet_text (&a, "outcome"), "not_run") == 0;
+      json_decref (a.json);
+      long count = count_rows (f, 1, id);
+      REQUIRE (!ran || count == 1);
+      REQUIRE (!refused || count == 0);
+    }
+done:
+  if (f != NULL)
+    process_signal (f->daemons[0], SIGCONT);
+  talloc_free (f);
+}
+
+/* Guards against an outage of the platform that becomes an outage of the
+   service: the platform is stopped for longer than every lease. */
+static void
+platform_stopped (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  process_signal (f->platform, SIGSTOP);
+  int64_t end = fleet_now_ms () + 6000;
+  for (int i = 0; fleet_now_ms () < end; i++)
+    {
+      REQUIRE (run_is (f, i % 3, "write", NULL, "",
+                       "INSERT INTO bookings VALUES (hex(randomblob(8)), 1)",
+                       "ran"));
+      fleet_pause (50);
+    }
+done:
+  if (f != NULL)
+    process_signal (f->platform, SIGCONT);
+  talloc_free (f);
+}
+
+/* Guards against two primaries and against a promotion that nobody agreed
+   on: the primary dies while the platform is stopped. */
+static void
+primary_killed_while_the_platform_is_stopped (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  process_signal (f->platform, SIGSTOP);
+  process_signal (f->endpoints[0], SIGKILL);
+  CU_ASSERT_EQUAL (fleet_wait_primary (f, 0, 2, 4000), -1);
+  REQUIRE (run_is (f, 1, "read", NULL, ",\"freshness\":\"any\"",
+                   "SELECT count(*) FROM bookings", "ran"));
+  process_signal (f->platform, SIGCONT);
+  REQUIRE (fleet_wait_primary (f, 0, 2, FAILOVER_BOUND_MS) > 0);
+done:
+  if (f != NULL)
+    process_signal (f->platform, SIGCONT);
+  talloc_free (f);
+}
+
+/* Guards against a revoked key that goes on working on an open
+   connection. */
+static void
+key_revoked_on_an_open_connection (void)
+{
+  static const char body[] = "{\"service\":\"lending\",\"mode\":\"read\","
+                             "\"statements\":[{\"sql\":\"SELECT 1\"}]}";
+  struct fleet *f = fleet_start (NULL, &three);
+  CURL *curl = curl_easy_init ();
+  REQUIRE (f != NULL);
+  struct fleet_answer a
+      = fleet_post (f, 0, curl, "/v1/query", f->key, NULL, body);
+  json_decref (a.json);
+  REQUIRE (a.status == 200);
+  REQUIRE (fleet_put_keys (f, true));
+  int64_t revoked = fleet_now_ms ();
+  do
+    {
+      a = fleet_post (f, 0, curl, "/v1/query", f->key, NULL, body);
+      json_decref (a.json);
+    }
+  while (a.status == 200 && fleet_now_ms () - revoked < 2 * CONFIG_BOUND_MS);
+  CU_ASSERT_EQUAL (a.status, 401);
+  CU_ASSERT (fleet_now_ms () - revoked <= CONFIG_BOUND_MS);
+  for (int i = 0; i < 3; i++)
+    {
+      a = fleet_post (f, i, NULL, "/v1/query", f->other_key, NULL, body);
+      json_decref (a.json);
+      CU_ASSERT_EQUAL (a.status, 200);
+    }
+done:
+  curl_easy_cleanup (curl);
+  talloc_free (f);
+}
+
+/* Guards against a configuration that does not reach a daemon that is cut
+   from the platform only by a restart during its outage. */
+static void
+configuration_reaches_a_daemon_that_starts_in_an_outage (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_put_config (f, "deadline_ms = 7777", NULL));
+  int64_t put = fleet_now_ms ();
+  json_int_t version = 0;
+  for (int i = 0; i < 3; i++)
+    do
+      {
+        json_t *status = fleet_status (f, i);
+        json_int_t seen
+            = json_integer_value (json_object_get (status, "config_version"));
+        json_decref (status);
+        if (i == 0 || seen >= version)
+          {
+            version = seen > version ? seen : version;
+            if (version > 2)
+              break;
+          }
+      }
+    while (fleet_now_ms () - put < 2 * CONFIG_BOUND_MS);
+  CU_ASSERT (fleet_now_ms () - put <= CONFIG_BOUND_MS);
+done:
+  talloc_free (f);
+}
+
+/* Guards against new work at an endpoint that is leaving. */
+static void
+leaving_endpoint_gets_no_new_reads (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_put_config (f, NULL, "leaving = true\n"));
+  fleet_pause (CONFIG_BOUND_MS);
+  for (int i = 0; i < 30; i++)
+    {
+      struct fleet_answer a = fleet_sql (f, i % 3, "read", NULL,
+                                         ",\"freshness\":\"any\"", "SELECT 1");
+      CU_ASSERT_STRING_EQUAL (fleet_text (&a, "served_by"), "replica");
+      json_decref (a.json);
+    }
+done:
+  talloc_free (f);
+}
+
+/* Guards against a planned stop that cuts a running request. */
+static void
+graceful_shutdown_cuts_nothing (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  CURL *curl = curl_easy_init ();
+  REQUIRE (f != NULL);
+  char *id = begin (f, 0, curl, f->key);
+  REQUIRE (id[0] != '\0');
+  in_transaction (f, 0, curl, f->key, id, "query",
+                  "INSERT INTO bookings VALUES ('drain', 1)");
+  process_signal (f->daemons[0], SIGTERM);
+  CU_ASSERT_EQUAL (process_wait (f->daemons[0], 1500), -1);
+  CU_ASSERT_STRING_EQUAL (
+      in_transaction (f, 0, curl, f->key, id, "commit", "SELECT 1"), "ran ");
+  CU_ASSERT_EQUAL (process_wait (f->daemons[0], 10000), 0);
+  CU_ASSERT_EQUAL (count_rows (f, 1, "drain"), 1);
+done:
+  curl_easy_cleanup (curl);
+  talloc_free (f);
+}
+
+struct bad_input
+{
+  const char *body;
+  long status;
+  const char *code;
+};
+
+/* Guards against input that crashes the daemon, that is answered with
+   anything but one clear error, or that changes something. */
+static void
+bad_input_gets_one_clear_error (void)
+{
+  static const struct bad_input inputs[] = {
+    { "", 400, "invalid_request" },
+    { "{", 400, "invalid_request" },
+    { "[]", 400, "invalid_request" },
+    { "{\"service\":1}", 400, "invalid_request" },
+    { "{\"service\":\"lending\",\"service\":\"x\"}", 400, "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"read\",\"statements\":[]}", 400,
+      "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"maybe\",\"statements\":[{\"sql\":"
+      "\"SELECT 1\"}]}",
+      400, "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"read\",\"statement\":[{\"sql\":"
+      "\"SELECT 1\"}]}",
+      400, "invalid_request" },
+    { "{\"service\":\"none\",\"mode\":\"read\",\"statements\":[{\"sql\":"
+      "\"SELECT 1\"}]}",
+      404, "unknown_service" },
+    { "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+      "\" /* x */ commit\"}]}",
+      400, "forbidden_statement" },
+    { "{\"service\":\"lending\",\"mode\":\"write\",\"deadline_ms\":0,"
+      "\"statements\":[{\"sql\":\"SELECT 1\"}]}",
+      400, "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+      "\"SELECT $1\",\"params\":[{}]}]}",
+      400, "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"read\",\"freshness\":\"bounded:x\","
+      "\"statements\":[{\"sql\":\"SELECT 1\"}]}",
+      400, "invalid_request" },
+    { "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+      "\"SELEKT\"}]}",
+      422, "statement_failed" },
+  };
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  REQUIRE (f != NULL);
+  for (size_t i = 0; i < sizeof inputs / sizeof inputs[0]; i++)
+    {
+      struct fleet_answer a
+          = fleet_post (f, 0, NULL, "/v1/query", f->key, NULL, inputs[i].body);
+      CU_ASSERT_EQUAL (a.status, inputs[i].status);
+      CU_ASSERT_STRING_EQUAL (fleet_text (&a, "code"), inputs[i].code);
+      CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "not_run");
+      json_decref (a.json);
+    }
+  struct fleet_answer a = fleet_sql (f, 0, "read", "forged", "", "SELECT 1");
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "code"), "invalid_session");
+  json_decref (a.json);
+  a = fleet_post (f, 0, NULL, "/v1/query", "azw_bad", NULL, inputs[12].body);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "not_run");
+  json_decref (a.json);
+  CU_ASSERT_EQUAL (count_rows (f, 0, "none"), 0);
+done:
+  talloc_free (f);
+}
+
+static const struct test_case cases[] = {
+  { "reads_its_own_write_through_any_daemon",
+    reads_its_own_write_through_any_daemon },
+  { "primary_killed", primary_killed },
+  { "primary_cut_off_and_back", primary_cut_off_and_back },
+  { "slow_primary_is_kept", slow_primary_is_kept },
+  { "lost_commit_answer_with_key", lost_commit_answer_with_key },
+  { "lost_commit_answer_without_key", lost_commit_answer_without_key },
+  { "transaction_belongs_to_key_and_connection",
+    transaction_belongs_to_key_and_connection },
+  { "daemon_killed_in_a_transaction", daemon_killed_in_a_transaction },
+  { "daemon_paused_during_a_failover", daemon_paused_during_a_failover },
+  { "platform_stopped", platform_stopped },
+  { "primary_killed_while_the_platform_is_stopped",
+    primary_killed_while_the_platform_is_stopped },
+  { "key_revoked_on_an_open_connection", key_revoked_on_an_open_connection },
+  { "configuration_reaches_every_daemon",
+    configuration_reaches_a_daemon_that_starts_in_an_outage },
+  { "leaving_endpoint_gets_no_new_reads", leaving_endpoint_gets_no_new_reads },
+  { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
+  { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
+  { NULL, NULL },
+};
+TEST_SUITE (fleet, cases)
