admission: add fair queues, early refusal and adaptive concurrency

Cause: one organisation or browsing must not take the service of others, and a caller whose deadline cannot be met must be told at once (design 3.6). A window for the lowest latency without a probe: a lasting overload becomes the new lowest.

--- a/tests/script.c
+++ b/tests/script.c
@@ -60,10 +60,11 @@
 }
 
 void
-script_run (const char *name, script_handler *handler, void *context)
+script_run (const char *session, const char *golden, script_handler *handler,
+            void *context)
 {
   void *scratch = talloc_new (NULL);
-  char *path = talloc_asprintf (scratch, "tests/sessions/%s", name);
+  char *path = talloc_asprintf (scratch, "tests/sessions/%s", session);
   char *text = script_read_file (scratch, path);
   struct script s = { .transcript = talloc_strdup (scratch, "") };
   CU_ASSERT_PTR_NOT_NULL_FATAL (text);
@@ -78,6 +79,6 @@
       split (&s, line);
       handler (&s, context);
     }
-  CU_ASSERT (golden_matches (name, bstr_from (s.transcript)));
+  CU_ASSERT (golden_matches (golden, bstr_from (s.transcript)));
   talloc_free (scratch);
 }
--- a/tests/script.h
+++ b/tests/script.h
@@ -37,7 +37,8 @@
 /** Call @p handler for each line of the session that is neither empty nor a
  * comment, and compare the transcript with the golden file.  Lines that start
  * with "##" are copied to the transcript. */
-void script_run (const char *name, script_handler *handler, void *context);
+void script_run (const char *session, const char *golden,
+                 script_handler *handler, void *context);
 
 /** @return the file's content, owned by @p parent, NULL if it is missing. */
 char *script_read_file (void *parent, const char *path);
--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,640 @@
+#include "common/stats.h"
+#include "core/admission.h"
+#include "tests/script.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define MAX_LOADS 16
+#define MAX_RUNNING 64
+#define MS 1000
+
+static const char *const class_names[]
+    = { "write", "session", "browse", NULL };
+static const char *const verdict_names[] = { "queued", "full", "too_late" };
+
+struct counts
+{
+  int offered, good, late, full, too_late, expired;
+  struct histogram wait, latency;
+};
+
+/* A stream of requests of one organisation and class. */
+struct load
+{
+  const char *name;
+  enum admission_class class_;
+  double rate, weight, cost;
+  int64_t deadline;
+  bool poisson;
+  int64_t next;
+  struct counts now, reported;
+};
+
+struct job
+{
+  struct admission_entry entry;
+  struct load *load;
+  int64_t arrived, started, ends;
+};
+
+/* An open-loop load in front of one endpoint, in virtual time. */
+struct sim
+{
+  void *scratch;
+  struct admission *admission;
+  struct admission_limit *limit;
+  struct load loads[MAX_LOADS];
+  int load_count;
+  int64_t now;
+  int64_t service;
+  int knee; /* Requests that run at full speed; more share it. */
+  bool exponential;
+  unsigned short seed[3];
+  struct job *running[MAX_RUNNING];
+  int running_count;
+  int limit_low, limit_high;
+  /* What a test switches off, whatever the session says. */
+  bool fifo, no_early_refusal, no_browse_share;
+  enum admission_limit_mode limit_mode;
+  /* Entries of the "push" command. */
+  struct admission_entry *last_pushed;
+  struct admission_entry *last_popped;
+};
+
+static struct sim *
+sim_create (void)
+{
+  struct sim *s = talloc_zero (NULL, struct sim);
+  s->scratch = s;
+  s->knee = MAX_RUNNING;
+  s->seed[0] = 17;
+  return s;
+}
+
+static double
+draw_exponential (struct sim *s)
+{
+  return -log (1.0 - erand48 (s->seed));
+}
+
+static void
+schedule_next (struct sim *s, struct load *l)
+{
+  double gap = 1e6 / l->rate;
+  l->next += (int64_t)(l->poisson ? gap * draw_exponential (s) : gap);
+}
+
+static void
+arrive (struct sim *s, struct load *l)
+{
+  struct job *j = talloc_zero (s, struct job);
+  int64_t retry = 0;
+  *j = (struct job){ .load = l, .arrived = s->now };
+  j->entry = (struct admission_entry){
+    .organisation = l->name,
+    .class_ = l->class_,
+    .weight = l->weight,
+    .cost = l->cost,
+    .deadline = l->deadline > 0 ? s->now + l->deadline : 0,
+    .request = j,
+  };
+  l->now.offered++;
+  switch (admission_push (s->admission, &j->entry, s->now, &retry))
+    {
+    case ADMISSION_QUEUED:
+      return;
+    case ADMISSION_FULL:
+      l->now.full++;
+      break;
+    case ADMISSION_TOO_LATE:
+      l->now.too_late++;
+      break;
+    }
+  CU_ASSERT (retry > 0);
+  talloc_free (j);
+}
+
+static void
+start_jobs (struct sim *s)
+{
+  struct admission_entry *e;
+  while (s->running_count < MAX_RUNNING && admission_limit_start (s->limit))
+    {
+      e = admission_pop (s->admission, s->now);
+      if (e == NULL)
+        {
+          /* A slot that was not used is given back unmeasured. */
+          admission_limit_cancel (s->limit);
+          break;
+        }
+      struct job *j = e->request;
+      double slow = s->running_count + 1 > s->knee
+                        ? (double)(s->running_count + 1) / s->knee
+                        : 1.0;
+      double draw = s->exponential ? draw_exponential (s) : 1.0;
+      double cost = e->cost > 0 ? e->cost : 1.0;
+      j->started = s->now;
+      j->ends = s->now + (int64_t)((double)s->service * slow * draw * cost);
+      histogram_add (&j->load->now.wait, (uint64_t)(s->now - j->arrived));
+      s->running[s->running_count++] = j;
+    }
+  int limit = admission_limit_value (s->limit);
+  s->limit_low = limit < s->limit_low ? limit : s->limit_low;
+  s->limit_high = limit > s->limit_high ? limit : s->limit_high;
+}
+
+static void
+end_job (struct sim *s, int index)
+{
+  struct job *j = s->running[index];
+  s->running[index] = s->running[--s->running_count];
+  bool in_time = j->entry.deadline <= 0 || s->now <= j->entry.deadline;
+  if (in_time)
+    j->load->now.good++;
+  else
+    j->load->now.late++;
+  histogram_add (&j->load->now.latency, (uint64_t)(s->now - j->started));
+  admission_limit_end (s->limit, s->now - j->started, false, s->now);
+  admission_done (s->admission, &j->entry, s->now - j->started, s->now);
+  talloc_free (j);
+}
+
+static void
+expire_jobs (struct sim *s)
+{
+  struct admission_entry *e;
+  while ((e = admission_expired (s->admission, s->now)) != NULL)
+    {
+      struct job *j = e->request;
+      j->load->now.expired++;
+      talloc_free (j);
+    }
+}
+
+static void
+run_until (struct sim *s, int64_t until)
+{
+  for (;;)
+    {
+      int64_t next = admission_next_deadline (s->admission);
+      struct load *arrival = NULL;
+      int ending = -1;
+      for (int i = 0; i < s->load_count; i++)
+        if (s->loads[i].rate > 0 && s->loads[i].next < next)
+          {
+            next = s->loads[i].next;
+            arrival = &s->loads[i];
+          }
+      for (int i = 0; i < s->running_count; i++)
+        if (s->running[i]->ends < next)
+          {
+            next = s->running[i]->ends;
+            ending = i;
+          }
+      if (next >= until)
+        break;
+      s->now = next > s->now ? next : s->now;
+      if (ending >= 0)
+        end_job (s, ending);
+      else if (arrival != NULL)
+        {
+          schedule_next (s, arrival);
+          arrive (s, arrival);
+        }
+      expire_jobs (s);
+      start_jobs (s);
+    }
+  s->now = until;
+}
+
+static void
+report (struct script *t, struct sim *s)
+{
+  script_print (t, "at %lld ms: limit %d (%d to %d)", (long long)(s->now / MS),
+                admission_limit_value (s->limit), s->limit_low, s->limit_high);
+  script_print (t, "  %-12s %-7s %7s %6s %5s %5s %8s %7s %9s %9s", "load",
+                "class", "offered", "good", "late", "full", "too_late",
+                "expired", "p99_wait", "p50_run");
+  for (int i = 0; i < s->load_count; i++)
+    {
+      struct load *l = &s->loads[i];
+      const struct counts *c = &l->now;
+      script_print (t,
+                    "  %-12s %-7s %7d %6d %5d %5d %8d %7d %6lld ms %6lld ms",
+                    l->name, class_names[l->class_], c->offered, c->good,
+                    c->late, c->full, c->too_late, c->expired,
+                    (long long)histogram_quantile (&c->wait, 0.99) / MS,
+                    (long long)histogram_quantile (&c->latency, 0.5) / MS);
+      l->reported = l->now;
+      l->now = (struct counts){ 0 };
+    }
+  s->limit_low = s->limit_high = admission_limit_value (s->limit);
+}
+
+static int64_t
+ms_value (const struct script *t, const char *name, const char *other)
+{
+  return (int64_t)(atof (script_value (t, name, other)) * MS);
+}
+
+static bool
+has_word (const struct script *t, const char *word)
+{
+  for (int i = 0; i < t->word_count; i++)
+    if (strcmp (t->words[i], word) == 0)
+      return true;
+  return false;
+}
+
+static void
+do_options (const struct script *t, struct sim *s)
+{
+  struct admission_options options = {
+    .fifo = s->fifo,
+    .max_queued = atoi (script_value (t, "max_queued", "1000")),
+    .browse_share
+    = s->no_browse_share ? 0 : atof (script_value (t, "browse_share", "0.1")),
+    .no_early_refusal = s->no_early_refusal,
+  };
+  s->admission = admission_create (s, &options);
+}
+
+static void
+do_server (const struct script *t, struct sim *s)
+{
+  int slots = atoi (script_value (t, "slots", "1"));
+  s->limit = admission_limit_create (s, slots);
+  admission_limit_set_mode (s->limit, has_word (t, "adaptive") ? s->limit_mode
+                                                               : LIMIT_FIXED);
+  s->service = ms_value (t, "service_ms", "10");
+  s->knee = atoi (script_value (t, "knee", "64"));
+  s->exponential = has_word (t, "exponential");
+  s->limit_low = s->limit_high = slots;
+}
+
+static void
+do_load (const struct script *t, struct sim *s)
+{
+  struct load *l = &s->loads[s->load_count++];
+  CU_ASSERT_FATAL (s->load_count <= MAX_LOADS);
+  *l = (struct load){
+    .name = talloc_strdup (s, t->words[1]),
+    .class_ = (enum admission_class)script_find (
+        t, class_names, script_value (t, "class", "write")),
+    .rate = atof (script_value (t, "rate", "1")),
+    .weight = atof (script_value (t, "weight", "1")),
+    .cost = atof (script_value (t, "cost", "1")),
+    .deadline = ms_value (t, "deadline_ms", "0"),
+    .poisson = has_word (t, "poisson"),
+    .next = s->now,
+  };
+  schedule_next (s, l);
+}
+
+/* Single steps, for the order of service. */
+
+static void
+do_push (struct script *t, struct sim *s)
+{
+  int times = atoi (script_value (t, "times", "1"));
+  for (int i = 0; i < times; i++)
+    {
+      struct admission_entry *e = talloc_zero (s, struct admission_entry);
+      int64_t retry;
+      e->organisation = talloc_strdup (e, t->words[1]);
+      e->class_
+          = (enum admission_class)script_find (t, class_names, t->words[2]);
+      e->weight = atof (script_value (t, "weight", "1"));
+      e->cost = atof (script_value (t, "cost", "1"));
+      if (has_word (t, "deadline_ms"))
+        e->deadline = s->now + ms_value (t, "deadline_ms", "0");
+      enum admission_verdict verdict
+          = admission_push (s->admission, e, s->now, &retry);
+      if (verdict == ADMISSION_QUEUED)
+        s->last_pushed = e;
+      if (verdict != ADMISSION_QUEUED)
+        script_print (t, "push %s: %s, retry after %lld us", t->words[1],
+                      verdict_names[verdict], (long long)retry);
+      else if (i == times - 1)
+        script_print (t, "push %s: %s, %d waiting", t->words[1],
+                      verdict_names[verdict], admission_queued (s->admission));
+    }
+}
+
+static void
+do_pop (struct script *t, struct sim *s)
+{
+  int times = atoi (script_value (t, "times", "1"));
+  char *line = talloc_strdup (s, "pop:");
+  for (int i = 0; i < times; i++)
+    {
+      struct admission_entry *e = admission_pop (s->admission, s->now);
+      if (e == NULL)
+        line = talloc_strdup_append (line, " -");
+      else
+        line = talloc_asprintf_append (line, " %s%s", e->organisation,
+                                       e->class_ == CLASS_BROWSE ? "/browse"
+                                                                 : "");
+      s->last_popped = e;
+    }
+  script_print (t, "%s", line);
+}
+
+static void
+do_expired (struct script *t, struct sim *s)
+{
+  struct admission_entry *e;
+  while ((e = admission_expired (s->admission, s->now)) != NULL)
+    script_print (t, "expired: %s, queued at %lld ms", e->organisation,
+                  (long long)(e->queued_at / MS));
+  script_print (t, "%d waiting", admission_queued (s->admission));
+}
+
+static void
+play_line (struct script *t, void *context)
+{
+  static const char *const commands[]
+      = { "options", "server", "load",   "service_ms", "knee",
+          "rate",    "run",    "report", "push",       "pop",
+          "expired", "time",   "remove", "done",       NULL };
+  struct sim *s = context;
+  switch (script_find (t, commands, t->words[0]))
+    {
+    case 0:
+      do_options (t, s);
+      break;
+    case 1:
+      do_server (t, s);
+      break;
+    case 2:
+      do_load (t, s);
+      break;
+    case 3:
+      s->service = (int64_t)(atof (t->words[1]) * MS);
+      break;
+    case 4:
+      s->knee = atoi (t->words[1]);
+      break;
+    case 5:
+      for (int i = 0; i < s->load_count; i++)
+        if (strcmp (s->loads[i].name, t->words[1]) == 0)
+          s->loads[i].rate = atof (t->words[2]);
+      break;
+    case 6:
+      run_until (s, atoll (t->words[1]) * MS);
+      break;
+    case 7:
+      report (t, s);
+      break;
+    case 8:
+      do_push (t, s);
+      break;
+    case 9:
+      do_pop (t, s);
+      break;
+    case 10:
+      do_expired (t, s);
+      break;
+    case 11:
+      s->now = atoll (t->words[1]) * MS;
+      script_print (t, "time %s ms", t->words[1]);
+      break;
+    case 12:
+      admission_remove (s->admission, s->last_pushed);
+      script_print (t, "remove: %d waiting", admission_queued (s->admission));
+      break;
+    default:
+      admission_done (s->admission, s->last_popped, atoll (t->words[1]) * MS,
+                      s->now);
+    }
+}
+
+static const struct counts *
+counts_of (const struct sim *s, const char *name)
+{
+  for (int i = 0; i < s->load_count; i++)
+    if (strcmp (s->loads[i].name, name) == 0)
+      return &s->loads[i].reported;
+  CU_FAIL_FATAL ("no such load");
+  return NULL;
+}
+
+static double
+share_good (const struct counts *c)
+{
+  return c->offered > 0 ? (double)c->good / c->offered : 1.0;
+}
+
+/* The worst share of a load whose name starts with "quiet". */
+static double
+worst_quiet (const struct sim *s)
+{
+  double worst = 1.0;
+  for (int i = 0; i < s->load_count; i++)
+    if (strncmp (s->loads[i].name, "quiet", 5) == 0)
+      worst = fmin (worst, share_good (&s->loads[i].reported));
+  return worst;
+}
+
+static void
+order_of_service (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-order.txt", "admission-order.txt", play_line, s);
+  talloc_free (s);
+}
+
+static void
+deadlines_and_refusals (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-deadline.txt", "admission-deadline.txt", play_line,
+              s);
+  talloc_free (s);
+}
+
+/* Guards against an organisation that takes the service of others. */
+static void
+a_noisy_organisation_harms_no_other (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-noisy.txt", "admission-noisy.txt", play_line, s);
+  CU_ASSERT (worst_quiet (s) >= 0.95);
+  CU_ASSERT_EQUAL (counts_of (s, "quiet-1")->full, 0);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->fifo = true;
+  script_run ("admission-noisy.txt", "admission-noisy-fifo.txt", play_line, s);
+  CU_ASSERT (worst_quiet (s) < 0.95);
+  CU_ASSERT (counts_of (s, "quiet-1")->full > 0);
+  talloc_free (s);
+}
+
+/* Guards against browsing that takes capacity away from clerks, and against
+   clerks that stop all browsing. */
+static void
+clerks_come_before_browsing (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-browse.txt", "admission-browse.txt", play_line, s);
+  CU_ASSERT (share_good (counts_of (s, "clerks")) >= 0.99);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->fifo = true;
+  script_run ("admission-browse.txt", "admission-browse-fifo.txt", play_line,
+              s);
+  CU_ASSERT (share_good (counts_of (s, "clerks")) < 0.9);
+  talloc_free (s);
+}
+
+static void
+browsing_keeps_its_least_share (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-minimum.txt", "admission-minimum.txt", play_line, s);
+  const struct counts *browse = counts_of (s, "readers");
+  const struct counts *clerks = counts_of (s, "clerks");
+  CU_ASSERT (browse->good >= (browse->good + clerks->good) * 0.095);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->no_browse_share = true;
+  script_run ("admission-minimum.txt", "admission-minimum-off.txt", play_line,
+              s);
+  CU_ASSERT (counts_of (s, "readers")->good
+             < counts_of (s, "clerks")->good * 0.05);
+  talloc_free (s);
+}
+
+/* Guards against callers that wait for their whole deadline before they are
+   told that it cannot be met. */
+static void
+refusals_are_early (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-early.txt", "admission-early.txt", play_line, s);
+  const struct counts *c = counts_of (s, "office");
+  int good = c->good;
+  CU_ASSERT (c->too_late > 0);
+  CU_ASSERT ((c->expired + c->late) * 100 < c->offered);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->no_early_refusal = true;
+  script_run ("admission-early.txt", "admission-early-off.txt", play_line, s);
+  c = counts_of (s, "office");
+  CU_ASSERT ((c->expired + c->late) * 10 > c->offered);
+  CU_ASSERT (c->good < good);
+  talloc_free (s);
+}
+
+/* Guards against more and more requests at an endpoint that became slow,
+   and against a limit that stays low after it recovered. */
+static void
+the_limit_follows_a_slow_endpoint (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-slow.txt", "admission-slow.txt", play_line, s);
+  int64_t p50
+      = (int64_t)histogram_quantile (&counts_of (s, "office")->latency, 0.5);
+  CU_ASSERT (p50 < 5 * MS * 4);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->limit_mode = LIMIT_FIXED;
+  script_run ("admission-slow.txt", "admission-slow-fixed.txt", play_line, s);
+  p50 = (int64_t)histogram_quantile (&counts_of (s, "office")->latency, 0.5);
+  CU_ASSERT (p50 >= 5 * MS * 4);
+  talloc_free (s);
+}
+
+/* Guards against an endpoint that became slower for good and is throttled
+   for good. */
+static void
+the_lowest_latency_ages (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-slower.txt", "admission-slower.txt", play_line, s);
+  CU_ASSERT (admission_limit_value (s->limit) >= 18);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->limit_mode = LIMIT_NO_PROBE;
+  script_run ("admission-slower.txt", "admission-slower-off.txt", play_line,
+              s);
+  CU_ASSERT (admission_limit_value (s->limit) <= 2);
+  talloc_free (s);
+}
+
+/* Goodput and p99 wait of the worst-served organisation beside one at 5x
+   its rate; eight organisations whose rates add up to 90% of one server. */
+static void
+measure_one (bool fifo, bool poisson, double *worst)
+{
+  struct sim *s = sim_create ();
+  struct admission_options options
+      = { .fifo = fifo, .max_queued = 200, .browse_share = 0.1 };
+  const double rate = 0.9 * 100 / 8;
+  uint64_t wait = 0;
+  s->admission = admission_create (s, &options);
+  s->limit = admission_limit_create (s, 1);
+  admission_limit_set_mode (s->limit, LIMIT_FIXED);
+  s->service = 10 * MS;
+  for (int i = 0; i < 8; i++)
+    {
+      struct load *l = &s->loads[s->load_count++];
+      *l = (struct load){ .name = talloc_asprintf (s, "org-%d", i),
+                          .rate = i == 0 ? 5 * rate : rate,
+                          .deadline = 1000 * MS,
+                          .poisson = poisson };
+      schedule_next (s, l);
+    }
+  run_until (s, 120 * 1000 * MS);
+  *worst = 1.0;
+  for (int i = 0; i < 8; i++)
+    {
+      const struct counts *c = &s->loads[i].now;
+      double within = i == 0 ? c->offered / 5.0 : c->offered;
+      *worst = fmin (*worst, c->good / within);
+      if (i > 0 && histogram_quantile (&c->wait, 0.99) > wait)
+        wait = histogram_quantile (&c->wait, 0.99);
+    }
+  printf ("\n    %s, %s arrivals: worst goodput %.1f%% of its rate, worst p99 "
+          "wait of the others %.0f ms",
+          fifo ? "fifo" : "fair", poisson ? "Poisson" : "regular",
+          100 * *worst, (double)wait / MS);
+  talloc_free (s);
+}
+
+static void
+measure_worst_served (void)
+{
+  double fifo, fair;
+  for (int poisson = 0; poisson <= 1; poisson++)
+    {
+      measure_one (true, poisson != 0, &fifo);
+      measure_one (false, poisson != 0, &fair);
+      CU_ASSERT (fair >= 0.95);
+      CU_ASSERT (fifo < 0.95);
+    }
+  printf ("\n  ");
+}
+
+static const struct test_case cases[] = {
+  { "order_of_service", order_of_service },
+  { "deadlines_and_refusals", deadlines_and_refusals },
+  { "a_noisy_organisation_harms_no_other",
+    a_noisy_organisation_harms_no_other },
+  { "clerks_come_before_browsing", clerks_come_before_browsing },
+  { "browsing_keeps_its_least_share", browsing_keeps_its_least_share },
+  { "refusals_are_early", refusals_are_early },
+  { "the_limit_follows_a_slow_endpoint", the_limit_follows_a_slow_endpoint },
+  { "the_lowest_latency_ages", the_lowest_latency_ages },
+  { "measure_worst_served", measure_worst_served },
+  { NULL, NULL },
+};
+TEST_SUITE (admission, cases)
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -78,7 +78,7 @@
   session.chart
       = chart_load (session.scratch, request_vocabulary (), CHART_PATH, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (session.chart);
-  script_run (name, play_line, &session);
+  script_run (name, name, play_line, &session);
   talloc_free (session.scratch);
 }
 
