--- a/core/admission.h
+++ b/core/admission.h
@@ -100,6 +100,9 @@
 bool admission_limit_start (struct admission_limit *l);
 /** Give a slot back that no request used. */
 void admission_limit_cancel (struct admission_limit *l);
+/** @param latency_us from the start to now.
+ * @param failed the connection broke or the endpoint did not answer in time;
+ * a statement that the endpoint rejected did not fail in this sense. */
 void admission_limit_end (struct admission_limit *l, int64_t latency_us,
                           bool failed, int64_t now);
 int admission_limit_value (const struct admission_limit *l);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -16,7 +16,7 @@
 
 struct counts
 {
-  int offered, good, late, full, too_late, expired;
+  int offered, good, failed, late, full, too_late, expired;
   struct histogram wait, latency;
 };
 
@@ -51,10 +51,11 @@
   int64_t service;
   int knee; /* Requests that run at full speed; more share it. */
   bool exponential;
+  double failing; /* Part of the requests that fail. */
   unsigned short seed[3];
   struct job *running[MAX_RUNNING];
   int running_count;
-  int limit_low, limit_high;
+  int limit_low, limit_high, total_failed;
   /* What a test switches off, whatever the session says. */
   bool fifo, no_early_refusal, no_browse_share;
   enum admission_limit_mode limit_mode;
@@ -151,12 +152,15 @@
   struct job *j = s->running[index];
   s->running[index] = s->running[--s->running_count];
   bool in_time = j->entry.deadline <= 0 || s->now <= j->entry.deadline;
-  if (in_time)
+  bool failed = s->failing > 0 && erand48 (s->seed) < s->failing;
+  if (failed)
+    j->load->now.failed++;
+  else if (in_time)
     j->load->now.good++;
   else
     j->load->now.late++;
   histogram_add (&j->load->now.latency, (uint64_t)(s->now - j->started));
-  admission_limit_end (s->limit, s->now - j->started, false, s->now);
+  admission_limit_end (s->limit, s->now - j->started, failed, s->now);
   admission_done (s->admission, &j->entry, s->now - j->started, s->now);
   talloc_free (j);
 }
@@ -210,23 +214,24 @@
 }
 
 static void
-report (struct script *t, struct sim *s)
+do_report (struct script *t, struct sim *s)
 {
   script_print (t, "at %lld ms: limit %d (%d to %d)", (long long)(s->now / MS),
                 admission_limit_value (s->limit), s->limit_low, s->limit_high);
-  script_print (t, "  %-12s %-7s %7s %6s %5s %5s %8s %7s %9s %9s", "load",
-                "class", "offered", "good", "late", "full", "too_late",
-                "expired", "p99_wait", "p50_run");
+  script_print (t, "  %-9s %-7s %7s %6s %6s %5s %6s %8s %7s %8s %8s", "load",
+                "class", "offered", "good", "failed", "late", "full",
+                "too_late", "expired", "p99_wait", "p50_run");
   for (int i = 0; i < s->load_count; i++)
     {
       struct load *l = &s->loads[i];
       const struct counts *c = &l->now;
-      script_print (t,
-                    "  %-12s %-7s %7d %6d %5d %5d %8d %7d %6lld ms %6lld ms",
-                    l->name, class_names[l->class_], c->offered, c->good,
-                    c->late, c->full, c->too_late, c->expired,
-                    (long long)histogram_quantile (&c->wait, 0.99) / MS,
-                    (long long)histogram_quantile (&c->latency, 0.5) / MS);
+      script_print (
+          t, "  %-9s %-7s %7d %6d %6d %5d %6d %8d %7d %5lld ms %5lld ms",
+          l->name, class_names[l->class_], c->offered, c->good, c->failed,
+          c->late, c->full, c->too_late, c->expired,
+          (long long)histogram_quantile (&c->wait, 0.99) / MS,
+          (long long)histogram_quantile (&c->latency, 0.5) / MS);
+      s->total_failed += c->failed;
       l->reported = l->now;
       l->now = (struct counts){ 0 };
     }
@@ -249,7 +254,7 @@
 }
 
 static void
-do_options (const struct script *t, struct sim *s)
+do_options (struct script *t, struct sim *s)
 {
   struct admission_options options = {
     .fifo = s->fifo,
@@ -262,7 +267,7 @@
 }
 
 static void
-do_server (const struct script *t, struct sim *s)
+do_server (struct script *t, struct sim *s)
 {
   int slots = atoi (script_value (t, "slots", "1"));
   s->limit = admission_limit_create (s, slots);
@@ -275,7 +280,7 @@
 }
 
 static void
-do_load (const struct script *t, struct sim *s)
+do_load (struct script *t, struct sim *s)
 {
   struct load *l = &s->loads[s->load_count++];
   CU_ASSERT_FATAL (s->load_count <= MAX_LOADS);
@@ -352,63 +357,63 @@
   script_print (t, "%d waiting", admission_queued (s->admission));
 }
 
+static void
+do_remove (struct script *t, struct sim *s)
+{
+  admission_remove (s->admission, s->last_pushed);
+  script_print (t, "remove: %d waiting", admission_queued (s->admission));
+}
+
+static void
+do_done (struct script *t, struct sim *s)
+{
+  admission_done (s->admission, s->last_popped, atoll (t->words[1]) * MS,
+                  s->now);
+}
+
+static void
+do_time (struct script *t, struct sim *s)
+{
+  s->now = atoll (t->words[1]) * MS;
+  script_print (t, "time %s ms", t->words[1]);
+}
+
+static void
+do_run (struct script *t, struct sim *s)
+{
+  run_until (s, atoll (t->words[1]) * MS);
+}
+
+static void
+do_service (struct script *t, struct sim *s)
+{
+  s->service = (int64_t)(atof (t->words[1]) * MS);
+}
+
+static void
+do_knee (struct script *t, struct sim *s)
+{
+  s->knee = atoi (t->words[1]);
+}
+
+static void
+do_fail (struct script *t, struct sim *s)
+{
+  s->failing = atof (t->words[1]);
+}
+
 static void
 play_line (struct script *t, void *context)
 {
-  static const char *const commands[]
-      = { "options", "server", "load",   "service_ms", "knee",
-          "rate",    "run",    "report", "push",       "pop",
-          "expired", "time",   "remove", "done",       NULL };
-  struct sim *s = context;
-  switch (script_find (t, commands, t->words[0]))
-    {
-    case 0:
-      do_options (t, s);
-      break;
-    case 1:
-      do_server (t, s);
-      break;
-    case 2:
-      do_load (t, s);
-      break;
-    case 3:
-      s->service = (int64_t)(atof (t->words[1]) * MS);
-      break;
-    case 4:
-      s->knee = atoi (t->words[1]);
-      break;
-    case 5:
-      for (int i = 0; i < s->load_count; i++)
-        if (strcmp (s->loads[i].name, t->words[1]) == 0)
-          s->loads[i].rate = atof (t->words[2]);
-      break;
-    case 6:
-      run_until (s, atoll (t->words[1]) * MS);
-      break;
-    case 7:
-      report (t, s);
-      break;
-    case 8:
-      do_push (t, s);
-      break;
-    case 9:
-      do_pop (t, s);
-      break;
-    case 10:
-      do_expired (t, s);
-      break;
-    case 11:
-      s->now = atoll (t->words[1]) * MS;
-      script_print (t, "time %s ms", t->words[1]);
-      break;
-    case 12:
-      admission_remove (s->admission, s->last_pushed);
-      script_print (t, "remove: %d waiting", admission_queued (s->admission));
-      break;
-    default:
-      admission_done (s->admission, s->last_popped, atoll (t->words[1]) * MS,
-                      s->now);
-    }
+  static const char *const names[]
+      = { "options",    "server", "load", "run",  "report",
+          "service_ms", "knee",   "fail", "push", "pop",
+          "expired",    "remove", "done", "time", NULL };
+  static void (*const commands[]) (struct script *, struct sim *)
+      = { do_options, do_server, do_load, do_run,  do_report,
+          do_service, do_knee,   do_fail, do_push, do_pop,
+          do_expired, do_remove, do_done, do_time };
+  commands[script_find (t, names, t->words[0])](t, context);
 }
 
 static const struct counts *
@@ -570,6 +575,76 @@
   talloc_free (s);
 }
 
+/* Guards against a failing endpoint that gets as much work as before. */
+static void
+the_limit_follows_failures (void)
+{
+  struct sim *s = sim_create ();
+  script_run ("admission-failing.txt", "admission-failing.txt", play_line, s);
+  int adaptive = s->total_failed;
+  CU_ASSERT (admission_limit_value (s->limit) >= 18);
+  talloc_free (s);
+
+  s = sim_create ();
+  s->limit_mode = LIMIT_FIXED;
+  script_run ("admission-failing.txt", "admission-failing-fixed.txt",
+              play_line, s);
+  CU_ASSERT (s->total_failed > 5 * adaptive);
+  talloc_free (s);
+}
+
+/* Requests within the rates of eight organisations that miss their deadline
+   or are refused, in percent. */
+static double
+missed (double load, bool no_early_refusal)
+{
+  struct sim *s = sim_create ();
+  struct admission_options options = { .max_queued = 200,
+                                       .browse_share = 0.1,
+                                       .no_early_refusal = no_early_refusal };
+  int offered = 0, good = 0;
+  s->admission = admission_create (s, &options);
+  s->limit = admission_limit_create (s, 4);
+  admission_limit_set_mode (s->limit, LIMIT_FIXED);
+  s->service = 10 * MS;
+  s->exponential = true;
+  for (int i = 0; i < 8; i++)
+    {
+      s->loads[s->load_count++]
+          = (struct load){ .name = talloc_asprintf (s, "org-%d", i),
+                           .class_ = i % 2 == 0 ? CLASS_WRITE : CLASS_BROWSE,
+                           .rate = load * 400 / 8,
+                           .deadline = 200 * MS,
+                           .poisson = true };
+      schedule_next (s, &s->loads[i]);
+    }
+  run_until (s, 300 * 1000 * MS);
+  for (int i = 0; i < 8; i++)
+    {
+      offered += s->loads[i].now.offered;
+      good += s->loads[i].now.good;
+    }
+  talloc_free (s);
+  return 100.0 * (offered - good) / offered;
+}
+
+/* Guards against refusals of requests that would have been in time. */
+static void
+measure_wrongful_refusals (void)
+{
+  static const double loads[] = { 0.5, 0.7, 0.9 };
+  for (int i = 0; i < 3; i++)
+    {
+      double on = missed (loads[i], false), off = missed (loads[i], true);
+      printf ("\n    load %.0f%%: %.3f%% refused or late, %.3f%% without "
+              "early refusal",
+              100 * loads[i], on, off);
+      CU_ASSERT (on <= off + 0.5);
+      CU_ASSERT (loads[i] > 0.7 || on < 0.5);
+    }
+  printf ("\n  ");
+}
+
 /* Goodput and p99 wait of the worst-served organisation beside one at 5x
    its rate; eight organisations whose rates add up to 90% of one server. */
 static void
@@ -634,6 +709,8 @@
   { "refusals_are_early", refusals_are_early },
   { "the_limit_follows_a_slow_endpoint", the_limit_follows_a_slow_endpoint },
   { "the_lowest_latency_ages", the_lowest_latency_ages },
+  { "the_limit_follows_failures", the_limit_follows_failures },
+  { "measure_wrongful_refusals", measure_wrongful_refusals },
   { "measure_worst_served", measure_worst_served },
   { NULL, NULL },
 };
