--- /dev/null
+++ b/standins/postgres_sql.c
@@ -0,0 +1,605 @@
+#include "common/clock.h"
+#include "standins/postgres_server.h"
+
+#include <ctype.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct sql_prefix
+{
+  const char *text;
+  enum sql_kind kind;
+};
+
+static const struct sql_prefix prefixes[] = {
+  { "/* azurewind:poll", SQL_STATUS },
+  { "/* azurewind:guard", SQL_STATUS },
+  { "/* azurewind:position", SQL_STATUS },
+  { "/* azurewind:fence", SQL_FENCE },
+  { "/* azurewind:promote", SQL_PROMOTE },
+  { "/* azurewind:follow", SQL_FOLLOW },
+  { "/* standin:", SQL_FAULTS },
+  { "BEGIN", SQL_BEGIN },
+  { "START TRANSACTION", SQL_BEGIN },
+  { "COMMIT", SQL_COMMIT },
+  { "END", SQL_COMMIT },
+  { "ROLLBACK", SQL_ROLLBACK },
+  { "DISCARD ALL", SQL_SETTING },
+  { "SET ", SQL_SETTING },
+};
+
+static bool
+word_is (struct bstr sql, const char *word)
+{
+  size_t n = strlen (word);
+  return sql.len >= n && strncasecmp (sql.start, word, n) == 0;
+}
+
+void
+sql_set (struct session *s, const char *text)
+{
+  sql_finish (s);
+  while (isspace ((unsigned char)*text))
+    text++;
+  struct bstr sql = bstr_copy (s, bstr_from (text));
+  talloc_free ((void *)s->sql.start);
+  s->sql = sql;
+  s->kind = SQL_STATEMENT;
+  for (size_t i = 0; i < sizeof prefixes / sizeof prefixes[0]; i++)
+    if (word_is (sql, prefixes[i].text))
+      {
+        s->kind = prefixes[i].kind;
+        return;
+      }
+}
+
+void
+sql_finish (struct session *s)
+{
+  if (s->stmt != NULL)
+    connection_release (s->connection, s->stmt);
+  s->stmt = NULL;
+}
+
+static bool
+open_connection (struct session *s)
+{
+  struct error err = { 0 };
+  if (s->connection == NULL)
+    s->connection = store_connect (s->server->store, &err);
+  if (s->connection == NULL)
+    session_send_error (s, "XX000", err.text);
+  return s->connection != NULL;
+}
+
+/* Take the write lock, or queue for it: a waiting session must not be
+   overtaken, or it starves under load. */
+static bool
+take_writer (struct session *s)
+{
+  struct server *server = s->server;
+  if (server->writer == s)
+    return true;
+  if (server->writer == NULL)
+    {
+      server->writer = s;
+      return true;
+    }
+  struct session **at = &server->first_waiting;
+  while (*at != NULL && *at != s)
+    at = &(*at)->next_waiting;
+  if (*at == NULL)
+    {
+      *at = s;
+      s->next_waiting = NULL;
+    }
+  s->waiting = true;
+  return false;
+}
+
+static void
+leave_queue (struct session *s)
+{
+  for (struct session **at = &s->server->first_waiting; *at != NULL;
+       at = &(*at)->next_waiting)
+    if (*at == s)
+      {
+        *at = s->next_waiting;
+        return;
+      }
+}
+
+void
+sql_release_writer (struct session *s)
+{
+  struct server *server = s->server;
+  leave_queue (s);
+  if (server->writer != s)
+    return;
+  server->writer = NULL;
+  /* A session that the partition cuts off would keep the lock until the
+     partition ends. */
+  struct session **at = &server->first_waiting;
+  while (*at != NULL && server->cut && !(*at)->control)
+    at = &(*at)->next_waiting;
+  if (*at == NULL)
+    return;
+  server->writer = *at;
+  *at = server->writer->next_waiting;
+  session_resume (server->writer, 0);
+}
+
+static void
+commit_to_log (struct session *s)
+{
+  if (s->pending == NULL)
+    return;
+  store_append_committed (s->server->store, bstr_from (s->pending));
+  TALLOC_FREE (s->pending);
+  replication_ship (s->server);
+}
+
+/* @return the number that follows NAME= in a tag comment. */
+static int64_t
+tag_value (struct bstr sql, const char *name, int64_t otherwise)
+{
+  const char *at = memmem (sql.start, sql.len, name, strlen (name));
+  return at != NULL ? strtoll (at + strlen (name), NULL, 10) : otherwise;
+}
+
+static void
+format_lsn (char *buffer, size_t size, uint64_t lsn)
+{
+  snprintf (buffer, size, "%" PRIX32 "/%" PRIX32, (uint32_t)(lsn >> 32),
+            (uint32_t)lsn);
+}
+
+static void
+describe_status (struct session *s)
+{
+  static const char *const names[]
+      = { "in_recovery", "term", "received", "replayed", "fence", "age_ms" };
+  static const int oids[]
+      = { OID_TEXT, OID_INT8, OID_TEXT, OID_TEXT, OID_INT8, OID_INT8 };
+  session_send_columns (s, names, oids, 6);
+}
+
+static void
+run_status (struct session *s)
+{
+  const struct server *server = s->server;
+  char term[24], fence[24], age[24], received[24], replayed[24];
+  snprintf (term, sizeof term, "%" PRIu64, server->store->term);
+  snprintf (fence, sizeof fence, "%" PRIu64, server->fence);
+  snprintf (age, sizeof age, "%" PRId64,
+            (clock_now () - server->last_received) / USEC_PER_MSEC);
+  format_lsn (received, sizeof received, store_received_lsn (server->store));
+  format_lsn (replayed, sizeof replayed, store_applied_lsn (server->store));
+  const char *values[] = { server->store->in_recovery ? "t" : "f",
+                           term,
+                           received,
+                           replayed,
+                           fence,
+                           age };
+  session_send_row (s, values, 6);
+  session_send_complete (s, "SELECT 1");
+}
+
+static void
+run_fence (struct session *s)
+{
+  struct server *server = s->server;
+  uint64_t mark = (uint64_t)tag_value (s->sql, "azurewind_fence_", 0);
+  if (mark > server->fence)
+    server->fence = mark;
+  replication_stop_following (server);
+  session_send_complete (s, "ALTER SYSTEM");
+}
+
+static void
+describe_promote (struct session *s)
+{
+  static const char *const names[] = { "pg_promote" };
+  static const int oids[] = { OID_TEXT };
+  session_send_columns (s, names, oids, 1);
+}
+
+static enum run_result
+run_promote (struct session *s)
+{
+  static const char *const values[] = { "t" };
+  uint64_t term = (uint64_t)tag_value (s->sql, "term=", 0);
+  if (!s->server->store->in_recovery)
+    session_send_error (s, "55000", "recovery is not in progress");
+  else if (term <= s->server->store->term)
+    session_send_error (s, "55000", "the term is not new");
+  else if (!replication_promote (s->server, term))
+    session_send_error (s, "XX000", "a record cannot be applied");
+  else
+    {
+      session_send_row (s, values, 1);
+      session_send_complete (s, "SELECT 1");
+      return RUN_DONE;
+    }
+  return RUN_ERROR;
+}
+
+static void
+run_follow (struct session *s)
+{
+  const char *at = memmem (s->sql.start, s->sql.len, "primary=", 8);
+  struct bstr primary = { NULL, 0 };
+  if (at != NULL)
+    {
+      primary.start = at + strlen ("primary=");
+      primary.len = strcspn (primary.start, " ;'");
+    }
+  session_send_complete (s, "ALTER SYSTEM");
+  replication_follow (s, primary);
+}
+
+/* Let the sessions continue that a partition held up. */
+static void
+end_partition (struct server *server)
+{
+  for (struct session *s = server->sessions; s != NULL; s = s->next)
+    if (!s->waiting && !s->control)
+      session_resume (s, 0);
+  if (server->writer == NULL && server->first_waiting != NULL)
+    {
+      server->writer = server->first_waiting;
+      server->first_waiting = server->writer->next_waiting;
+      session_resume (server->writer, 0);
+    }
+  if (server->primary != NULL)
+    replication_connect (server);
+  replication_ship (server);
+}
+
+static void
+run_faults (struct session *s)
+{
+  struct server *server = s->server;
+  bool was_cut = server->cut;
+  server->apply_lag_ms
+      = tag_value (s->sql, "apply_lag_ms=", server->apply_lag_ms);
+  server->ship_delay_ms
+      = tag_value (s->sql, "ship_delay_ms=", server->ship_delay_ms);
+  server->statement_delay_ms
+      = tag_value (s->sql, "statement_delay_ms=", server->statement_delay_ms);
+  server->cut = tag_value (s->sql, "cut=", server->cut) != 0;
+  server->drop_commit_answer
+      = tag_value (s->sql, "drop_commit_answer=", server->drop_commit_answer)
+        != 0;
+  if (server->cut && server->upstream != NULL)
+    session_close (server->upstream);
+  if (was_cut && !server->cut)
+    end_partition (server);
+  replication_ship (server);
+  replication_apply (server);
+  session_send_complete (s, "SELECT 1");
+}
+
+static enum run_result
+run_plain (struct session *s, const char *sql)
+{
+  sqlite3 *db = connection_db (s->connection);
+  int rc = sqlite3_exec (db, sql, NULL, NULL, NULL);
+  if (rc == SQLITE_BUSY || rc == SQLITE_LOCKED)
+    return RUN_BLOCKED;
+  if (rc != SQLITE_OK)
+    {
+      session_send_error (s, "XX000", sqlite3_errmsg (db));
+      return RUN_ERROR;
+    }
+  return RUN_DONE;
+}
+
+static enum run_result
+run_begin (struct session *s)
+{
+  if (s->state != 'I')
+    {
+      /* PostgreSQL only warns. */
+      session_send_complete (s, "BEGIN");
+      return RUN_DONE;
+    }
+  bool read_only = strcasestr (s->sql.start, "READ ONLY") != NULL
+                   || s->server->store->in_recovery;
+  if (!open_connection (s))
+    return RUN_ERROR;
+  if (!read_only && !take_writer (s))
+    return RUN_BLOCKED;
+  enum run_result result
+      = run_plain (s, read_only ? "BEGIN" : "BEGIN IMMEDIATE");
+  if (result == RUN_DONE)
+    {
+      s->read_only = read_only;
+      s->state = 'T';
+      session_send_complete (s, "BEGIN");
+    }
+  else
+    sql_release_writer (s);
+  return result;
+}
+
+/* Close instead of answering a commit, if that fault is set. */
+static bool
+drop_answer (struct session *s)
+{
+  if (!s->server->drop_commit_answer || s->control)
+    return false;
+  session_close (s);
+  return true;
+}
+
+static enum run_result
+run_end (struct session *s)
+{
+  bool commit = s->kind == SQL_COMMIT && s->state != 'E';
+  if (strcasestr (s->sql.start, "ROLLBACK TO") == s->sql.start)
+    {
+      session_send_error (s, "0A000", "savepoints are not supported");
+      return RUN_ERROR;
+    }
+  if (s->state != 'I')
+    {
+      enum run_result result = run_plain (s, commit ? "COMMIT" : "ROLLBACK");
+      if (result != RUN_DONE)
+        return result;
+      if (commit)
+        commit_to_log (s);
+      TALLOC_FREE (s->pending);
+    }
+  s->state = 'I';
+  s->read_only = false;
+  sql_release_writer (s);
+  if (commit && drop_answer (s))
+    return RUN_BLOCKED;
+  session_send_complete (s, commit ? "COMMIT" : "ROLLBACK");
+  return RUN_DONE;
+}
+
+static int
+column_oid (sqlite3_stmt *stmt, int column)
+{
+  const char *type = sqlite3_column_decltype (stmt, column);
+  return type != NULL && strcasestr (type, "INT") != NULL ? OID_INT8
+                                                          : OID_TEXT;
+}
+
+static void
+describe_statement (struct session *s)
+{
+  int count = sqlite3_column_count (s->stmt);
+  const char *names[count];
+  int oids[count];
+  for (int i = 0; i < count; i++)
+    {
+      names[i] = sqlite3_column_name (s->stmt, i);
+      oids[i] = column_oid (s->stmt, i);
+    }
+  session_send_columns (s, names, oids, count);
+}
+
+void
+sql_describe (struct session *s)
+{
+  if (s->kind == SQL_STATUS)
+    describe_status (s);
+  else if (s->kind == SQL_PROMOTE)
+    describe_promote (s);
+  else if (s->stmt != NULL && sqlite3_column_count (s->stmt) > 0)
+    describe_statement (s);
+  else
+    session_send_empty (s, 'n');
+}
+
+static bool
+is_blank (struct bstr text)
+{
+  for (size_t i = 0; i < text.len; i++)
+    if (!isspace ((unsigned char)text.start[i]) && text.start[i] != ';')
+      return false;
+  return true;
+}
+
+static enum run_result
+fail_prepare (struct session *s)
+{
+  const char *text = sqlite3_errmsg (connection_db (s->connection));
+  bool no_table = strstr (text, "no such table") != NULL;
+  session_send_error (s, no_table ? "42P01" : "42601", text);
+  return RUN_ERROR;
+}
+
+enum run_result
+sql_prepare (struct session *s)
+{
+  struct bstr tail;
+  if (s->kind != SQL_STATEMENT || is_blank (s->sql))
+    return RUN_DONE;
+  if (!open_connection (s))
+    return RUN_ERROR;
+  sql_finish (s);
+  s->stmt = connection_prepare (s->connection, s->sql, &tail);
+  if (s->stmt == NULL)
+    return fail_prepare (s);
+  if (!is_blank (tail))
+    {
+      session_send_error (s, "42601",
+                          "cannot run several statements in one query");
+      return RUN_ERROR;
+    }
+  for (int i = 0; i < s->param_count; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "$%d", i + 1);
+      int index = sqlite3_bind_parameter_index (s->stmt, name);
+      if (index > 0 && s->params[i] != NULL)
+        sqlite3_bind_text (s->stmt, index, s->params[i], -1, SQLITE_STATIC);
+    }
+  return RUN_DONE;
+}
+
+static enum run_result
+fail_step (struct session *s)
+{
+  static const struct
+  {
+    int code;
+    const char *sqlstate;
+  } states[] = {
+    { SQLITE_CONSTRAINT_UNIQUE, "23505" },
+    { SQLITE_CONSTRAINT_PRIMARYKEY, "23505" },
+    { SQLITE_CONSTRAINT_NOTNULL, "23502" },
+    { SQLITE_CONSTRAINT_FOREIGNKEY, "23503" },
+    { SQLITE_CONSTRAINT_CHECK, "23514" },
+  };
+  sqlite3 *db = connection_db (s->connection);
+  int code = sqlite3_extended_errcode (db);
+  const char *sqlstate = "XX000";
+  for (size_t i = 0; i < sizeof states / sizeof states[0]; i++)
+    if (states[i].code == code)
+      sqlstate = states[i].sqlstate;
+  session_send_error (s, sqlstate, sqlite3_errmsg (db));
+  return RUN_ERROR;
+}
+
+/* Send the rows from the first step on.
+   @return the result of the last step. */
+static int
+send_rows (struct session *s, int step, long *rows)
+{
+  int columns = sqlite3_column_count (s->stmt);
+  while (step == SQLITE_ROW)
+    {
+      const char *values[columns > 0 ? columns : 1];
+      for (int i = 0; i < columns; i++)
+        values[i] = (const char *)sqlite3_column_text (s->stmt, i);
+      session_send_row (s, values, columns);
+      (*rows)++;
+      step = sqlite3_step (s->stmt);
+    }
+  return step;
+}
+
+static void
+send_tag (struct session *s, bool changes, long rows)
+{
+  int changed = sqlite3_changes (connection_db (s->connection));
+  char tag[48];
+  if (!changes)
+    snprintf (tag, sizeof tag, "SELECT %ld", rows);
+  else if (word_is (s->sql, "INSERT"))
+    snprintf (tag, sizeof tag, "INSERT 0 %d", changed);
+  else if (word_is (s->sql, "DELETE"))
+    snprintf (tag, sizeof tag, "DELETE %d", changed);
+  else if (word_is (s->sql, "UPDATE"))
+    snprintf (tag, sizeof tag, "UPDATE %d", changed);
+  else
+    snprintf (tag, sizeof tag, "%s",
+              word_is (s->sql, "CREATE TABLE") ? "CREATE TABLE" : "DDL");
+  session_send_complete (s, tag);
+}
+
+/* Keep the text of a change, with its parameters, for the log. */
+static void
+add_pending (struct session *s)
+{
+  char *expanded = sqlite3_expanded_sql (s->stmt);
+  if (s->pending == NULL)
+    s->pending = talloc_strdup (s, expanded);
+  else
+    s->pending = talloc_asprintf_append_buffer (s->pending, ";%s", expanded);
+  sqlite3_free (expanded);
+}
+
+static enum run_result
+run_statement (struct session *s, bool describe)
+{
+  long rows = 0;
+  if (s->stmt == NULL)
+    {
+      session_send_empty (s, 'I');
+      return RUN_DONE;
+    }
+  bool changes = !sqlite3_stmt_readonly (s->stmt);
+  if (changes && (s->read_only || s->server->store->in_recovery))
+    {
+      session_send_error (s, "25006",
+                          "cannot execute a write in a read-only transaction");
+      return RUN_ERROR;
+    }
+  if (changes && !take_writer (s))
+    return RUN_BLOCKED;
+  enum run_result result = RUN_DONE;
+  int step = sqlite3_step (s->stmt);
+  if (step == SQLITE_BUSY || step == SQLITE_LOCKED)
+    result = RUN_BLOCKED;
+  else
+    {
+      if (describe && (step == SQLITE_ROW || step == SQLITE_DONE)
+          && sqlite3_column_count (s->stmt) > 0)
+        describe_statement (s);
+      if (send_rows (s, step, &rows) != SQLITE_DONE)
+        result = fail_step (s);
+    }
+  if (result == RUN_DONE && changes)
+    add_pending (s);
+  if (result == RUN_DONE)
+    send_tag (s, changes, rows);
+  if (result == RUN_BLOCKED)
+    sqlite3_reset (s->stmt);
+  else
+    sql_finish (s);
+  if (s->state != 'I' || !changes)
+    return result;
+  if (result == RUN_DONE)
+    commit_to_log (s);
+  sql_release_writer (s);
+  return result == RUN_DONE && drop_answer (s) ? RUN_BLOCKED : result;
+}
+
+enum run_result
+sql_run (struct session *s, bool describe)
+{
+  if (s->state == 'E' && s->kind != SQL_COMMIT && s->kind != SQL_ROLLBACK)
+    {
+      session_send_error (s, "25P02", "current transaction is aborted");
+      return RUN_ERROR;
+    }
+  switch (s->kind)
+    {
+    case SQL_STATUS:
+      if (describe)
+        describe_status (s);
+      run_status (s);
+      return RUN_DONE;
+    case SQL_FENCE:
+      run_fence (s);
+      return RUN_DONE;
+    case SQL_PROMOTE:
+      if (describe)
+        describe_promote (s);
+      return run_promote (s);
+    case SQL_FOLLOW:
+      run_follow (s);
+      return RUN_DONE;
+    case SQL_FAULTS:
+      run_faults (s);
+      return RUN_DONE;
+    case SQL_BEGIN:
+      return run_begin (s);
+    case SQL_COMMIT:
+    case SQL_ROLLBACK:
+      return run_end (s);
+    case SQL_SETTING:
+      session_send_complete (s,
+                             word_is (s->sql, "SET") ? "SET" : "DISCARD ALL");
+      return RUN_DONE;
+    default:
+      return run_statement (s, describe);
+    }
+}
--- a/standins/postgres_store.c
+++ b/standins/postgres_store.c
@@ -12,10 +12,27 @@
 /* First position of a new database, as initdb leaves it. */
 #define FIRST_LSN UINT64_C (0x1000000)
 
+#define STATEMENTS_KEPT 32
+#define STATEMENT_BYTES 2048
+
 static const char *const store_pragmas
     = "PRAGMA journal_mode=WAL; PRAGMA synchronous=OFF;"
       "PRAGMA wal_autocheckpoint=4000; PRAGMA case_sensitive_like=ON;";
 
+struct cached_statement
+{
+  sqlite3_stmt *stmt;
+  char *sql;
+  size_t len;
+};
+
+struct connection
+{
+  struct connection *next; /**< In the list of idle connections. */
+  sqlite3 *db;
+  struct cached_statement cache[STATEMENTS_KEPT]; /**< Last used first. */
+};
+
 static char *
 database_path (const struct store *store, void *parent)
 {
@@ -35,12 +52,17 @@
     }
 }
 
-sqlite3 *
-store_connect (struct store *store, struct error *err)
+static sqlite3 *
+open_database (struct store *store, struct error *err)
 {
   sqlite3 *db = NULL;
   char *path = database_path (store, store);
-  if (sqlite3_open (path, &db) != SQLITE_OK
+  /* All connections are used by one thread. */
+  if (sqlite3_open_v2 (path, &db,
+                       SQLITE_OPEN_READWRITE | SQLITE_OPEN_CREATE
+                           | SQLITE_OPEN_NOMUTEX,
+                       NULL)
+          != SQLITE_OK
       || sqlite3_exec (db, store_pragmas, NULL, NULL, NULL) != SQLITE_OK)
     {
       error_set (err, ERROR_INTERNAL, "sqlite: %s", sqlite3_errmsg (db));
@@ -51,6 +73,98 @@
   return db;
 }
 
+static void
+connection_free (struct connection *c)
+{
+  for (int i = 0; i < STATEMENTS_KEPT; i++)
+    sqlite3_finalize (c->cache[i].stmt);
+  sqlite3_close (c->db);
+  talloc_free (c);
+}
+
+struct connection *
+store_connect (struct store *store, struct error *err)
+{
+  struct connection *c = store->idle;
+  if (c != NULL)
+    {
+      store->idle = c->next;
+      c->next = NULL;
+      return c;
+    }
+  c = talloc_zero (store, struct connection);
+  c->db = open_database (store, err);
+  if (c->db == NULL)
+    TALLOC_FREE (c);
+  return c;
+}
+
+void
+store_disconnect (struct store *store, struct connection *c)
+{
+  if (c == NULL)
+    return;
+  if (!sqlite3_get_autocommit (c->db))
+    sqlite3_exec (c->db, "ROLLBACK", NULL, NULL, NULL);
+  c->next = store->idle;
+  store->idle = c;
+}
+
+sqlite3 *
+connection_db (const struct connection *c)
+{
+  return c->db;
+}
+
+sqlite3_stmt *
+connection_prepare (struct connection *c, struct bstr sql, struct bstr *tail)
+{
+  struct cached_statement found = { NULL, NULL, 0 };
+  const char *rest = NULL;
+  int at = 0;
+  *tail = (struct bstr){ NULL, 0 };
+  while (at < STATEMENTS_KEPT - 1 && c->cache[at].stmt != NULL
+         && (c->cache[at].len != sql.len
+             || memcmp (c->cache[at].sql, sql.start, sql.len) != 0))
+    at++;
+  found = c->cache[at];
+  if (found.stmt == NULL || found.len != sql.len
+      || memcmp (found.sql, sql.start, sql.len) != 0)
+    {
+      sqlite3_stmt *stmt = NULL;
+      if (sqlite3_prepare_v3 (c->db, sql.start, (int)sql.len,
+                              SQLITE_PREPARE_PERSISTENT, &stmt, &rest)
+              != SQLITE_OK
+          || stmt == NULL)
+        return NULL;
+      *tail = (struct bstr){ rest, (size_t)(sql.start + sql.len - rest) };
+      if (sql.len > STATEMENT_BYTES || tail->len > 0)
+        return stmt;
+      sqlite3_finalize (found.stmt);
+      talloc_free (found.sql);
+      found
+          = (struct cached_statement){ stmt, bstr_to_text (c, sql), sql.len };
+    }
+  memmove (c->cache + 1, c->cache, (size_t)at * sizeof c->cache[0]);
+  c->cache[0] = found;
+  return found.stmt;
+}
+
+void
+connection_release (struct connection *c, sqlite3_stmt *stmt)
+{
+  if (stmt == NULL)
+    return;
+  for (int i = 0; i < STATEMENTS_KEPT && c->cache[i].stmt != NULL; i++)
+    if (c->cache[i].stmt == stmt)
+      {
+        sqlite3_reset (stmt);
+        sqlite3_clear_bindings (stmt);
+        return;
+      }
+  sqlite3_finalize (stmt);
+}
+
 struct store *
 store_open (void *parent, struct error *err)
 {
@@ -62,61 +176,116 @@
       error_set (err, ERROR_INTERNAL, "cannot create %s", store->path);
       goto fail;
     }
-  store->applier = store_connect (store, err);
+  store->applier = open_database (store, err);
   if (store->applier == NULL)
     goto fail;
   store->term = 1;
+  store->base_lsn = FIRST_LSN;
   return store;
 fail:
   talloc_free (store);
   return NULL;
 }
 
+static void
+close_connections (struct store *store)
+{
+  while (store->idle != NULL)
+    {
+      struct connection *c = store->idle;
+      store->idle = c->next;
+      connection_free (c);
+    }
+  sqlite3_close (store->applier);
+  store->applier = NULL;
+}
+
 void
 store_close (struct store *store)
 {
-  sqlite3_close (store->applier);
+  close_connections (store);
   remove_files (store);
   rmdir (store->path);
   talloc_free (store);
 }
 
+const struct wal_record *
+store_record (const struct store *store, size_t index)
+{
+  return &store->records[index - store->dropped];
+}
+
+static uint64_t
+lsn_before (const struct store *store, size_t index)
+{
+  return index > store->dropped ? store_record (store, index - 1)->lsn
+                                : store->base_lsn;
+}
+
 uint64_t
 store_received_lsn (const struct store *store)
 {
-  size_t n = store->record_count;
-  return n > 0 ? store->records[n - 1].lsn : FIRST_LSN;
+  return lsn_before (store, store->record_count);
+}
+
+uint64_t
+store_received_term (const struct store *store)
+{
+  return store->record_count > store->dropped
+             ? store_record (store, store->record_count - 1)->term
+             : store->base_term;
 }
 
 uint64_t
 store_applied_lsn (const struct store *store)
 {
-  size_t n = store->applied_count;
-  return n > 0 ? store->records[n - 1].lsn : FIRST_LSN;
+  return lsn_before (store, store->applied_count);
+}
+
+/* Drop old records once twice the number to keep is there, so that the cost
+   per record stays constant. */
+static void
+drop_old_records (struct store *store)
+{
+  size_t kept = store->record_count - store->dropped;
+  if (kept < 2 * store->keep)
+    return;
+  size_t drop = kept - store->keep;
+  if (store->dropped + drop > store->applied_count)
+    drop = store->applied_count - store->dropped;
+  if (drop == 0)
+    return;
+  store->base_lsn = store->records[drop - 1].lsn;
+  store->base_term = store->records[drop - 1].term;
+  for (size_t i = 0; i < drop; i++)
+    talloc_free ((void *)store->records[i].sql.start);
+  memmove (store->records, store->records + drop,
+           (kept - drop) * sizeof *store->records);
+  store->dropped += drop;
 }
 
-static struct wal_record *
+static void
 append (struct store *store, uint64_t lsn, uint64_t term, struct bstr sql)
 {
-  size_t n = store->record_count;
-  if ((n & (n - 1)) == 0)
-    store->records = talloc_realloc (store, store->records, struct wal_record,
-                                     n > 0 ? 2 * n : 16);
-  struct wal_record *record = &store->records[store->record_count++];
-  record->lsn = lsn;
-  record->term = term;
-  record->received = clock_now ();
-  record->sql = bstr_copy (store, sql);
-  return record;
+  size_t kept = store->record_count - store->dropped;
+  if (kept == store->capacity)
+    {
+      store->capacity = kept > 0 ? 2 * kept : 64;
+      store->records = talloc_realloc (store, store->records,
+                                       struct wal_record, store->capacity);
+    }
+  store->records[kept]
+      = (struct wal_record){ lsn, term, clock_now (), bstr_copy (store, sql) };
+  store->record_count++;
 }
 
-const struct wal_record *
+void
 store_append_committed (struct store *store, struct bstr sql)
 {
   uint64_t lsn = store_received_lsn (store) + RECORD_HEADER_BYTES + sql.len;
-  struct wal_record *record = append (store, lsn, store->term, sql);
+  append (store, lsn, store->term, sql);
   store->applied_count = store->record_count;
-  return record;
+  drop_old_records (store);
 }
 
 void
@@ -124,53 +293,114 @@
                        struct bstr sql)
 {
   append (store, lsn, term, sql);
+  drop_old_records (store);
 }
 
-bool
-store_apply_next (struct store *store)
-{
-  if (store->applied_count >= store->record_count)
-    return false;
-  const struct wal_record *record = &store->records[store->applied_count];
-  char *text = talloc_asprintf (store, "BEGIN IMMEDIATE;%.*s;COMMIT;",
-                                BSTR_ARG (record->sql));
-  int rc = sqlite3_exec (store->applier, text, NULL, NULL, NULL);
-  talloc_free (text);
-  if (rc != SQLITE_OK)
+static bool
+run (struct store *store, const char *sql)
+{
+  if (sqlite3_exec (store->applier, sql, NULL, NULL, NULL) == SQLITE_OK)
+    return true;
+  fprintf (stderr, "standin-postgres: apply failed: %s\n",
+           sqlite3_errmsg (store->applier));
+  return false;
+}
+
+int
+store_apply (struct store *store, int64_t deadline, int max)
+{
+  size_t end = store->applied_count;
+  while (end < store->record_count && end < store->applied_count + (size_t)max
+         && store_record (store, end)->received <= deadline)
+    end++;
+  if (end == store->applied_count)
+    return 0;
+  bool ok = run (store, "BEGIN IMMEDIATE");
+  for (size_t i = store->applied_count; ok && i < end; i++)
+    ok = run (store, store_record (store, i)->sql.start);
+  if (!ok || !run (store, "COMMIT"))
     {
-      fprintf (stderr, "standin-postgres: apply failed: %s\n",
-               sqlite3_errmsg (store->applier));
       sqlite3_exec (store->applier, "ROLLBACK", NULL, NULL, NULL);
-      return false;
+      return -1;
     }
-  if (record->term > store->term)
-    store->term = record->term;
-  store->applied_count++;
-  return true;
+  int count = (int)(end - store->applied_count);
+  if (store_record (store, end - 1)->term > store->term)
+    store->term = store_record (store, end - 1)->term;
+  store->applied_count = end;
+  return count;
 }
 
 ssize_t
 store_match (const struct store *store, uint64_t lsn, uint64_t term)
 {
-  if (lsn == FIRST_LSN)
-    return 0;
-  for (size_t i = store->record_count; i > 0; i--)
-    if (store->records[i - 1].lsn == lsn)
-      return store->records[i - 1].term == term ? (ssize_t)i : -1;
-  return -1;
+  size_t low = store->dropped, high = store->record_count;
+  if (lsn == store->base_lsn)
+    return term == store->base_term ? (ssize_t)store->dropped : -1;
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      if (store_record (store, middle)->lsn < lsn)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  if (low == store->record_count || store_record (store, low)->lsn != lsn
+      || store_record (store, low)->term != term)
+    return -1;
+  return (ssize_t)low + 1;
 }
 
 bool
-store_reset (struct store *store, struct error *err)
+store_is_first_lsn (uint64_t lsn)
 {
-  sqlite3_close (store->applier);
-  store->applier = NULL;
+  return lsn == FIRST_LSN;
+}
+
+struct bstr
+store_copy_image (struct store *store, void *parent)
+{
+  sqlite3_int64 size = 0;
+  unsigned char *bytes = sqlite3_serialize (store->applier, "main", &size, 0);
+  struct bstr image = { NULL, 0 };
+  if (bytes != NULL)
+    image = (struct bstr){ talloc_memdup (parent, bytes, (size_t)size),
+                           (size_t)size };
+  sqlite3_free (bytes);
+  return image;
+}
+
+static bool
+write_image (struct store *store, struct bstr image)
+{
+  char *path = database_path (store, store);
+  FILE *file = fopen (path, "wb");
+  bool ok
+      = file != NULL && fwrite (image.start, 1, image.len, file) == image.len;
+  if (file != NULL && fclose (file) != 0)
+    ok = false;
+  talloc_free (path);
+  return ok;
+}
+
+bool
+store_reset (struct store *store, struct bstr image, uint64_t lsn,
+             uint64_t term, struct error *err)
+{
+  close_connections (store);
   remove_files (store);
-  talloc_free (store->records);
-  store->records = NULL;
+  for (size_t i = store->dropped; i < store->record_count; i++)
+    talloc_free ((void *)store_record (store, i)->sql.start);
+  TALLOC_FREE (store->records);
+  store->capacity = 0;
+  store->dropped = 0;
   store->record_count = 0;
   store->applied_count = 0;
-  store->term = 1;
-  store->applier = store_connect (store, err);
+  store->base_lsn = image.len > 0 ? lsn : FIRST_LSN;
+  store->base_term = image.len > 0 ? term : 0;
+  store->term = image.len > 0 ? term : 1;
+  if (image.len > 0 && !write_image (store, image))
+    return error_set (err, ERROR_INTERNAL, "cannot write the copy to %s",
+                      store->path);
+  store->applier = open_database (store, err);
   return store->applier != NULL;
 }
--- a/standins/postgres_wire.c
+++ b/standins/postgres_wire.c
@@ -7,6 +7,11 @@
 wire_append (void *parent, struct wire_buffer *b, const void *bytes,
              size_t len)
 {
+  if (b->start + b->used + len > b->size && b->start > 0)
+    {
+      memmove (b->bytes, b->bytes + b->start, b->used);
+      b->start = 0;
+    }
   if (b->used + len > b->size)
     {
       size_t size = b->size > 0 ? b->size : 512;
@@ -16,15 +21,15 @@
       b->size = size;
     }
   if (len > 0)
-    memcpy (b->bytes + b->used, bytes, len);
+    memcpy (wire_data (b) + b->used, bytes, len);
   b->used += len;
 }
 
 void
 wire_consume (struct wire_buffer *b, size_t len)
 {
-  memmove (b->bytes, b->bytes + len, b->used - len);
   b->used -= len;
+  b->start = b->used > 0 ? b->start + len : 0;
 }
 
 size_t
@@ -40,7 +45,7 @@
 wire_end (struct wire_buffer *b, size_t offset)
 {
   uint32_t len = htonl ((uint32_t)(b->used - offset - 1));
-  memcpy (b->bytes + offset + 1, &len, sizeof len);
+  memcpy (wire_data (b) + offset + 1, &len, sizeof len);
 }
 
 void
--- a/standins/postgres_wire.h
+++ b/standins/postgres_wire.h
@@ -12,16 +12,24 @@
 /** Growing buffer of bytes to send or bytes received. */
 struct wire_buffer
 {
-  char *bytes; /**< Owned by the talloc parent of the struct. */
-  size_t used;
+  char *bytes;  /**< Owned by the talloc parent of the struct. */
+  size_t start; /**< Bytes before it were consumed. */
+  size_t used;  /**< Bytes from the start. */
   size_t size;
 };
 
+static inline char *
+wire_data (const struct wire_buffer *b)
+{
+  return b->bytes + b->start;
+}
+
 void wire_append (void *parent, struct wire_buffer *b, const void *bytes,
                   size_t len);
 void wire_consume (struct wire_buffer *b, size_t len);
 
-/** Start a message; @return its offset, for wire_end. */
+/** Start a message; @return its offset, for wire_end.  Nothing may be
+ * consumed before wire_end. */
 size_t wire_begin (void *parent, struct wire_buffer *b, char type);
 void wire_end (struct wire_buffer *b, size_t offset);
 void wire_int16 (void *parent, struct wire_buffer *b, int value);
