--- a/net/platform.c
+++ b/net/platform.c
@@ -1,8 +1,8 @@
 #include "net/platform.h"
 
 #include "common/clock.h"
+#include "net/http_loop.h"
 
-#include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -20,14 +20,11 @@
 
 struct platform
 {
-  struct tevent_context *ev;
-  CURLM *multi;
-  struct tevent_timer *timer;
+  struct http_loop *loop;
   struct platform_call *calls; /**< Not finished yet. */
   char *url;
   int64_t timeout_ms;
   uint64_t call_count;
-  bool *freed; /**< While callbacks run: tells them of the destructor. */
 };
 
 struct platform_call
@@ -49,89 +46,6 @@
   void *data;
 };
 
-/* Watch on one socket of libcurl. */
-struct socket_watch
-{
-  struct platform *platform;
-  struct tevent_fd *fde;
-  curl_socket_t fd;
-};
-
-static void finish_calls (struct platform *p);
-
-static void
-socket_ready (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
-              void *data)
-{
-  (void)ev, (void)fde;
-  const struct socket_watch *watch = data;
-  struct platform *p = watch->platform;
-  int running;
-  int mask = ((flags & TEVENT_FD_READ) ? CURL_CSELECT_IN : 0)
-             | ((flags & TEVENT_FD_WRITE) ? CURL_CSELECT_OUT : 0);
-  curl_multi_socket_action (p->multi, watch->fd, mask, &running);
-  finish_calls (p);
-}
-
-static int
-on_socket_change (CURL *easy, curl_socket_t fd, int what, void *data,
-                  void *socket_data)
-{
-  (void)easy;
-  struct platform *p = data;
-  struct socket_watch *watch = socket_data;
-  uint16_t flags = 0;
-  if (what == CURL_POLL_REMOVE)
-    {
-      curl_multi_assign (p->multi, fd, NULL);
-      talloc_free (watch);
-      return 0;
-    }
-  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
-    flags |= TEVENT_FD_READ;
-  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
-    flags |= TEVENT_FD_WRITE;
-  if (watch == NULL)
-    {
-      watch = talloc_zero (p, struct socket_watch);
-      watch->platform = p;
-      watch->fd = fd;
-      watch->fde
-          = tevent_add_fd (p->ev, watch, fd, flags, socket_ready, watch);
-      curl_multi_assign (p->multi, fd, watch);
-    }
-  else
-    tevent_fd_set_flags (watch->fde, flags);
-  return 0;
-}
-
-static void
-timer_expired (struct tevent_context *ev, struct tevent_timer *te,
-               struct timeval now, void *data)
-{
-  (void)ev, (void)te, (void)now;
-  struct platform *p = data;
-  int running;
-  p->timer = NULL;
-  curl_multi_socket_action (p->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  finish_calls (p);
-}
-
-static int
-on_timer_change (CURLM *multi, long timeout_ms, void *data)
-{
-  (void)multi;
-  struct platform *p = data;
-  TALLOC_FREE (p->timer);
-  if (timeout_ms >= 0)
-    p->timer = tevent_add_timer (
-        p->ev, p,
-        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                    (uint32_t)(timeout_ms % 1000) * 1000),
-        timer_expired, p);
-  return 0;
-}
-
 static size_t
 on_answer (char *bytes, size_t size, size_t count, void *data)
 {
@@ -304,47 +218,28 @@
     p->calls = call->next;
   if (call->next != NULL)
     call->next->prev = call->prev;
-  curl_multi_remove_handle (p->multi, call->easy);
+  http_loop_remove (p->loop, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   call->platform = NULL;
   return 0;
 }
 
-/* Deliver finished calls.  A callback may start calls or free the client. */
 static void
-finish_calls (struct platform *p)
+on_done (void *data, CURLcode result)
 {
-  const CURLMsg *message;
-  int left;
-  bool *freed = talloc_zero (NULL, bool);
-  bool *outer = p->freed;
-  p->freed = freed;
-  while (!*freed && (message = curl_multi_info_read (p->multi, &left)) != NULL)
-    {
-      struct platform_call *call = NULL;
-      CURLcode result = message->data.result;
-      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-      /* The call must outlive a client that its callback frees. */
-      talloc_reparent (p, NULL, call);
-      deliver (call, result);
-      talloc_free (call);
-    }
-  if (!*freed)
-    p->freed = outer;
-  else if (outer != NULL)
-    *outer = true;
-  talloc_free (freed);
+  struct platform_call *call = data;
+  /* The call must outlive a client that its callback frees. */
+  talloc_reparent (call->platform, NULL, call);
+  deliver (call, result);
+  talloc_free (call);
 }
 
 static int
 platform_destroy (struct platform *p)
 {
-  if (p->freed != NULL)
-    *p->freed = true;
   while (p->calls != NULL)
     call_detach (p->calls);
-  curl_multi_cleanup (p->multi);
   return 0;
 }
 
@@ -353,22 +248,17 @@
                  struct error *err)
 {
   struct platform *p = talloc_zero (parent, struct platform);
-  curl_global_init (CURL_GLOBAL_DEFAULT);
-  p->ev = options->ev;
+  struct http_loop_options loop = { .ev = options->ev, .done = on_done };
   p->url = talloc_strdup (p, options->url);
   p->timeout_ms = options->timeout_ms;
-  p->multi = curl_multi_init ();
-  if (p->multi == NULL)
+  p->loop = http_loop_create (p, &loop, err);
+  if (p->loop == NULL)
     {
-      error_set (err, ERROR_INTERNAL, "libcurl does not start");
+      error_wrap (err, ERROR_INTERNAL, "platform client");
       talloc_free (p);
       return NULL;
     }
   talloc_set_destructor (p, platform_destroy);
-  curl_multi_setopt (p->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
-  curl_multi_setopt (p->multi, CURLMOPT_SOCKETDATA, p);
-  curl_multi_setopt (p->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
-  curl_multi_setopt (p->multi, CURLMOPT_TIMERDATA, p);
   return p;
 }
 
@@ -399,13 +289,12 @@
   return call;
 }
 
-/* libcurl starts the call from its timer, so no callback runs in here. */
 static void
 call_start (struct platform_call *call)
 {
   call->platform->call_count++;
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
-  curl_multi_add_handle (call->platform->multi, call->easy);
+  http_loop_add (call->platform->loop, call->easy);
 }
 
 void
