--- a/core/request.c
+++ b/core/request.c
@@ -30,6 +30,7 @@
 enum input
 {
   INPUT_QUEUED,
+  INPUT_ASKED,
   INPUT_REFUSED,
   INPUT_SENT,
   INPUT_FENCED,
@@ -71,6 +72,7 @@
 
 static const char *const input_names[INPUT_COUNT + 1] = {
   [INPUT_QUEUED] = "queued",
+  [INPUT_ASKED] = "asked",
   [INPUT_REFUSED] = "refused",
   [INPUT_SENT] = "sent",
   [INPUT_FENCED] = "fenced",
@@ -117,6 +119,7 @@
   [REQUEST_UNDECIDED]
   = { INPUT_UNDECIDED_READ, INPUT_UNDECIDED_WRITE, INPUT_UNDECIDED_KEYED },
   [REQUEST_RESOLVED_RAN] = { INPUT_COUNT, INPUT_COUNT, INPUT_RESOLVED_RAN },
+  [REQUEST_ASKED] = { INPUT_COUNT, INPUT_COUNT, INPUT_ASKED },
   [REQUEST_RESOLVED_NOT_RUN]
   = { INPUT_COUNT, INPUT_COUNT, INPUT_RESOLVED_NOT_RUN },
 };
--- a/core/request.h
+++ b/core/request.h
@@ -33,6 +33,8 @@
    * by its own INSERT. */
   REQUEST_RESOLVED_RAN,
   REQUEST_RESOLVED_NOT_RUN, /**< A tombstone holds its key. */
+  /** First event of a lookup alone: a caller asks later about its key. */
+  REQUEST_ASKED,
   REQUEST_EVENT_COUNT
 };
 
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -10,7 +10,7 @@
 static const char *const event_names[]
     = { "queued",    "refused",   "expired",   "sent",      "fenced",
         "failed",    "answered",  "lost",      "confirmed", "discarded",
-        "undecided", "found_ran", "found_not", NULL };
+        "undecided", "found_ran", "found_not", "asked",     NULL };
 static const char *const step_names[]
     = { "none", "send", "confirm", "resolve", "reply", NULL };
 static const char *const outcome_names[] = { "not_run", "ran", "unknown" };
@@ -94,6 +94,12 @@
   play ("request-lost.txt");
 }
 
+static void
+session_asked (void)
+{
+  play ("request-asked.txt");
+}
+
 static void
 session_authority (void)
 {
@@ -107,6 +113,7 @@
   bool read_only, has_key;
   int max_sends;
   int sends;
+  bool admitted;
   bool in_flight;                /* A send whose fate is open. */
   bool may_have_run;             /* An earlier send that may have run. */
   bool answered;                 /* The newest answer says that it ran. */
@@ -164,12 +171,18 @@
       w->proved_not_run = w->answered && !w->read_only;
       w->answered = w->found_ran = w->found_not_run = false;
       break;
+    case REQUEST_ASKED:
+      /* The request in question may have run anywhere. */
+      if (!w->admitted && w->has_key && !w->read_only)
+        w->may_have_run = true;
+      break;
     case REQUEST_UNDECIDED:
       w->answered = w->found_ran = w->found_not_run = false;
       break;
     default:
       break;
     }
+  w->admitted = w->admitted || event == REQUEST_QUEUED || w->sends > 0;
 }
 
 /* Returns the rule that the step breaks, or NULL. */
@@ -221,11 +234,22 @@
   int broken_length;
 };
 
-/* A host sends only when it was told to, or first of all. */
+/* A host sends only when it was told to, or first of all; it does not send a
+   request that it only looks up. */
 static bool
 host_may (const struct witness *w, enum request_event event)
 {
-  return event != REQUEST_SENT || w->sends == 0 || w->send_step;
+  return event != REQUEST_SENT || w->send_step
+         || (w->sends == 0 && !w->asked_lookup);
+}
+
+/* The first deadline may start a lookup, the second ends it. */
+static bool
+ends_by_its_deadline (struct request *r)
+{
+  for (int i = 0; i < 2 && !request_is_done (r); i++)
+    request_handle (r, REQUEST_EXPIRED);
+  return request_is_done (r);
 }
 
 static const char *
@@ -252,6 +276,8 @@
                    : witness_step (w, step, request_outcome (r));
     }
   *done = request_is_done (r);
+  if (broken == NULL && !ends_by_its_deadline (r))
+    broken = "no reply after two deadlines";
   talloc_free (r);
   return broken;
 }
@@ -377,6 +403,10 @@
       "\nconfirming undecided_keyed -> sending send" },
     { WRITE, "\nconfirming expired_write -> done_unknown reply",
       "\nconfirming expired_write -> done_not_run reply" },
+    { KEYED, "\nconfirming expired_keyed -> done_unknown reply",
+      "\nconfirming expired_keyed -> confirming" },
+    { KEYED, "\nnew asked -> resolving resolve",
+      "\nnew asked -> done_not_run reply" },
     { KEYED, "\nresolving lost_keyed -> resolving resolve",
       "\nresolving lost_keyed -> sending send" },
     { KEYED, "\nresolving expired_keyed -> done_unknown reply",
@@ -430,6 +460,7 @@
   { "session_refusals", session_refusals },
   { "session_lost", session_lost },
   { "session_authority", session_authority },
+  { "session_asked", session_asked },
   { "no_sequence_breaks_a_rule", no_sequence_breaks_a_rule },
   { "each_rule_of_the_chart_is_needed", each_rule_of_the_chart_is_needed },
   { NULL, NULL },
