cli: add the operators' tool

Cause: operators apply configuration, create keys and change rates while others do the same and while answers of the platform get lost. Ruled out: recognising a lost update by "op" alone; when another update follows before the read-back, the outcome would be unknown. Change: cli/ with config, key, org, rate, endpoint, status, top and drain; changes of single values are made in place in the applied TOML and are made again on a newer version after a conflict.

--- a/Makefile
+++ b/Makefile
@@ -68,10 +68,12 @@
 $(BUILD)/azurewind-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load*.c)) $(LIB)
 	$(link)
 
-# Daemon objects without main, so that tests reach them.
+# Objects of the daemon and the tool without main, so that tests reach them.
 TEST_DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out daemon/main.c,$(wildcard daemon/*.c)))
 
-$(TEST): $(TEST_OBJ) $(TEST_DAEMON_OBJ) $(LIB)
+TEST_CLI_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out cli/main.c,$(wildcard cli/*.c)))
+
+$(TEST): $(TEST_OBJ) $(TEST_DAEMON_OBJ) $(TEST_CLI_OBJ) $(LIB)
 	$(link) -lcunit
 
 deps:
--- a/cli/main.c
+++ b/cli/main.c
@@ -1,5 +1,12 @@
+#include "cli/cli.h"
+
+#include <curl/curl.h>
+
 int
-main (void)
+main (int argc, char **argv)
 {
-  return 0;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  int code = cli_run (argc, (const char **)argv, stdout, stderr);
+  curl_global_cleanup ();
+  return code;
 }
--- /dev/null
+++ b/cli/toml_edit.h
@@ -0,0 +1,20 @@
+/** @file
+ * Changes single values in a TOML text and keeps everything else, comments
+ * included, as it is.
+ */
+#ifndef CLI_TOML_EDIT_H
+#define CLI_TOML_EDIT_H
+
+#include "common/bstr.h"
+#include "common/error.h"
+
+/** Set @p key in an existing table.
+ * @param path keys from the root, ends with NULL.
+ * @param value as TOML writes it.
+ * @return the new text owned by @p parent; start is NULL with
+ * ERROR_NOT_FOUND in @p err if the table does not exist. */
+struct bstr toml_edit_set (void *parent, struct bstr text,
+                           const char *const *path, const char *key,
+                           const char *value, struct error *err);
+
+#endif
