load: add the open-loop load tool

Ruled out: tevent timers for arrivals. Verification by one query per write was ruled out too: it would take as long as the run under the same rate. Change: tools/load*.c with an HTTP and a direct transport; suite load with a fake daemon that injects stale reads, lost writes, false not_run, lost answers and refusals, each of which the tool has to count exactly. Conclusion: ready to be run against the daemon.

--- /dev/null
+++ b/tests/test_load.c
@@ -0,0 +1,410 @@
+#include "tests/process.h"
+#include "tests/tests.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <libpq-fe.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define DAEMONS 2
+#define MAX_IDS 10000
+#define PAGE_ROWS 500
+
+/* A daemon that keeps ids in memory; its faults apply to every n-th request
+   of their kind, 0 for none. */
+struct fake
+{
+  int stale;  /**< A session read misses the row. */
+  int forget; /**< An acknowledged write is not stored. */
+  int lie;    /**< A write answers not_run but is stored. */
+  int lose;   /**< A write is stored; the connection is closed. */
+  int limit;  /**< A request is refused as rate_limited. */
+  bool at_primary;
+  int injected[5];
+  int seen[5];
+  struct MHD_Daemon *daemon[DAEMONS];
+  int requests[DAEMONS];
+  int wrong_tokens;
+  int wrong_keys;
+  char *ids[MAX_IDS];
+  int id_count;
+};
+
+/* Each daemon runs a thread of its own. */
+static pthread_mutex_t fake_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static bool
+hits (struct fake *f, int fault, int every)
+{
+  if (every == 0 || ++f->seen[fault] % every != 0)
+    return false;
+  f->injected[fault]++;
+  return true;
+}
+
+static bool
+is_stored (const struct fake *f, const char *id)
+{
+  for (int i = 0; i < f->id_count; i++)
+    if (strcmp (f->ids[i], id) == 0)
+      return true;
+  return false;
+}
+
+static int
+compare_texts (const void *a, const void *b)
+{
+  return strcmp (*(char *const *)a, *(char *const *)b);
+}
+
+static json_t *
+select_ids (struct fake *f, const char *after, const char *before, int limit)
+{
+  json_t *rows = json_array ();
+  qsort (f->ids, (size_t)f->id_count, sizeof f->ids[0], compare_texts);
+  for (int i = 0; i < f->id_count && limit > 0; i++)
+    if (strcmp (f->ids[i], after) > 0 && strcmp (f->ids[i], before) < 0)
+      {
+        json_array_append_new (rows, json_pack ("[s]", f->ids[i]));
+        limit--;
+      }
+  return rows;
+}
+
+static json_t *
+refuse (const char *outcome, const char *code)
+{
+  return json_pack ("{s:s, s:s, s:i}", "outcome", outcome, "code", code,
+                    "retry_after_ms", 10);
+}
+
+/* @return the answer; NULL closes the connection. */
+static json_t *
+answer_query (struct fake *f, const json_t *body, const char *token)
+{
+  const json_t *statement
+      = json_array_get (json_object_get (body, "statements"), 0);
+  const json_t *params = json_object_get (statement, "params");
+  const char *sql = json_string_value (json_object_get (statement, "sql"));
+  const char *key
+      = json_string_value (json_object_get (body, "idempotency_key"));
+  const char *mode = json_string_value (json_object_get (body, "mode"));
+  const char *id = json_string_value (json_array_get (params, 0));
+  bool insert = strncmp (sql, "INSERT", 6) == 0;
+  json_t *rows = json_array ();
+  if (strstr (sql, "id < $2") != NULL)
+    {
+      json_decref (rows);
+      f->wrong_keys += strcmp (mode, "write") != 0 || key != NULL;
+      rows = select_ids (f, id, json_string_value (json_array_get (params, 1)),
+                         PAGE_ROWS);
+    }
+  else if (hits (f, 4, f->limit))
+    {
+      json_decref (rows);
+      return refuse ("not_run", "rate_limited");
+    }
+  else if (insert)
+    {
+      f->wrong_keys += strcmp (mode, "write") != 0 || key == NULL
+                       || strcmp (key, id) != 0 || is_stored (f, id);
+      if (!hits (f, 1, f->forget) && f->id_count < MAX_IDS)
+        f->ids[f->id_count++] = strdup (id);
+      if (hits (f, 2, f->lie) || hits (f, 3, f->lose))
+        {
+          json_decref (rows);
+          return f->lie != 0 ? refuse ("not_run", "overloaded") : NULL;
+        }
+    }
+  else if (strstr (sql, "id = $1") != NULL)
+    {
+      /* The token names the last write of the session. */
+      f->wrong_tokens += token == NULL || strcmp (token, id) != 0;
+      if (is_stored (f, id) && !hits (f, 0, f->stale))
+        json_array_append_new (rows, json_pack ("[s, s]", id, "booked"));
+    }
+  json_t *answer
+      = json_pack ("{s:s, s:[{s:o, s:i}], s:s}", "outcome", "ran", "results",
+                   "rows", rows, "affected", insert, "served_by",
+                   insert || f->at_primary ? "primary" : "replica");
+  if (insert)
+    json_object_set_new (answer, "session", json_string (id));
+  return answer;
+}
+
+static enum MHD_Result
+on_fake_request (void *data, struct MHD_Connection *connection,
+                 const char *url, const char *method, const char *version,
+                 const char *upload, size_t *upload_size, void **request)
+{
+  (void)url, (void)method, (void)version;
+  struct fake *f = data;
+  char **body = (char **)request;
+  if (*body == NULL)
+    {
+      *body = talloc_strdup (NULL, "");
+      return MHD_YES;
+    }
+  if (*upload_size > 0)
+    {
+      *body = talloc_strndup_append (*body, upload, *upload_size);
+      *upload_size = 0;
+      return MHD_YES;
+    }
+  pthread_mutex_lock (&fake_lock);
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_DAEMON);
+  for (int i = 0; i < DAEMONS; i++)
+    f->requests[i] += info->daemon == f->daemon[i];
+  json_t *json = json_loads (*body, 0, NULL);
+  json_t *answer
+      = answer_query (f, json,
+                      MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                   "Azurewind-Session"));
+  pthread_mutex_unlock (&fake_lock);
+  enum MHD_Result result = MHD_NO;
+  if (answer != NULL)
+    {
+      char *text = json_dumps (answer, JSON_COMPACT);
+      struct MHD_Response *response = MHD_create_response_from_buffer (
+          strlen (text), text, MHD_RESPMEM_MUST_FREE);
+      bool ran = strstr (text, "\"ran\"") != NULL;
+      result = MHD_queue_response (connection, ran ? 200 : 429, response);
+      MHD_destroy_response (response);
+    }
+  json_decref (answer);
+  json_decref (json);
+  return result;
+}
+
+static void
+on_fake_completed (void *data, struct MHD_Connection *connection,
+                   void **request, enum MHD_RequestTerminationCode code)
+{
+  (void)data, (void)connection, (void)code;
+  talloc_free (*request);
+  *request = NULL;
+}
+
+static int
+fake_start (struct fake *f, int index)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  f->daemon[index] = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, on_fake_request, f,
+      MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+      on_fake_completed, f, MHD_OPTION_END);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f->daemon[index]);
+  return MHD_get_daemon_info (f->daemon[index], MHD_DAEMON_INFO_BIND_PORT)
+      ->port;
+}
+
+/* Run the tool against the fake daemons.
+   @return its report; the exit code in @p code. */
+static json_t *
+run_load (struct fake *f, int *code)
+{
+  void *scratch = talloc_new (NULL);
+  char *urls[DAEMONS];
+  for (int i = 0; i < DAEMONS; i++)
+    urls[i]
+        = talloc_asprintf (scratch, "http://127.0.0.1:%d", fake_start (f, i));
+  const char *args[]
+      = { "--url",          urls[0],
+          "--url",          urls[1],
+          "--organisation", "name=a,key=K1,rate=200,mix=40/40/20",
+          "--organisation", "name=b,key=K2,rate=100,mix=40/40/20,factor=2",
+          "--seconds",      "2",
+          "--sessions",     "10",
+          "--json",         NULL };
+  struct process *p = process_run (scratch, "azurewind-load", args);
+  *code = process_wait (p, 20000);
+  char *text = bstr_to_text (scratch, process_output (p));
+  json_t *report = json_loads (text, 0, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (report);
+  for (int i = 0; i < DAEMONS; i++)
+    MHD_stop_daemon (f->daemon[i]);
+  for (int i = 0; i < f->id_count; i++)
+    free (f->ids[i]);
+  talloc_free (scratch);
+  return report;
+}
+
+static double
+number (const json_t *report, const char *part, const char *name)
+{
+  const json_t *object
+      = json_object_get (json_object_get (report, "total"), part);
+  if (object == NULL)
+    object = json_object_get (report, "total");
+  return json_number_value (json_object_get (object, name));
+}
+
+/* Guards against requests that do not follow the interface, and a report
+   that does not add up. */
+static void
+load_reports_measures (void)
+{
+  struct fake f = { 0 };
+  int code;
+  json_t *report = run_load (&f, &code);
+  CU_ASSERT_EQUAL (code, 0);
+  CU_ASSERT (f.wrong_tokens == 0 && f.wrong_keys == 0);
+  CU_ASSERT (f.requests[0] > 300 && f.requests[1] > 300);
+  double offered = number (report, "", "offered");
+  CU_ASSERT (offered > 680 && offered < 920);
+  CU_ASSERT_EQUAL (number (report, "", "ran"), offered);
+  CU_ASSERT_EQUAL (number (report, "", "replica_read_share"), 1);
+  CU_ASSERT (number (report, "", "gap_s") > 0
+             && number (report, "", "gap_s") < 0.5);
+  CU_ASSERT (json_is_true (json_object_get (report, "verified")));
+  CU_ASSERT_EQUAL (number (report, "verification", "acknowledged_missing"), 0);
+  const json_t *b
+      = json_array_get (json_object_get (report, "organisations"), 1);
+  double share = json_number_value (json_object_get (b, "goodput_share"));
+  CU_ASSERT (share > 1.7 && share < 2.3);
+  json_decref (report);
+}
+
+/* Guards against a check that passes over stale reads. */
+static void
+load_finds_stale_reads (void)
+{
+  struct fake f = { .stale = 10, .at_primary = true };
+  int code;
+  json_t *report = run_load (&f, &code);
+  CU_ASSERT_EQUAL (code, 2);
+  CU_ASSERT (f.injected[0] > 5);
+  CU_ASSERT_EQUAL (number (report, "", "read_your_writes_violations"),
+                   f.injected[0]);
+  CU_ASSERT_EQUAL (number (report, "", "replica_read_share"), 0);
+  json_decref (report);
+}
+
+/* Guards against a verification that passes over lost writes. */
+static void
+load_finds_lost_writes (void)
+{
+  struct fake f = { .forget = 10 };
+  int code;
+  json_t *report = run_load (&f, &code);
+  CU_ASSERT_EQUAL (code, 2);
+  CU_ASSERT (f.injected[1] > 5);
+  CU_ASSERT_EQUAL (number (report, "verification", "acknowledged_missing"),
+                   f.injected[1]);
+  json_decref (report);
+}
+
+/* Guards against a verification that passes over writes that ran although
+   the caller was told not_run. */
+static void
+load_finds_false_not_run (void)
+{
+  struct fake f = { .lie = 10 };
+  int code;
+  json_t *report = run_load (&f, &code);
+  CU_ASSERT_EQUAL (code, 2);
+  CU_ASSERT (f.injected[2] > 5);
+  CU_ASSERT_EQUAL (number (report, "verification", "not_run_present"),
+                   f.injected[2]);
+  CU_ASSERT_EQUAL (number (report, "codes", "overloaded"), f.injected[2]);
+  json_decref (report);
+}
+
+/* Guards against a lost answer that is sent again or taken for a refusal. */
+static void
+load_counts_unknown_outcomes (void)
+{
+  struct fake f = { .lose = 10 };
+  int code;
+  json_t *report = run_load (&f, &code);
+  CU_ASSERT_EQUAL (code, 0);
+  CU_ASSERT (f.injected[3] > 5 && f.wrong_keys == 0);
+  CU_ASSERT_EQUAL (number (report, "", "unknown"), f.injected[3]);
+  CU_ASSERT_EQUAL (number (report, "codes", "connection_lost"), f.injected[3]);
+  CU_ASSERT_EQUAL (number (report, "verification", "unknown_present"),
+                   f.injected[3]);
+  json_decref (report);
+}
+
+/* Guards against refusals that are not told apart by the organisation's
+   rate: organisation b offers twice its rate. */
+static void
+load_counts_wrongful_refusals (void)
+{
+  struct fake f = { .limit = 5 };
+  int code;
+  json_t *report = run_load (&f, &code);
+  const json_t *list = json_object_get (report, "organisations");
+  CU_ASSERT_EQUAL (code, 0);
+  CU_ASSERT_EQUAL (number (report, "", "refused"), f.injected[4]);
+  CU_ASSERT_EQUAL (number (report, "codes", "rate_limited"), f.injected[4]);
+  for (int i = 0; i < 2; i++)
+    {
+      const json_t *o = json_array_get (list, (size_t)i);
+      double refused = json_number_value (json_object_get (o, "refused"));
+      double wrongful
+          = json_number_value (json_object_get (o, "wrongful_refusals"));
+      /* All of a's are wrongful; b's burst allows 300 of 400. */
+      CU_ASSERT (i == 0 ? wrongful == refused
+                        : wrongful < refused && wrongful > refused / 2);
+    }
+  json_decref (report);
+}
+
+/* Guards against a baseline that does not run the same statements. */
+static void
+load_runs_directly (void)
+{
+  static const char *const none[] = { NULL };
+  void *scratch = talloc_new (NULL);
+  struct process *server = process_start (scratch, "standin-postgres", none);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  char *address
+      = talloc_asprintf (scratch, "127.0.0.1:%d", process_port (server));
+  char *info = talloc_asprintf (scratch,
+                                "host=127.0.0.1 port=%d user=app dbname=d "
+                                "sslmode=disable gssencmode=disable",
+                                process_port (server));
+  PGconn *conn = PQconnectdb (info);
+  PQclear (PQexec (conn, "CREATE TABLE bookings(id TEXT PRIMARY KEY, "
+                         "organisation TEXT, item TEXT, state TEXT)"));
+  const char *args[]
+      = { "--direct",  address, "--organisation", "name=a,key=K,rate=2000",
+          "--seconds", "1",     "--connections",  "4",
+          "--json",    NULL };
+  struct process *p = process_run (scratch, "azurewind-load", args);
+  CU_ASSERT_EQUAL (process_wait (p, 20000), 0);
+  json_t *report
+      = json_loads (bstr_to_text (scratch, process_output (p)), 0, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (report);
+  CU_ASSERT (number (report, "", "ran") > 1500);
+  CU_ASSERT_EQUAL (number (report, "", "ran"), number (report, "", "offered"));
+  CU_ASSERT (json_is_true (json_object_get (report, "verified")));
+  const json_t *classes
+      = json_object_get (json_object_get (report, "total"), "classes");
+  PGresult *r = PQexec (conn, "SELECT count(*) FROM bookings");
+  CU_ASSERT_EQUAL (atoll (PQgetvalue (r, 0, 0)),
+                   json_integer_value (json_object_get (
+                       json_object_get (classes, "write"), "ran")));
+  PQclear (r);
+  PQfinish (conn);
+  json_decref (report);
+  talloc_free (scratch);
+}
+
+static const struct test_case cases[] = {
+  { "load_reports_measures", load_reports_measures },
+  { "load_finds_stale_reads", load_finds_stale_reads },
+  { "load_finds_lost_writes", load_finds_lost_writes },
+  { "load_finds_false_not_run", load_finds_false_not_run },
+  { "load_counts_unknown_outcomes", load_counts_unknown_outcomes },
+  { "load_counts_wrongful_refusals", load_counts_wrongful_refusals },
+  { "load_runs_directly", load_runs_directly },
+  { NULL, NULL },
+};
+TEST_SUITE (load, cases)
