--- a/standins/postgres_server.h
+++ b/standins/postgres_server.h
@@ -24,6 +24,7 @@
   struct session *sessions;
   struct session *writer;        /**< Holds sqlite's only write lock. */
   struct session *first_waiting; /**< Sessions that wait for it, in order. */
+  struct session *lock_owner;    /**< Of the advisory lock. */
   struct session *upstream;      /**< Stream from the primary, on a replica. */
   char *primary;                 /**< HOST:PORT that this replica follows. */
   uint64_t fence;                /**< Highest fence mark received. */
@@ -44,6 +45,8 @@
 {
   SQL_STATEMENT, /**< Reads or changes tables. */
   SQL_STATUS,
+  SQL_CHECK,   /**< Lock and condition of a control command. */
+  SQL_NOTHING, /**< Succeeds without an effect here. */
   SQL_FENCE,
   SQL_PROMOTE,
   SQL_FOLLOW,
--- a/standins/postgres_session.c
+++ b/standins/postgres_session.c
@@ -489,6 +489,8 @@
     s->next->prev = s->prev;
   if (server->upstream == s)
     server->upstream = NULL;
+  if (server->lock_owner == s)
+    server->lock_owner = NULL;
   sql_finish (s);
   store_disconnect (server->store, s->connection);
   s->connection = NULL;
--- a/standins/postgres_sql.c
+++ b/standins/postgres_sql.c
@@ -16,6 +16,9 @@
   { "/* azurewind:poll", SQL_STATUS },
   { "/* azurewind:guard", SQL_STATUS },
   { "/* azurewind:position", SQL_STATUS },
+  { "/* azurewind:check", SQL_CHECK },
+  { "/* azurewind:reload", SQL_NOTHING },
+  { "/* azurewind:receiver_stopped", SQL_NOTHING },
   { "/* azurewind:fence", SQL_FENCE },
   { "/* azurewind:promote", SQL_PROMOTE },
   { "/* azurewind:follow", SQL_FOLLOW },
@@ -197,6 +200,30 @@
   session_send_complete (s, "ALTER SYSTEM");
 }
 
+/* Evaluate "check max=N" or "check equal=N" on the fence marker, under the
+   advisory lock that the real statement takes. */
+static enum run_result
+run_check (struct session *s)
+{
+  struct server *server = s->server;
+  long max = tag_value (s->sql, "max=", -1);
+  long equal = tag_value (s->sql, "equal=", -1);
+  if (server->lock_owner != NULL && server->lock_owner != s)
+    {
+      session_resume (s, 1);
+      return RUN_BLOCKED;
+    }
+  server->lock_owner = s;
+  if (max >= 0 ? server->fence <= (uint64_t)max
+               : server->fence == (uint64_t)equal)
+    {
+      session_send_complete (s, "SELECT 1");
+      return RUN_DONE;
+    }
+  session_send_error (s, "22012", "division by zero");
+  return RUN_ERROR;
+}
+
 static void
 describe_promote (struct session *s)
 {
@@ -235,6 +262,9 @@
       primary.start = at + strlen ("primary=");
       primary.len = strcspn (primary.start, " ;'");
     }
+  uint64_t mark = (uint64_t)tag_value (s->sql, "azurewind_fence_", 0);
+  if (mark > s->server->fence)
+    s->server->fence = mark;
   session_send_complete (s, "ALTER SYSTEM");
   replication_follow (s, primary);
 }
@@ -577,6 +607,11 @@
         describe_status (s);
       run_status (s);
       return RUN_DONE;
+    case SQL_CHECK:
+      return run_check (s);
+    case SQL_NOTHING:
+      session_send_complete (s, "SELECT 1");
+      return RUN_DONE;
     case SQL_FENCE:
       run_fence (s);
       return RUN_DONE;
@@ -596,6 +631,8 @@
     case SQL_ROLLBACK:
       return run_end (s);
     case SQL_SETTING:
+      if (s->server->lock_owner == s)
+        s->server->lock_owner = NULL;
       session_send_complete (s,
                              word_is (s->sql, "SET") ? "SET" : "DISCARD ALL");
       return RUN_DONE;
