--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -229,7 +229,7 @@
   setenv ("AZUREWIND_AUTHOR", "operator", 1);
   unsetenv ("AZUREWIND_DAEMONS");
   start_admin (f);
-  script_run ("cli.txt", handle_line, f);
+  script_run ("cli.txt", "cli.txt", handle_line, f);
   char *keys_url = talloc_asprintf (f, "%s/objects/azurewind/keys", f->url);
   char *stored = NULL;
   CU_ASSERT_EQUAL (process_http (f, "GET", keys_url, NULL, &stored), 200);
