--- a/Makefile
+++ b/Makefile
@@ -91,6 +91,10 @@
   common/*.cc)
 LINTED = $(filter-out tests/%,$(filter %.c,$(FORMATTED)))
 
+demo: deps
+	$(MAKE) -j4 programs
+	BUILD=$(BUILD) tools/demo
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -106,5 +110,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps test check format lint clean
+.PHONY: all programs deps test check demo format lint clean
 -include $(shell find build -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/tools/fleet.sh
@@ -0,0 +1,114 @@
+# Shared by the demo, the bench and the scale runs: starts stand-ins and
+# daemons on free ports of 127.0.0.1 and stops them by process id.
+# Source it after setting BUILD.
+
+fleet_dir=$(mktemp -d /tmp/azurewind-fleet-XXXXXX)
+fleet_pids=""
+unset http_proxy https_proxy
+
+# start NAME PROGRAM ARGS...: run a program and wait for its ready line.
+start() {
+  name=$1
+  shift
+  "$@" >"$fleet_dir/$name.out" 2>"$fleet_dir/$name.err" &
+  fleet_pids="$! $fleet_pids"
+  echo $! >"$fleet_dir/$name.pid"
+  tries=0
+  until grep -q '^ready' "$fleet_dir/$name.out"; do
+    tries=$((tries + 1))
+    if [ $tries -gt 200 ]; then
+      echo "$name did not start:" >&2
+      cat "$fleet_dir/$name.err" >&2
+      return 1
+    fi
+    sleep 0.05
+  done
+}
+
+# port NAME [FIELD]: a number from the ready line.
+port() {
+  sed -n "s/.*${2:-port}=\([0-9]*\).*/\1/p" "$fleet_dir/$1.out" | head -1
+}
+
+pid() {
+  cat "$fleet_dir/$1.pid"
+}
+
+fleet_stop() {
+  for p in $fleet_pids; do
+    kill "$p" 2>/dev/null || true
+  done
+  for p in $fleet_pids; do
+    wait "$p" 2>/dev/null || true
+  done
+  fleet_pids=""
+  rm -rf "$fleet_dir"
+}
+trap fleet_stop EXIT INT TERM
+
+# start_platform
+start_platform() {
+  start platform "$BUILD/standin-platform" --listen 127.0.0.1:0
+  AZUREWIND_PLATFORM="http://127.0.0.1:$(port platform)"
+  export AZUREWIND_PLATFORM
+  od -An -tx1 -N32 /dev/urandom | tr -d ' \n' >"$fleet_dir/secret"
+}
+
+# start_group NAME [OPTION...]: three endpoints NAME-1 to NAME-3, the first
+# one leads; the options go to each endpoint.
+start_group() {
+  group=$1
+  shift
+  start "$group-1" "$BUILD/standin-postgres" --auto-rebuild "$@"
+  for replica in 2 3; do
+    start "$group-$replica" "$BUILD/standin-postgres" --auto-rebuild \
+      --primary "127.0.0.1:$(port "$group-1")" "$@"
+  done
+}
+
+# service_toml NAME PLACE...: the tree's lines for a started group.
+service_toml() {
+  service=$1
+  shift
+  printf '[services.%s]\ndatabase = "ledger"\nuser = "azurewind"\n' "$service"
+  for n in 1 2 3; do
+    printf '[services.%s.endpoints.db-%s]\nhost = "127.0.0.1"\nport = %s\n' \
+      "$service" "$n" "$(port "$service-$n")"
+    printf 'place = "%s"\n' "$1"
+    if [ $# -gt 1 ]; then shift; fi
+  done
+}
+
+# start_daemon NAME CELL [OPTION...]
+start_daemon() {
+  daemon=$1 cell=$2
+  shift 2
+  start "$daemon" "$BUILD/azurewindd" --name "$daemon" \
+    --failure-domain "domain-${daemon##*-}" --listen 127.0.0.1:0 \
+    --admin-listen 127.0.0.1:0 --peer-listen 'tcp://127.0.0.1:*' \
+    --platform "$AZUREWIND_PLATFORM" --cell "$cell" \
+    --secret-file "$fleet_dir/secret" "$@"
+}
+
+status() {
+  curl -sf "http://127.0.0.1:$(port "$1" admin)/status"
+}
+
+# wait_members DAEMON COUNT SERVICES: until the cell is complete and all
+# services accept writes.
+wait_members() {
+  tries=0
+  until [ "$(status "$1" | sed -n 's/.*"members": \([0-9]*\).*/\1/p')" = "$2" ] &&
+    [ "$(status "$1" | grep -c '"writable": true')" = "$3" ]; do
+    tries=$((tries + 1))
+    if [ $tries -gt 600 ]; then echo "the fleet is not complete" >&2; return 1; fi
+    sleep 0.1
+  done
+}
+
+# query DAEMON KEY BODY [SESSION]
+query() {
+  curl -s -H "Authorization: Bearer $2" ${4:+-H "Azurewind-Session: $4"} \
+    -d "$3" "http://127.0.0.1:$(port "$1")/v1/query"
+  echo
+}
