--- a/core/budget.c
+++ b/core/budget.c
@@ -11,7 +11,19 @@
 
 /* Interval at which a request that waits for a peer is asked about again if
    no grant arrives before. */
-#define RETRY_WAIT_US 2000
+#define RETRY_WAIT_US 5000
+
+/* A peer is asked again for waiting requests after this time at the earliest.
+   Without it an organisation that offers far more than its rate causes an
+   exchange per token. */
+#define ASK_INTERVAL_US 10000
+
+/* The same for a burst that is kept in one place and often moves. */
+#define ASK_CONCENTRATED_US 4000
+
+/* What a peer has is known from reports and replies; it is asked in spite of
+   an estimate of nothing when they are older than this. */
+#define PROBE_US 50000
 
 /* Time constant of the demand estimate.  Shorter ones follow single bursts
    and move fractions back and forth. */
@@ -29,6 +41,10 @@
    of a member loses little of the rate. */
 #define ASKS_PER_SECOND 4.0
 
+/* A peer that did not answer the last need counts for this part of what it
+   reported, so that it is asked only if the others have nothing. */
+#define LATE_WEIGHT 0.01
+
 #define FRACTION_MIN 1e-9
 #define TOKENS_MIN 1e-6
 
@@ -40,6 +56,7 @@
   int64_t known_at;
   /* A need to send, and when one was sent without a reply yet. */
   bool need_due, need_urgent, need_open;
+  bool late; /* Did not answer in time: others are asked first. */
   double need_fraction, need_tokens;
   int64_t asked_at;
   /* The grant that this peer has not acknowledged; id 0 if none. */
@@ -57,6 +74,9 @@
   char organisation[64];
   double rate, burst;
   double fraction, level;
+  /* Capacity that stays unused for tokens on the way: those of grants that
+     are not acknowledged, and those that a change of version cut off. */
+  double reserved, cut_off;
   int64_t refilled_at;
   double demand;
   int64_t demand_at;
@@ -64,7 +84,8 @@
   int64_t waiting_at;
   uint64_t allotted; /* Version whose allotment named it. */
   bool dirty;
-  bool spread_due; /* Look for a peer with more than its part. */
+  bool spread_due;   /* Look for a peer with more than its part. */
+  uint64_t given_to; /* Peer that got the last grant. */
   int peer_count;
   struct share_peer peers[CELL_MAX_MEMBERS];
 };
@@ -162,7 +183,21 @@
 static double
 capacity (const struct share *s)
 {
-  return s->fraction * s->burst;
+  return fmax (0, s->fraction * s->burst - s->reserved);
+}
+
+/* Recompute what grants on the way reserve.  A receiver may fill up and
+ * spend while the tokens travel, so their room must stay empty here until it
+ * is known that they arrived; without this the sum of all levels and the
+ * tokens on the way can exceed the burst. */
+static void
+update_reserved (struct share *s)
+{
+  s->reserved = s->cut_off;
+  for (int i = 0; i < s->peer_count; i++)
+    if (s->peers[i].grant_id != 0)
+      s->reserved += fmax (0, s->peers[i].grant_tokens
+                                  - s->peers[i].grant_fraction * s->burst);
 }
 
 static void
@@ -242,6 +277,7 @@
   refill (s, now);
   s->rate = fmax (0, rate);
   s->burst = fmax (0, burst);
+  update_reserved (s);
   s->level = fmin (s->level, capacity (s));
 }
 
@@ -261,6 +297,16 @@
          && !(p->need_open && now - p->asked_at < b->options.resend_us);
 }
 
+/* Whether @p p may be asked for waiting requests. */
+static bool
+may_ask_urgent (const struct budget *b, const struct share *s,
+                const struct share_peer *p, int64_t now)
+{
+  int64_t interval
+      = is_concentrated (b, s) ? ASK_CONCENTRATED_US : ASK_INTERVAL_US;
+  return may_ask (b, p, now) && now - p->asked_at >= interval;
+}
+
 static bool
 is_asking (const struct budget *b, const struct share *s, int64_t now)
 {
@@ -294,34 +340,60 @@
       double most = TOKENS_MIN;
       for (int i = 0; i < s->peer_count; i++)
         {
-          double has = peer_tokens (s, &s->peers[i], now);
-          if (has > most && may_ask (b, &s->peers[i], now))
+          struct share_peer *p = &s->peers[i];
+          double has = peer_tokens (s, p, now);
+          if (p->need_open && now - p->asked_at >= b->options.resend_us)
+            p->late = true;
+          if (p->late)
+            has *= LATE_WEIGHT;
+          if (has > most && may_ask_urgent (b, s, p, now))
             {
-              best = &s->peers[i];
+              best = p;
               most = has;
             }
         }
       if (best == NULL)
         return;
-      double part = fmin (left, most);
+      double part = fmin (left, peer_tokens (s, best, now));
       ask_peer (b, s, best, part, fraction * part / tokens, urgent);
       left -= part;
     }
 }
 
-/* Ask for the tokens that waiting requests need, and for the fraction that
-   lets the bucket hold them. */
-static void
-ask_urgent (struct budget *b, struct share *s, int64_t now)
+/* Tokens that peers were asked for and have not refused. */
+static double
+tokens_asked (const struct budget *b, const struct share *s, int64_t now)
 {
-  double wanted = fmin (waiting_now (s, now), fmax (1, s->burst));
-  double tokens = wanted - s->level;
+  double sum = 0;
   for (int i = 0; i < s->peer_count; i++)
     if (!may_ask (b, &s->peers[i], now))
-      tokens -= s->peers[i].need_tokens;
+      sum += s->peers[i].need_tokens;
+  return sum;
+}
+
+/* Ask for @p tokens that waiting requests need, and for the fraction that
+   lets the bucket hold them. */
+static void
+ask_urgent (struct budget *b, struct share *s, double tokens, int64_t now)
+{
+  double wanted = fmin (s->level + tokens, fmax (1, s->burst));
   double fraction = fmax (0, wanted / s->burst - s->fraction);
-  if (tokens > TOKENS_MIN)
+  double obtainable = s->level;
+  struct share_peer *oldest = NULL;
+  for (int i = 0; i < s->peer_count; i++)
+    {
+      struct share_peer *p = &s->peers[i];
+      if (!may_ask_urgent (b, s, p, now))
+        continue;
+      obtainable += peer_tokens (s, p, now);
+      if (oldest == NULL || p->known_at < oldest->known_at)
+        oldest = p;
+    }
+  if (obtainable >= 1)
     ask_peers (b, s, tokens, fraction, true, now);
+  else if (oldest != NULL && now - oldest->known_at > PROBE_US
+           && !is_asking (b, s, now))
+    ask_peer (b, s, oldest, fmin (tokens, 1), fraction, true);
 }
 
 /* Ask ahead of need when the bucket runs low. */
@@ -376,22 +448,24 @@
   double due_us = own_rate > 0 && capacity (s) >= 1 ? missing / own_rate * 1e6
                                                     : INFINITY;
   double left_us = (double)(b->options.max_wait_us - waited_us);
-  bool asking = false;
+  /* Wait if refill and answers will cover the requests before this one. */
+  double coming
+      = left_us > 0 && capacity (s) >= 1 ? own_rate * left_us / 1e6 : 0;
+  double asked = 0;
   s->waiting++;
   s->waiting_at = now;
   if (left_us > 0 && can_move (b))
     {
-      ask_urgent (b, s, now);
-      asking = is_asking (b, s, now);
+      asked = tokens_asked (b, s, now);
+      if (missing > asked)
+        ask_urgent (b, s, missing - asked, now);
+      asked = tokens_asked (b, s, now);
     }
-  if (left_us > 0 && (asking || due_us <= left_us))
+  if (left_us > 0 && missing <= coming + asked + TOKENS_MIN)
     {
       d.verdict = BUDGET_WAIT;
-      d.wait_us = RETRY_WAIT_US;
-      if (due_us < RETRY_WAIT_US)
-        d.wait_us = (int64_t)ceil (due_us);
-      if (!asking && due_us > RETRY_WAIT_US)
-        d.wait_us = (int64_t)ceil (due_us);
+      d.wait_us
+          = (int64_t)ceil (fmin (due_us, asked > 0 ? RETRY_WAIT_US : left_us));
       return d;
     }
   s->waiting--;
@@ -450,7 +524,13 @@
   double tokens = fmax (0, fmin (m->tokens, s->level - keep));
   double fraction = fmax (
       0, fmin (m->fraction, s->fraction - fraction_to_keep (b, s, m, now)));
-  if (m->urgent && m->tokens > 0)
+  if (m->urgent && is_concentrated (b, s) && tokens > 0)
+    {
+      /* Kept in one place, it is found with one need. */
+      tokens = s->level;
+      fraction = s->fraction;
+    }
+  else if (m->urgent && m->tokens > 0)
     fraction *= fmin (1, tokens / m->tokens);
   if (s->fraction - fraction < FRACTION_MIN)
     fraction = s->fraction;
@@ -468,6 +548,12 @@
   p->grant_fraction = fraction;
   p->grant_tokens = tokens;
   p->grant_due = true;
+  p->fraction = m->held_fraction + fraction;
+  p->tokens = m->held_tokens + tokens;
+  p->known_at = now;
+  s->given_to = p->id;
+  update_reserved (s);
+  s->level = fmin (s->level, capacity (s));
 }
 
 static void
@@ -475,11 +561,21 @@
           const struct budget_message *m, int64_t now)
 {
   p->need_open = false;
+  p->late = false;
   p->fraction = m->held_fraction;
   p->tokens = m->held_tokens;
   p->known_at = now;
   if (m->id == 0)
-    return;
+    {
+      struct share_peer *holder = peer_find (s, m->hint);
+      if (holder != NULL && is_concentrated (b, s))
+        {
+          holder->fraction = 1;
+          holder->tokens = fmin (1, s->burst);
+          holder->known_at = now;
+        }
+      return;
+    }
   p->ack_id = m->id;
   b->dirty = s->dirty = true;
   if (m->id <= p->applied_id)
@@ -505,7 +601,10 @@
   else if (m->kind == BUDGET_GRANT)
     on_grant (b, s, p, m, now);
   else if (m->id == p->grant_id)
-    p->grant_id = 0;
+    {
+      p->grant_id = 0;
+      update_reserved (s);
+    }
 }
 
 void
@@ -518,6 +617,7 @@
   p->fraction = r->fraction;
   p->tokens = r->tokens;
   p->demand = r->demand;
+  p->late = p->late && p->need_open;
   p->known_at = now;
   s->spread_due = true;
   s->dirty = b->dirty = true;
@@ -568,7 +668,7 @@
 
 /* Hand everything to the peer with most demand. */
 static void
-give_all (struct budget *b, struct share *s)
+give_all (struct budget *b, struct share *s, int64_t now)
 {
   struct share_peer *best = NULL;
   for (int i = 0; i < s->peer_count; i++)
@@ -577,19 +677,22 @@
   if (best == NULL || best->grant_id != 0 || s->fraction < FRACTION_MIN
       || s->waiting > 0)
     return;
+  refill (s, now);
   best->grant_id = ++b->last_id;
   best->grant_fraction = s->fraction;
   best->grant_tokens = s->level;
   best->grant_due = true;
   s->fraction = 0;
   s->level = 0;
+  update_reserved (s);
 }
 
 static void
-fill_message (const struct budget *b, const struct share *s,
+fill_message (const struct budget *b, struct share *s,
               const struct share_peer *p, enum budget_message_kind kind,
-              struct budget_message *m)
+              int64_t now, struct budget_message *m)
 {
+  refill (s, now);
   memset (m, 0, sizeof *m);
   m->kind = kind;
   m->from = b->options.self;
@@ -610,13 +713,13 @@
       = p->grant_id != 0 && now - p->grant_sent_at >= b->options.resend_us;
   if (p->ack_id != 0)
     {
-      fill_message (b, s, p, BUDGET_GRANT_ACK, m);
+      fill_message (b, s, p, BUDGET_GRANT_ACK, now, m);
       m->id = p->ack_id;
       p->ack_id = 0;
     }
   else if (p->grant_id != 0 && (p->grant_due || resend))
     {
-      fill_message (b, s, p, BUDGET_GRANT, m);
+      fill_message (b, s, p, BUDGET_GRANT, now, m);
       m->id = p->grant_id;
       m->fraction = p->grant_fraction;
       m->tokens = p->grant_tokens;
@@ -625,12 +728,13 @@
     }
   else if (p->empty_due)
     {
-      fill_message (b, s, p, BUDGET_GRANT, m);
+      fill_message (b, s, p, BUDGET_GRANT, now, m);
+      m->hint = s->given_to;
       p->empty_due = false;
     }
   else if (p->need_due)
     {
-      fill_message (b, s, p, BUDGET_NEED, m);
+      fill_message (b, s, p, BUDGET_NEED, now, m);
       m->tokens = p->need_tokens;
       m->fraction = p->need_fraction;
       m->urgent = p->need_urgent;
@@ -647,11 +751,10 @@
 share_next (struct budget *b, struct share *s, int64_t now,
             struct budget_message *m)
 {
-  refill (s, now);
   if (s->spread_due)
     ask_to_even_out (b, s, now);
   if (b->leaving)
-    give_all (b, s);
+    give_all (b, s, now);
   for (int i = 0; i < s->peer_count; i++)
     {
       if (peer_message (b, s, &s->peers[i], now, m))
@@ -705,10 +808,13 @@
          member gains. */
       if (b->options.static_shares && b->member)
         s->fraction = fmin (s->fraction, 1.0 / b->member_count);
-      s->level = fmin (s->level, capacity (s));
       /* Grants that are not acknowledged are lost here; the allotment
-         divides them again. */
+         divides them again.  Until then their receiver may not know this
+         version and still apply them. */
+      s->cut_off = s->reserved;
       set_peers (b, s);
+      update_reserved (s);
+      s->level = fmin (s->level, capacity (s));
     }
   b->reported_count = 0;
   b->allotment_done = false;
@@ -817,10 +923,11 @@
   for (int i = 0; i < b->share_count; i++)
     {
       struct share *s = b->shares[i];
-      if (s->allotted == version)
-        continue;
       refill (s, now);
-      s->fraction = 1.0 / b->member_count;
+      s->cut_off = 0;
+      update_reserved (s);
+      if (s->allotted != version)
+        s->fraction = 1.0 / b->member_count;
     }
   return true;
 }
--- a/core/budget.h
+++ b/core/budget.h
@@ -51,6 +51,7 @@
   bool urgent; /**< BUDGET_NEED: requests wait for these tokens. */
   /** What the sender still has: lets the receiver choose whom to ask. */
   double held_fraction, held_tokens;
+  uint64_t hint; /**< Peer that the sender gave its tokens to lately, 0. */
 };
 
 /** Per-organisation report in a heartbeat. */
--- a/core/cell.c
+++ b/core/cell.c
@@ -7,6 +7,9 @@
 #define GONE_MAX (2 * CELL_MAX_MEMBERS)
 #define NEVER INT64_MIN
 
+/* Interval at which conditions that depend on time alone are checked. */
+#define CHECK_US 50000
+
 /* The platform answers in milliseconds; a longer silence is a lost answer. */
 #define PLATFORM_TIMEOUT_US 2000000
 
@@ -51,6 +54,8 @@
   struct cell_options options;
   struct cell_record record, proposed;
   int64_t created_at, adopted_at, last_next, next_tick;
+  int64_t next_check;
+  unsigned silent;     /* Bit per member that was silent at the last check. */
   int64_t outsider_at; /* Last confirmation of a peer since dropped. */
   uint64_t settled;
   uint64_t read_version; /* A peer uses at least this version. */
@@ -59,12 +64,14 @@
   int64_t takeover_us, alone_since;
   int64_t blocked_at, reported_at; /* Of the current version. */
   struct peer peers[PEERS_MAX];
+  struct peer *members[CELL_MAX_MEMBERS]; /* In the order of the record. */
   int64_t gone_at[GONE_MAX];
   char gone[GONE_MAX][64];
   bool known; /* The platform or a peer said what the record is. */
   bool leaving;
   bool adopt_due, adopt_keep;
   bool read_due, updating, allotting;
+  bool dirty; /* An event may have caused an action. */
 };
 
 /* The longest that a lease of hold_us on a clock which may differ by 1% can
@@ -277,6 +284,7 @@
         p->grace_at = now;
       p->member = *m;
       p->joins = 0;
+      c->members[i] = p;
     }
   for (int i = 0; i < r->previous_count; i++)
     peer_add (c, r->previous[i].id)->member = r->previous[i];
@@ -296,6 +304,7 @@
 cell_on_record (struct cell *c, const struct cell_record *r, int64_t now)
 {
   c->known = true;
+  c->dirty = true;
   /* A record that is no newer answers the question whether a lost update
      took effect; the conditional update makes a late one harmless. */
   c->updating = false;
@@ -308,6 +317,7 @@
 static void
 want_read (struct cell *c, uint64_t version, int64_t now)
 {
+  c->dirty = true;
   if (!c->read_due)
     c->next_read = max_time (now, c->next_read);
   c->read_due = true;
@@ -321,6 +331,7 @@
   if (!c->updating)
     return;
   c->updating = false;
+  c->dirty = true;
   if (result == 0 && version > c->record.version)
     {
       struct cell_record done = c->proposed;
@@ -355,8 +366,11 @@
   if (h->version >= c->record.version)
     p->confirmed_at = now;
   else if (member_of (c, h->from) == NULL)
-    /* It does not know that it was removed. */
-    p->due |= DUE_FREEZE;
+    {
+      /* It does not know that it was removed. */
+      p->due |= DUE_FREEZE;
+      c->dirty = true;
+    }
   if (h->version > c->record.version)
     want_read (c, h->version, now);
 }
@@ -393,6 +407,7 @@
   int64_t age = outsider_age_us - outsider_age_us / 100 - 1;
   p->outsider_at = now - (age > 0 ? age : 0);
   c->reported_at = now;
+  c->dirty = true;
 }
 
 void
@@ -401,6 +416,7 @@
   if (version != c->record.version || c->settled == version)
     return;
   c->settled = version;
+  c->dirty = true;
   /* The coordinator stops repeating the allotment when it hears this. */
   c->next_tick = now;
 }
@@ -460,11 +476,9 @@
   int echoes = 0;
   if (!cell_is_member (c))
     return false;
-  for (int i = 0; i < PEERS_MAX; i++)
+  for (int i = 0; i < c->record.member_count; i++)
     {
-      const struct peer *p = &c->peers[i];
-      if (p->member.id == 0 || member_of (c, p->member.id) == NULL)
-        continue;
+      const struct peer *p = c->members[i];
       if (is_self (c, p->member.id)
           || (p->echo != 0 && now < p->echo + c->options.hold_us))
         echoes++;
@@ -476,11 +490,10 @@
 cell_live_members (const struct cell *c, uint64_t *ids, int64_t now)
 {
   int count = 0;
-  for (int i = 0; i < PEERS_MAX; i++)
+  for (int i = 0; i < c->record.member_count; i++)
     {
-      const struct peer *p = &c->peers[i];
-      if (p->member.id != 0 && member_of (c, p->member.id) != NULL
-          && (is_self (c, p->member.id) || is_live (c, p, now)))
+      const struct peer *p = c->members[i];
+      if (is_self (c, p->member.id) || is_live (c, p, now))
         ids[count++] = p->member.id;
     }
   return count;
@@ -502,7 +515,9 @@
 int64_t
 cell_outsider_age (const struct cell *c, int64_t now)
 {
-  int64_t at = max_time (outsider_at (c), c->created_at);
+  int64_t at = outsider_at (c);
+  if (at == NEVER)
+    return 2 * c->options.hold_us;
   return now > at ? now - at : 0;
 }
 
@@ -541,7 +556,7 @@
   for (int i = 0; i < r->member_count; i++)
     {
       uint64_t id = r->members[i].id;
-      const struct peer *p = peer_find (c, id);
+      const struct peer *p = c->members[i];
       bool survivor = member_by_id (r->previous, r->previous_count, id);
       if (!is_self (c, id) && p->reported != r->version)
         return false;
@@ -573,7 +588,7 @@
   for (int i = 0; i < c->record.member_count; i++)
     {
       uint64_t other = c->record.members[i].id;
-      const struct peer *p = peer_find (c, other);
+      const struct peer *p = c->members[i];
       if (is_self (c, other) || other == id || !is_live (c, p, now))
         continue;
       voters++;
@@ -595,20 +610,26 @@
   added->join_op = op;
 }
 
-/* The member list that this member would write.
- * @return whether a member leaves, is replaced, or joins. */
-static bool
+enum change
+{
+  CHANGE_NONE,
+  CHANGE_JOIN,  /* Members only join. */
+  CHANGE_REMOVE /* Members are removed or replaced. */
+};
+
+/* The member list that this member would write. */
+static enum change
 desired_list (struct cell *c, struct cell_record *next, uint64_t op,
               int64_t now)
 {
   const struct cell_record *r = &c->record;
-  bool changed = false;
+  enum change change = CHANGE_NONE;
   bool quiet = c->settled == r->version
                || now > c->adopted_at + 2 * c->options.hold_us;
   for (int i = 0; i < r->member_count; i++)
     {
       const struct cell_member *m = &r->members[i];
-      const struct peer *p = peer_find (c, m->id);
+      const struct peer *p = c->members[i];
       const struct peer *successor = NULL;
       if (!is_self (c, m->id))
         successor = successor_of (c, m, now);
@@ -619,14 +640,15 @@
         next->members[next->member_count++] = *m;
       else
         {
-          changed = true;
+          change = CHANGE_REMOVE;
           continue;
         }
-      changed = changed || successor != NULL;
+      if (successor != NULL)
+        change = CHANGE_REMOVE;
     }
   /* Joining freezes the cell, so joins are collected while a change is
      being settled. */
-  for (int i = 0; i < PEERS_MAX && (quiet || changed); i++)
+  for (int i = 0; i < PEERS_MAX && (quiet || change != CHANGE_NONE); i++)
     {
       const struct peer *p = &c->peers[i];
       if (next->member_count < CELL_MAX_MEMBERS && is_candidate (c, p, now)
@@ -634,10 +656,11 @@
                  == NULL)
         {
           list_add (next, &p->member, op);
-          changed = true;
+          if (change == CHANGE_NONE)
+            change = CHANGE_JOIN;
         }
     }
-  return changed;
+  return change;
 }
 
 /* The list with which a process that hears no member adds itself.  It takes
@@ -667,7 +690,7 @@
       uint64_t id = c->record.members[i].id;
       if (is_self (c, id))
         break;
-      const struct peer *p = peer_find (c, id);
+      const struct peer *p = c->members[i];
       rank += is_live (c, p, now) && !p->leaving;
     }
   return rank;
@@ -700,15 +723,24 @@
     return false;
   if (!member && now < c->alone_since + takeover_delay (c, now))
     return false;
-  if (member ? !desired_list (c, next, op, now) : !takeover_list (c, next, op))
+  enum change change = CHANGE_REMOVE;
+  if (member)
+    change = desired_list (c, next, op, now);
+  else if (!takeover_list (c, next, op))
+    change = CHANGE_NONE;
+  if (change == CHANGE_NONE)
     {
       c->wanted_since = NEVER;
       return false;
     }
   if (c->wanted_since == NEVER)
     c->wanted_since = now;
-  if (member
-      && now < c->wanted_since + own_rank (c, now) * c->options.heartbeat_us)
+  /* Each change stops the moving of fractions for a moment, so processes
+     that start together are added together. */
+  int turns = change == CHANGE_JOIN ? 1 : 0;
+  if (member)
+    turns += own_rank (c, now);
+  if (now < c->wanted_since + turns * c->options.heartbeat_us)
     return false;
   /* Lists older than the one before must not matter any more. */
   if (!previous_is_blocked (c, now))
@@ -747,10 +779,8 @@
   for (int i = 0; i < c->record.member_count; i++)
     {
       uint64_t id = c->record.members[i].id;
-      for (int k = 0; k < PEERS_MAX; k++)
-        if (c->peers[k].member.id == id && !is_self (c, id)
-            && is_silent (c, &c->peers[k], now))
-          h->silent[h->silent_count++] = id;
+      if (!is_self (c, id) && is_silent (c, c->members[i], now))
+        h->silent[h->silent_count++] = id;
     }
 }
 
@@ -834,10 +864,29 @@
     c->alone_since = now;
 }
 
+static unsigned
+silent_members (const struct cell *c, int64_t now)
+{
+  unsigned mask = 0;
+  for (int i = 0; i < c->record.member_count; i++)
+    if (!is_self (c, c->record.members[i].id)
+        && is_silent (c, c->members[i], now))
+      mask |= 1U << i;
+  return mask;
+}
+
 bool
 cell_next (struct cell *c, int64_t now, uint64_t op,
            struct cell_action *action)
 {
+  bool skip = !c->dirty && now < c->next_check && now < c->next_tick;
+  if (skip && now - c->last_next <= c->options.heartbeat_us)
+    {
+      c->last_next = now;
+      return false;
+    }
+  c->dirty = true;
+  c->next_check = now + CHECK_US;
   memset (action, 0, sizeof *action);
   notice_time (c, now);
   if (c->adopt_due)
@@ -849,6 +898,11 @@
       action->record = c->record;
       return true;
     }
+  unsigned silent = silent_members (c, now);
+  /* Removal needs the views of most members, so a new one is sent at once. */
+  if (silent & ~c->silent)
+    c->next_tick = now;
+  c->silent = silent;
   if (now >= c->next_tick)
     {
       c->next_tick = now + c->options.heartbeat_us;
@@ -879,5 +933,6 @@
       action->version = action->record.version;
       return true;
     }
+  c->dirty = false;
   return false;
 }
--- /dev/null
+++ b/tests/budget_world.h
@@ -0,0 +1,50 @@
+/** @file
+ * Several instances of cell and budget in virtual time, with a small message
+ * network and platform object.  Driven by lines of text; see the commands
+ * table in budget_world.c.
+ */
+#ifndef TESTS_BUDGET_WORLD_H
+#define TESTS_BUDGET_WORLD_H
+
+#include "core/budget.h"
+
+/** A protection to switch off, to see that the checks can fail. */
+enum world_fault
+{
+  FAULT_NONE,
+  FAULT_NO_DEDUCTION, /**< The giver keeps what it grants. */
+  FAULT_NO_GRANT_IDS, /**< A duplicate grant looks like a new one. */
+  FAULT_NO_LEASE,     /**< Members spend without a valid lease. */
+  FAULT_NO_WAIT,      /**< Allot before removed leases have ended. */
+  FAULT_NO_FREEZE     /**< Move fractions after reporting them. */
+};
+
+struct world;
+
+struct world_result
+{
+  long offered, admitted, refused;
+  long within;   /**< Offered within rate and burst, counted centrally. */
+  long wrongful; /**< Refused although within. */
+  long messages, bytes; /**< Estimated from the fields, of budget messages. */
+  double worst_sum;     /**< Largest sum of spendable fractions. */
+  double worst_level;   /**< Lowest level of the central bucket. */
+};
+
+struct world *world_create (void *parent, long seed, enum world_fault fault);
+/** @return false if the line is not a command. */
+bool world_command (struct world *w, const char *line);
+/** Run a script of commands; false with a message in the transcript if a
+ * line is wrong. */
+bool world_script (struct world *w, const char *path);
+const char *world_transcript (const struct world *w);
+struct world_result world_result (const struct world *w);
+/** @return whether P5 held so far. */
+bool world_holds (const struct world *w);
+/** @return whether every running node may spend and the fractions are
+ * complete; to be asked when nothing moves. */
+bool world_serves (struct world *w);
+/** Uniform in [0, 1). */
+double world_random (struct world *w);
+
+#endif
