budget: fewer messages over the rate, small bursts found by hints

Cause: members that were all over the rate asked each other for fractions of tokens, 280 messages/s per member; a second request of a member whose need was on its way was refused at once although the whole burst was coming. Ruled out: forwarding a need to the last known holder, which can circle between stale hints. Change: a peer is asked only for half a token or more unless the burst is concentrated; a need that arrives while own requests wait is kept and served after them; an open need counts as the whole concentrated burst.

--- a/core/budget.c
+++ b/core/budget.c
@@ -41,6 +41,11 @@
    of a member loses little of the rate. */
 #define ASKS_PER_SECOND 4.0
 
+/* Fewer tokens are not worth an exchange.  Without a limit, members that are
+   all over the rate ask each other for the fractions of tokens that the
+   others gained since. */
+#define WORTH_ASKING 0.5
+
 /* A peer that did not answer the last need counts for this part of what it
    reported, so that it is asked only if the others have nothing. */
 #define LATE_WEIGHT 0.01
@@ -64,7 +69,11 @@
   double grant_fraction, grant_tokens;
   int64_t grant_sent_at;
   bool grant_due;
-  bool empty_due;      /* Reply that there is nothing to give. */
+  bool empty_due; /* Reply that there is nothing to give. */
+  /* Its need, kept while own requests wait for a concentrated burst. */
+  bool waits;
+  double waits_fraction, waits_tokens;
+  int64_t waits_at;
   uint64_t ack_id;     /* To acknowledge; 0 if none. */
   uint64_t applied_id; /* Newest grant applied from this peer. */
 };
@@ -337,19 +346,22 @@
   while (left > TOKENS_MIN)
     {
       struct share_peer *best = NULL;
-      double most = TOKENS_MIN;
+      double least = is_concentrated (b, s) ? TOKENS_MIN : WORTH_ASKING;
+      double most = 0;
       for (int i = 0; i < s->peer_count; i++)
         {
           struct share_peer *p = &s->peers[i];
           double has = peer_tokens (s, p, now);
+          double weight = 1;
           if (p->need_open && now - p->asked_at >= b->options.resend_us)
             p->late = true;
           if (p->late)
-            has *= LATE_WEIGHT;
-          if (has > most && may_ask_urgent (b, s, p, now))
+            weight = LATE_WEIGHT;
+          if (has > least && has * weight > most
+              && may_ask_urgent (b, s, p, now))
             {
               best = p;
-              most = has;
+              most = has * weight;
             }
         }
       if (best == NULL)
@@ -368,7 +380,8 @@
   for (int i = 0; i < s->peer_count; i++)
     if (!may_ask (b, &s->peers[i], now))
       sum += s->peers[i].need_tokens;
-  return sum;
+  /* A concentrated burst comes as a whole. */
+  return sum > 0 && is_concentrated (b, s) ? fmax (sum, s->burst) : sum;
 }
 
 /* Ask for @p tokens that waiting requests need, and for the fraction that
@@ -385,8 +398,12 @@
       struct share_peer *p = &s->peers[i];
       if (!may_ask_urgent (b, s, p, now))
         continue;
-      obtainable += peer_tokens (s, p, now);
-      if (oldest == NULL || p->known_at < oldest->known_at)
+      double has = peer_tokens (s, p, now);
+      if (has > WORTH_ASKING || is_concentrated (b, s))
+        obtainable += has;
+      /* One that needs all of its rate is not asked on suspicion. */
+      if ((is_concentrated (b, s) || p->demand < p->fraction * s->rate)
+          && (oldest == NULL || p->known_at < oldest->known_at))
         oldest = p;
     }
   if (obtainable >= 1)
@@ -434,7 +451,10 @@
   if (waited_us == 0)
     count_demand (s, now);
   else if (s->waiting > 0)
-    s->waiting--;
+    {
+      s->waiting--;
+      b->dirty = s->dirty = true;
+    }
   if (s->level >= 1)
     {
       s->level -= 1;
@@ -510,7 +530,7 @@
   bool other_first
       = m->held_tokens > s->level
         || (m->held_tokens == s->level && m->from < b->options.self);
-  return other_first ? 0 : s->level;
+  return other_first ? 0 : fmax (s->level, TOKENS_MIN);
 }
 
 static void
@@ -520,6 +540,17 @@
   /* Its last grant is still on the way; it will be sent again. */
   if (p->grant_id != 0)
     return;
+  p->waits = false;
+  if (m->urgent && is_concentrated (b, s) && waiting_now (s, now) > 0
+      && tokens_to_keep (b, s, m, now) > 0)
+    {
+      /* Served after the requests that wait here. */
+      p->waits = true;
+      p->waits_fraction = m->fraction;
+      p->waits_tokens = m->tokens;
+      p->waits_at = now;
+      return;
+    }
   double keep = tokens_to_keep (b, s, m, now);
   double tokens = fmax (0, fmin (m->tokens, s->level - keep));
   double fraction = fmax (
@@ -729,7 +760,8 @@
   else if (p->empty_due)
     {
       fill_message (b, s, p, BUDGET_GRANT, now, m);
-      m->hint = s->given_to;
+      if (s->fraction < 0.5)
+        m->hint = s->given_to;
       p->empty_due = false;
     }
   else if (p->need_due)
@@ -747,10 +779,31 @@
   return true;
 }
 
+/* Answer the needs that were kept, once no own request waits. */
+static void
+serve_waiting (struct budget *b, struct share *s, int64_t now)
+{
+  for (int i = 0; i < s->peer_count; i++)
+    {
+      struct share_peer *p = &s->peers[i];
+      struct budget_message m = { .kind = BUDGET_NEED, .urgent = true };
+      if (!p->waits || waiting_now (s, now) > 0)
+        continue;
+      p->waits = false;
+      m.from = p->id;
+      m.fraction = p->waits_fraction;
+      m.tokens = p->waits_tokens;
+      refill (s, now);
+      if (now - p->waits_at < b->options.max_wait_us)
+        on_need (b, s, p, &m, now);
+    }
+}
+
 static bool
 share_next (struct budget *b, struct share *s, int64_t now,
             struct budget_message *m)
 {
+  serve_waiting (b, s, now);
   if (s->spread_due)
     ask_to_even_out (b, s, now);
   if (b->leaving)
