--- a/core/cell.c
+++ b/core/cell.c
@@ -602,6 +602,18 @@
   return voters >= blocking (c->record.member_count) && votes * 2 > voters;
 }
 
+/* Whether it is time to remove a silent member.  Its part is allotted when its
+ * lease has ended, not earlier, and no tokens move between the update and the
+ * allotment; so the update waits until shortly before.  If the current version
+ * is not settled, tokens do not move anyway. */
+static bool
+is_lease_ending (const struct cell *c, const struct peer *p, int64_t now)
+{
+  return c->settled != c->record.version || p->heard_at == NEVER
+         || now >= p->heard_at + certain_hold (c)
+                       - c->options.heartbeat_us / 10;
+}
+
 static void
 list_add (struct cell_record *r, const struct cell_member *m, uint64_t op)
 {
@@ -636,6 +648,7 @@
       if (successor != NULL)
         list_add (next, &successor->member, op);
       else if (is_self (c, m->id) || !is_silent (c, p, now)
+               || !is_lease_ending (c, p, now)
                || !(is_gone (c, m->name) || is_agreed_silent (c, m->id, now)))
         next->members[next->member_count++] = *m;
       else
