--- a/cli/daemon.c
+++ b/cli/daemon.c
@@ -1,6 +1,7 @@
 #include "cli/cli.h"
 
 #include "common/clock.h"
+#include "core/failover.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -349,12 +350,26 @@
   return reads > 0 ? 100 * u->replica_reads / reads : 0;
 }
 
+static const char *
+phase_name (json_int_t phase)
+{
+  static const char *const names[] = {
+    [FAILOVER_STABLE] = "stable",     [FAILOVER_AGREEING] = "agreeing",
+    [FAILOVER_FENCING] = "fencing",   [FAILOVER_WAITING] = "waiting",
+    [FAILOVER_CHOOSING] = "choosing", [FAILOVER_PROMOTING] = "promoting",
+    [FAILOVER_OPENING] = "opening",
+  };
+  return phase >= 0 && phase < (json_int_t)(sizeof names / sizeof names[0])
+             ? names[phase]
+             : "unknown";
+}
+
 static void
 print_groups (FILE *out, const json_t *status)
 {
   size_t i, j;
   json_t *daemon, *group;
-  fprintf (out, "\n%-16s  %-20s  %6s  %-16s  %-8s  %5s  %6s\n", "DAEMON",
+  fprintf (out, "\n%-16s  %-20s  %6s  %-16s  %-8s  %-9s  %6s\n", "DAEMON",
            "SERVICE", "TERM", "PRIMARY", "WRITABLE", "PHASE", "QUEUED");
   json_array_foreach (status, i, daemon)
   {
@@ -370,10 +385,9 @@
                    &writable, "phase", &phase, "queued", &queued);
       fprintf (out,
                "%-16s  %-20s  %6" JSON_INTEGER_FORMAT
-               "  %-16s  %-8s  %5" JSON_INTEGER_FORMAT
-               "  %6" JSON_INTEGER_FORMAT "\n",
-               name, service, term, primary, writable ? "yes" : "no", phase,
-               queued);
+               "  %-16s  %-8s  %-9s  %6" JSON_INTEGER_FORMAT "\n",
+               name, service, term, primary, writable ? "yes" : "no",
+               phase_name (phase), queued);
     }
   }
 }
--- a/cli/key.c
+++ b/cli/key.c
@@ -1,6 +1,7 @@
 #include "proto/key.h"
 
 #include "cli/cli.h"
+#include "proto/token.h"
 
 #include <sodium.h>
 
@@ -178,6 +179,24 @@
   return true;
 }
 
+static bool
+run_secret (struct cli *cli, struct error *err)
+{
+  unsigned char secret[SECRET_BYTES];
+  char text[2 * SECRET_BYTES + 1];
+  if (sodium_init () < 0)
+    return error_set (err, ERROR_INTERNAL, "libsodium does not start");
+  randombytes_buf (secret, sizeof secret);
+  sodium_bin2hex (text, sizeof text, secret, sizeof secret);
+  if (cli->json)
+    cli_print_json (cli, json_pack ("{s:s}", "secret", text));
+  else
+    fprintf (cli->out, "%s\n", text);
+  sodium_memzero (secret, sizeof secret);
+  sodium_memzero (text, sizeof text);
+  return true;
+}
+
 const struct cli_command cli_key_commands[] = {
   { "key create", "ORGANISATION", 1, 1, 0, true, run_create,
     "Create a key; its text is shown this one time" },
@@ -185,5 +204,7 @@
     "List the keys without their texts" },
   { "key revoke", "ID", 1, 1, 0, true, run_revoke,
     "Revoke a key; it stops working within seconds" },
+  { "secret create", "", 0, 0, 0, false, run_secret,
+    "Print a new secret of the fleet, for the daemons' secret_file" },
   { 0 },
 };
--- a/tests/test_cli.c
+++ b/tests/test_cli.c
@@ -127,6 +127,7 @@
     { "127\\.0\\.0\\.1:[0-9]+", "127.0.0.1:PORT" },
     { "127\\.0\\.0\\.1 port [0-9]+ after [0-9]+ ms",
       "127.0.0.1 port PORT after N ms" },
+    { "[0-9a-f]{64}", "SECRET" },
     { "[0-9a-f]{12}", "ID" },
   };
   char *out = talloc_strdup (parent, text);
