--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -94,15 +94,23 @@
   curl -sf "http://127.0.0.1:$(port "$1" admin)/status"
 }
 
-# wait_members DAEMON COUNT SERVICES: until the cell is complete and all
-# services accept writes.
-wait_members() {
-  tries=0
-  until [ "$(status "$1" | sed -n 's/.*"members": \([0-9]*\).*/\1/p')" = "$2" ] &&
-    [ "$(status "$1" | grep -c '"writable": true')" = "$3" ]; do
-    tries=$((tries + 1))
-    if [ $tries -gt 600 ]; then echo "the fleet is not complete" >&2; return 1; fi
-    sleep 0.1
+# wait_ready SERVICES DAEMON...: until each daemon's health check passes, it
+# holds a part of every budget and all services accept writes.
+wait_ready() {
+  services=$1
+  shift
+  for d in "$@"; do
+    tries=0
+    until curl -sf "http://127.0.0.1:$(port "$d")/v1/health" >/dev/null &&
+      [ "$(status "$d" | grep -c '"writable": true')" = "$services" ] &&
+      ! status "$d" | grep -q '"tokens": 0\.0*,'; do
+      tries=$((tries + 1))
+      if [ $tries -gt 600 ]; then
+        echo "$d is not ready" >&2
+        return 1
+      fi
+      sleep 0.1
+    done
   done
 }
 
