--- a/tests/budget_world.c
+++ b/tests/budget_world.c
@@ -119,7 +119,7 @@
   double jitter_us;
   int64_t dead_after_us;
   struct cell_record record;
-  struct world_result result;
+  struct budget_world_result result;
   char *transcript;
 };
 
@@ -1088,7 +1088,7 @@
 };
 
 bool
-world_command (struct world *w, const char *line)
+budget_world_command (struct world *w, const char *line)
 {
   char text[256], *save = NULL, *argv[20];
   int argc = 0;
@@ -1114,7 +1114,7 @@
   bool ok = file != NULL;
   while (ok && fgets (line, sizeof line, file) != NULL)
     {
-      ok = world_command (w, line);
+      ok = budget_world_command (w, line);
       if (!ok)
         say (w, "%s: invalid command: %s", path, line);
     }
@@ -1124,7 +1124,7 @@
 }
 
 struct world *
-world_create (void *parent, long seed, enum world_fault fault)
+budget_world_create (void *parent, long seed, enum world_fault fault)
 {
   struct world *w = talloc_zero (parent, struct world);
   w->random[0] = (unsigned short)seed;
@@ -1143,8 +1143,8 @@
   return w->transcript;
 }
 
-struct world_result
-world_result (const struct world *w)
+struct budget_world_result
+budget_world_result (const struct world *w)
 {
   return w->result;
 }
--- a/tests/budget_world.h
+++ b/tests/budget_world.h
@@ -21,7 +21,7 @@
 
 struct world;
 
-struct world_result
+struct budget_world_result
 {
   long offered, admitted, refused;
   long within;   /**< Offered within rate and burst, counted centrally. */
@@ -31,14 +31,15 @@
   double worst_level;   /**< Lowest level of the central bucket. */
 };
 
-struct world *world_create (void *parent, long seed, enum world_fault fault);
+struct world *budget_world_create (void *parent, long seed,
+                                   enum world_fault fault);
 /** @return false if the line is not a command. */
-bool world_command (struct world *w, const char *line);
+bool budget_world_command (struct world *w, const char *line);
 /** Run a script of commands; false with a message in the transcript if a
  * line is wrong. */
 bool world_script (struct world *w, const char *path);
 const char *world_transcript (const struct world *w);
-struct world_result world_result (const struct world *w);
+struct budget_world_result budget_world_result (const struct world *w);
 /** @return whether P5 held so far. */
 bool world_holds (const struct world *w);
 /** @return whether every running node may spend and the fractions are
--- a/tests/failover_world.c
+++ b/tests/failover_world.c
@@ -82,7 +82,7 @@
 {
   struct world_options options;
   int64_t now, tick_at, acknowledged_at;
-  struct world_result result;
+  struct failover_world_result result;
   struct endpoint endpoints[GROUP_MAX_ENDPOINTS];
   struct daemon daemons[CELL_MAX_MEMBERS];
   struct write writes[MAX_WRITES];
@@ -687,7 +687,7 @@
 }
 
 bool
-world_command (struct world *w, const char *command)
+failover_world_command (struct world *w, const char *command)
 {
   char verb[16] = "", a[16] = "", b[16] = "";
   static const struct
@@ -734,7 +734,7 @@
 }
 
 struct world *
-world_create (void *parent, const struct world_options *options)
+failover_world_create (void *parent, const struct world_options *options)
 {
   struct world *w = talloc_zero (parent, struct world);
   uint64_t ids[CELL_MAX_MEMBERS];
@@ -810,8 +810,8 @@
   return w->now;
 }
 
-const struct world_result *
-world_result (const struct world *w)
+const struct failover_world_result *
+failover_world_result (const struct world *w)
 {
   return &w->result;
 }
--- a/tests/failover_world.h
+++ b/tests/failover_world.h
@@ -23,7 +23,7 @@
   bool no_op;           /**< A lost response counts as success. */
 };
 
-struct world_result
+struct failover_world_result
 {
   int violations;
   int acknowledged;
@@ -36,14 +36,16 @@
 
 struct world;
 
-struct world *world_create (void *parent, const struct world_options *options);
+struct world *failover_world_create (void *parent,
+                                     const struct world_options *options);
 /** Run one command of a session, such as "fail e0".
  * @return false if it is not known. */
-bool world_command (struct world *w, const char *command);
+bool failover_world_command (struct world *w, const char *command);
 void world_run (struct world *w, int64_t until_us);
 int64_t world_now (const struct world *w);
 /** Compare the acknowledged writes with the newest opened history. */
 void world_finish (struct world *w);
-const struct world_result *world_result (const struct world *w);
+const struct failover_world_result *
+failover_world_result (const struct world *w);
 
 #endif
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -89,7 +89,7 @@
 run_lines (struct world *w, const char *const *lines)
 {
   for (; *lines != NULL; lines++)
-    CU_ASSERT_FATAL (world_command (w, *lines));
+    CU_ASSERT_FATAL (budget_world_command (w, *lines));
 }
 
 static void
@@ -113,15 +113,15 @@
 static struct world *
 run_schedule (void *parent, long seed, enum world_fault fault)
 {
-  struct world *w = world_create (parent, seed, fault);
+  struct world *w = budget_world_create (parent, seed, fault);
   char line[64];
   run_lines (w, schedule_start);
   for (int i = 0; i < SCHEDULE_STEPS; i++)
     {
       random_fault (w, line, sizeof line);
-      CU_ASSERT_FATAL (world_command (w, line));
+      CU_ASSERT_FATAL (budget_world_command (w, line));
       snprintf (line, sizeof line, "run %.2f", 0.1 + 2 * world_random (w));
-      CU_ASSERT_FATAL (world_command (w, line));
+      CU_ASSERT_FATAL (budget_world_command (w, line));
     }
   return w;
 }
@@ -144,7 +144,7 @@
           run_lines (w, schedule_end);
           serves = world_serves (w);
         }
-      struct world_result r = world_result (w);
+      struct budget_world_result r = budget_world_result (w);
       if (!world_holds (w) || !serves)
         {
           printf ("seed %ld: sum of fractions %.12f, central level %.6f%s\n",
@@ -186,7 +186,7 @@
   void *scratch = talloc_new (NULL);
   char *path = talloc_asprintf (scratch, "tests/sessions/budget-%s.txt", name);
   char *golden = talloc_asprintf (scratch, "budget-%s.txt", name);
-  struct world *w = world_create (scratch, 1, fault);
+  struct world *w = budget_world_create (scratch, 1, fault);
   CU_ASSERT (world_script (w, path));
   if (world_holds (w) != expect)
     printf ("%s: P5 %s\n", path, expect ? "broken" : "holds unexpectedly");
@@ -223,24 +223,24 @@
 
 /* One measurement: 8 members, one organisation of 400/s with a burst of 200
    at 80% of its rate, 60 s. */
-static struct world_result
+static struct budget_world_result
 measure (bool still, bool skewed, bool lost)
 {
-  struct world *w = world_create (NULL, 7, FAULT_NONE);
+  struct world *w = budget_world_create (NULL, 7, FAULT_NONE);
   char line[64];
   if (still)
-    world_command (w, "set static");
+    budget_world_command (w, "set static");
   run_lines (w, measure_start);
   for (char node = 'a'; node <= 'h'; node++)
     {
       int rate = !skewed ? 40 : node == 'a' ? 180 : 20;
       snprintf (line, sizeof line, "load shop %c %d", node, rate);
-      CU_ASSERT_FATAL (world_command (w, line));
+      CU_ASSERT_FATAL (budget_world_command (w, line));
     }
-  world_command (w, "run 20");
-  world_command (w, lost ? "kill a" : "run 0");
-  world_command (w, "run 40");
-  struct world_result r = world_result (w);
+  budget_world_command (w, "run 20");
+  budget_world_command (w, lost ? "kill a" : "run 0");
+  budget_world_command (w, "run 40");
+  struct budget_world_result r = budget_world_result (w);
   CU_ASSERT (world_holds (w));
   talloc_free (w);
   return r;
@@ -255,7 +255,7 @@
   for (int i = 0; i < 3; i++)
     for (int still = 1; still >= 0; still--)
       {
-        struct world_result r = measure (still, i > 0, i > 1);
+        struct budget_world_result r = measure (still, i > 0, i > 1);
         double percent = 100.0 * (double)r.wrongful / (double)r.within;
         printf ("%s, %s: %ld of %ld wrongful (%.3f%%), %.0f B/s per member\n",
                 names[i], still ? "static shares" : "moved fractions",
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -28,11 +28,11 @@
                   &options.endpoints, &options.members, &options.confirm,
                   &options.pace_ms)
           >= 3)
-        w = world_create (parent, &options);
+        w = failover_world_create (parent, &options);
       else if (w != NULL && sscanf (line, "at %" SCNd64 " %n", &ms, &at) == 1)
         {
           world_run (w, ms * MS);
-          CU_ASSERT (world_command (w, line + at));
+          CU_ASSERT (failover_world_command (w, line + at));
         }
       else if (w != NULL && sscanf (line, "end %" SCNd64, &ms) == 1)
         world_run (w, ms * MS);
@@ -67,7 +67,7 @@
       void *scratch = talloc_new (NULL);
       struct world *w
           = run_session (scratch, names[i], (struct world_options){ 0 });
-      const struct world_result *r = world_result (w);
+      const struct failover_world_result *r = failover_world_result (w);
       char *text = talloc_asprintf (scratch,
                                     "%sterm=%" PRIu64
                                     " primary=e%d longest gap=%" PRId64
@@ -77,7 +77,7 @@
       char *file = talloc_asprintf (scratch, "%s.txt", names[i]);
       if (!golden_matches (file, bstr_from (text)))
         CU_FAIL ("session differs");
-      CU_ASSERT_EQUAL (world_result (w)->violations, 0);
+      CU_ASSERT_EQUAL (failover_world_result (w)->violations, 0);
       talloc_free (scratch);
     }
 }
@@ -102,10 +102,10 @@
       void *scratch = talloc_new (NULL);
       struct world *w
           = run_session (scratch, cases[i].session, cases[i].without);
-      if (world_result (w)->violations == 0)
+      if (failover_world_result (w)->violations == 0)
         printf ("%s: nothing was noticed\n%s", cases[i].session,
-                world_result (w)->transcript);
-      CU_ASSERT (world_result (w)->violations > 0);
+                failover_world_result (w)->transcript);
+      CU_ASSERT (failover_world_result (w)->violations > 0);
       talloc_free (scratch);
     }
 }
@@ -185,7 +185,7 @@
           .jitter_us = 3000,
           .seed = seed };
   void *scratch = talloc_new (NULL);
-  struct world *w = world_create (scratch, &options);
+  struct world *w = failover_world_create (scratch, &options);
   world_run (w, 1500 * MS);
   while (world_now (w) < 22000 * MS)
     {
@@ -196,7 +196,7 @@
       for (int i = 0; i < open; i++)
         if (end_at[i] <= next)
           {
-            world_command (w, ends[i]);
+            failover_world_command (w, ends[i]);
             open--;
             memcpy (ends[i], ends[open], sizeof ends[i]);
             end_at[i] = end_at[open];
@@ -206,13 +206,13 @@
         for (int i = 0; i < options.endpoints; i++)
           {
             snprintf (fault, sizeof fault, "rebuild e%d", i);
-            world_command (w, fault);
+            failover_world_command (w, fault);
           }
       if (open == 10)
         continue;
       draw_fault (random, options.endpoints, options.members, fault, end,
                   sizeof fault);
-      world_command (w, fault);
+      failover_world_command (w, fault);
       if (end[0] != '\0')
         {
           memcpy (ends[open], end, sizeof end);
@@ -221,27 +221,27 @@
         }
     }
   for (int i = 0; i < open; i++)
-    world_command (w, ends[i]);
+    failover_world_command (w, ends[i]);
   world_run (w, world_now (w) + 15000 * MS);
   for (int i = 0; i < options.endpoints; i++)
     {
       char rebuild[32];
       snprintf (rebuild, sizeof rebuild, "rebuild e%d", i);
-      world_command (w, rebuild);
+      failover_world_command (w, rebuild);
     }
-  int before = world_result (w)->acknowledged;
+  int before = failover_world_result (w)->acknowledged;
   world_run (w, world_now (w) + 5000 * MS);
   world_finish (w);
-  result.failures = (int)world_result (w)->term - 1;
-  result.acknowledged = world_result (w)->acknowledged;
-  bool works = world_result (w)->acknowledged > before;
-  result.ok = world_result (w)->violations == 0 && works;
+  result.failures = (int)failover_world_result (w)->term - 1;
+  result.acknowledged = failover_world_result (w)->acknowledged;
+  bool works = failover_world_result (w)->acknowledged > before;
+  result.ok = failover_world_result (w)->violations == 0 && works;
   if (!result.ok || print)
     printf ("seed %" PRIu64 ": %d violations, %s\n", seed,
-            world_result (w)->violations,
+            failover_world_result (w)->violations,
             works ? "works" : "no write is acknowledged after all faults");
   if (print)
-    printf ("%s", world_result (w)->transcript);
+    printf ("%s", failover_world_result (w)->transcript);
   talloc_free (scratch);
   return result;
 }
