tests: table-driven commands in the budget driver

Cause: the driver had one function per command. Ruled out: nothing. Change: tables of verbs and settings; the sessions use them. Transcripts differ only in the echoed command lines.

--- a/tests/budget_world.c
+++ b/tests/budget_world.c
@@ -78,6 +78,7 @@
   struct cell *cell;
   struct budget *budget;
   bool no_platform, leaving;
+  int side;         /* Nodes of different sides cannot reach each other. */
   int64_t lease_at; /* When the lease was last valid. */
   struct pending *pending;
   int pending_count;
@@ -112,12 +113,12 @@
   int org_count;
   struct stream streams[STREAMS_MAX];
   int stream_count;
-  bool cut[NODES_MAX][NODES_MAX];
-  bool platform_down, poisson, static_shares;
+  /* Flags are numbers too, so that one table of settings serves all. */
+  double platform_down, poisson, static_shares;
   double drift; /* Largest difference of a clock rate from 1. */
   double lose, lose_kind[TIMER_ASK + 1], repeat, lose_answer;
   double jitter_us;
-  int64_t dead_after_us;
+  double dead_after;
   struct cell_record record;
   struct world_result result;
   char *transcript;
@@ -206,7 +207,8 @@
 post (struct world *w, struct event *e)
 {
   bool lost = world_random (w) < w->lose + w->lose_kind[e->kind];
-  if (e->from >= 0 && e->to >= 0 && w->cut[e->from][e->to])
+  if (e->from >= 0 && e->to >= 0
+      && w->nodes[e->from].side != w->nodes[e->to].side)
     lost = true;
   if (e->kind != MSG_RECORD && (e->from < 0 || e->to < 0))
     lost = false;
@@ -503,7 +505,7 @@
 static void
 platform_handle (struct world *w, const struct event *e)
 {
-  bool down = w->platform_down || w->nodes[e->from].no_platform;
+  bool down = w->platform_down > 0 || w->nodes[e->from].no_platform;
   struct event *reply = event_new (w, MSG_RESULT, -1, e->from);
   reply->process = w->nodes[e->from].id;
   if (e->kind == MSG_READ)
@@ -635,7 +637,7 @@
   struct pending p = { .org = s->org };
   int at = serving_node (w, s->node);
   double gap = 1e6 / s->rate;
-  s->next_at += w->poisson ? -log (1 - world_random (w)) * gap : gap;
+  s->next_at += w->poisson > 0 ? -log (1 - world_random (w)) * gap : gap;
   o->ideal_level = central_refill (w, o, o->ideal_level, o->ideal_at);
   o->ideal_at = w->now;
   if (at < 0)
@@ -708,9 +710,9 @@
   struct cell_options options
       = { .heartbeat_us = 500000,
           .hold_us = w->fault == FAULT_NO_WAIT ? SHORT_HOLD_US : HOLD_US,
-          .dead_after_us = w->dead_after_us };
+          .dead_after_us = (int64_t)(w->dead_after * SECOND) };
   struct budget_options budget
-      = { .resend_us = 10000, .static_shares = w->static_shares };
+      = { .resend_us = 10000, .static_shares = w->static_shares > 0 };
   node_stop (n);
   n->id = (uint64_t)(at + 1) * 1000 + (uint64_t)++n->starts;
   n->state = NODE_RUNNING;
@@ -742,7 +744,7 @@
 static void
 announce_all (struct world *w)
 {
-  for (int i = 0; i < NODES_MAX && !w->platform_down; i++)
+  for (int i = 0; i < NODES_MAX && w->platform_down <= 0; i++)
     if (!w->nodes[i].no_platform)
       announce (w, i);
 }
@@ -773,170 +775,28 @@
        w->result.refused, w->result.wrongful);
 }
 
-struct command
-{
-  const char *name;
-  bool (*run) (struct world *w, int argc, char **argv);
-};
-
-/* Apply a verb to each node named.  "*" names all. */
-static bool
-each_node (struct world *w, int argc, char **argv,
-           void (*verb) (struct world *w, int at))
-{
-  for (int i = 1; i < argc; i++)
-    {
-      int at = node_find (w, argv[i]);
-      if (at < 0)
-        return false;
-      verb (w, at);
-    }
-  return true;
-}
-
-static int
-org_find (const struct world *w, const char *name)
-{
-  for (int i = 0; i < w->org_count; i++)
-    if (strcmp (w->orgs[i].name, name) == 0)
-      return i;
-  return -1;
-}
-
-static bool
-run_nodes (struct world *w, int argc, char **argv)
-{
-  for (int i = 1; i < argc && i <= NODES_MAX; i++)
-    {
-      snprintf (w->nodes[i - 1].name, sizeof w->nodes[0].name, "%s", argv[i]);
-      w->nodes[i - 1].offset = i * 1000 * SECOND;
-    }
-  return argc > 1 && argc <= NODES_MAX + 1;
-}
-
-static bool
-run_drift (struct world *w, int argc, char **argv)
-{
-  w->drift = argc == 2 ? strtod (argv[1], NULL) : 0;
-  for (int i = 0; i < NODES_MAX; i++)
-    w->nodes[i].drift = w->drift * (2 * world_random (w) - 1);
-  return argc == 2;
-}
-
-static bool
-run_org (struct world *w, int argc, char **argv)
-{
-  if (argc != 4 || w->org_count == ORGS_MAX)
-    return false;
-  struct org *o = &w->orgs[w->org_count++];
-  snprintf (o->name, sizeof o->name, "%s", argv[1]);
-  for (int i = 0; i < NODES_MAX; i++)
-    {
-      o->rate[i] = strtod (argv[2], NULL);
-      o->burst[i] = strtod (argv[3], NULL);
-      if (w->nodes[i].state != NODE_ABSENT)
-        tell_rates (w, i);
-    }
-  o->level = o->burst[0];
-  o->level_at = o->ideal_at = w->now;
-  return true;
-}
-
-/* rate ORG RATE BURST [NODE...]: all nodes if none is named. */
-static bool
-run_rate (struct world *w, int argc, char **argv)
-{
-  int org = argc >= 4 ? org_find (w, argv[1]) : -1;
-  if (org < 0)
-    return false;
-  struct org *o = &w->orgs[org];
-  o->level = central_refill (w, o, o->level, o->level_at);
-  o->ideal_level = central_refill (w, o, o->ideal_level, o->ideal_at);
-  o->level_at = o->ideal_at = w->now;
-  for (int i = 0; i < NODES_MAX; i++)
-    {
-      bool named = argc == 4;
-      for (int k = 4; k < argc; k++)
-        named = named || strcmp (argv[k], w->nodes[i].name) == 0;
-      if (!named)
-        continue;
-      o->rate[i] = strtod (argv[2], NULL);
-      o->burst[i] = strtod (argv[3], NULL);
-      if (w->nodes[i].state != NODE_ABSENT)
-        tell_rates (w, i);
-    }
-  return true;
-}
-
-static bool
-run_load (struct world *w, int argc, char **argv)
-{
-  int org = argc == 4 ? org_find (w, argv[1]) : -1;
-  int node = argc == 4 ? node_find (w, argv[2]) : -1;
-  int at = 0;
-  if (org < 0 || node < 0)
-    return false;
-  while (at < w->stream_count
-         && (w->streams[at].org != org || w->streams[at].node != node))
-    at++;
-  if (at == w->stream_count)
-    w->stream_count++;
-  double rate = strtod (argv[3], NULL);
-  /* Streams of the same rate do not arrive in the same instant. */
-  w->streams[at]
-      = (struct stream){ org, node, rate,
-                         (double)w->now + 1e6 / rate * world_random (w) };
-  if (rate <= 0)
-    w->streams[at] = w->streams[--w->stream_count];
-  return true;
-}
-
-static bool
-run_start (struct world *w, int argc, char **argv)
-{
-  return each_node (w, argc, argv, node_start);
-}
-
 static void
-kill_one (struct world *w, int at)
+verb_kill (struct world *w, int at)
 {
   node_stop (&w->nodes[at]);
 }
 
-static bool
-run_kill (struct world *w, int argc, char **argv)
-{
-  return each_node (w, argc, argv, kill_one);
-}
-
 static void
-pause_one (struct world *w, int at)
+verb_pause (struct world *w, int at)
 {
   if (w->nodes[at].state == NODE_RUNNING)
     w->nodes[at].state = NODE_PAUSED;
 }
 
-static bool
-run_pause (struct world *w, int argc, char **argv)
-{
-  return each_node (w, argc, argv, pause_one);
-}
-
 static void
-resume_one (struct world *w, int at)
+verb_resume (struct world *w, int at)
 {
   if (w->nodes[at].state == NODE_PAUSED)
     node_resume (w, at);
 }
 
-static bool
-run_resume (struct world *w, int argc, char **argv)
-{
-  return each_node (w, argc, argv, resume_one);
-}
-
 static void
-leave_one (struct world *w, int at)
+verb_leave (struct world *w, int at)
 {
   if (w->nodes[at].state == NODE_ABSENT)
     return;
@@ -945,16 +805,9 @@
   budget_set_leaving (w->nodes[at].budget, true);
 }
 
-static bool
-run_leave (struct world *w, int argc, char **argv)
-{
-  return each_node (w, argc, argv, leave_one);
-}
-
-/* The platform's list no longer contains the VM.  "gone" without a name: all
-   that do not run. */
+/* The platform's list no longer contains the VM. */
 static void
-gone_one (struct world *w, int at)
+verb_gone (struct world *w, int at)
 {
   for (int i = 0; i < NODES_MAX; i++)
     if (w->nodes[i].state == NODE_RUNNING && !w->nodes[i].no_platform)
@@ -962,131 +815,152 @@
                        clock_of (w, &w->nodes[i]));
 }
 
-static bool
-run_gone (struct world *w, int argc, char **argv)
+/* The nodes named cannot reach the others. */
+static void
+verb_cut (struct world *w, int at)
 {
-  for (int i = 0; i < NODES_MAX && argc == 1; i++)
-    if (w->nodes[i].state == NODE_ABSENT)
-      gone_one (w, i);
-  return each_node (w, argc, argv, gone_one);
+  w->nodes[at].side = 1;
 }
 
-/* cut NODE...: these cannot reach the others.  Without nodes: heal all. */
-static bool
-run_cut (struct world *w, int argc, char **argv)
+static void
+verb_blind (struct world *w, int at)
 {
-  bool side[NODES_MAX] = { false };
-  for (int i = 1; i < argc; i++)
-    {
-      int at = node_find (w, argv[i]);
-      if (at < 0)
-        return false;
-      side[at] = true;
-    }
-  for (int i = 0; i < NODES_MAX; i++)
-    for (int k = 0; k < NODES_MAX; k++)
-      w->cut[i][k] = side[i] != side[k];
-  return true;
+  w->nodes[at].no_platform = true;
 }
 
-/* blind NODE...: these cannot reach the platform. */
+/* Commands of the form "VERB NODE...". */
+static const struct
+{
+  const char *name;
+  void (*run) (struct world *w, int at);
+} verbs[] = {
+  { "start", node_start }, { "restart", node_start }, { "kill", verb_kill },
+  { "pause", verb_pause }, { "resume", verb_resume }, { "leave", verb_leave },
+  { "gone", verb_gone },   { "cut", verb_cut },       { "blind", verb_blind },
+};
+
 static bool
-run_blind (struct world *w, int argc, char **argv)
+run_verb (struct world *w, int argc, char **argv)
 {
+  size_t v = 0;
+  while (v < sizeof verbs / sizeof *verbs
+         && strcmp (verbs[v].name, argv[0]) != 0)
+    v++;
+  if (v == sizeof verbs / sizeof *verbs)
+    return false;
+  /* "cut" and "blind" replace what was set before; "gone" without a name
+     means all nodes that do not run. */
   for (int i = 0; i < NODES_MAX; i++)
-    w->nodes[i].no_platform = false;
+    if (verbs[v].run == verb_cut)
+      w->nodes[i].side = 0;
+    else if (verbs[v].run == verb_blind)
+      w->nodes[i].no_platform = false;
+    else if (verbs[v].run == verb_gone && argc == 1
+             && w->nodes[i].state == NODE_ABSENT)
+      verb_gone (w, i);
   for (int i = 1; i < argc; i++)
     {
       int at = node_find (w, argv[i]);
       if (at < 0)
         return false;
-      w->nodes[at].no_platform = true;
+      verbs[v].run (w, at);
     }
-  announce_all (w);
+  if (verbs[v].run == verb_blind)
+    announce_all (w);
   return true;
 }
 
+/* set NAME VALUE */
 static bool
-run_platform (struct world *w, int argc, char **argv)
+set_value (struct world *w, const char *name, double value)
 {
-  w->platform_down = argc == 2 && strcmp (argv[1], "down") == 0;
-  announce_all (w);
-  return argc == 2;
-}
-
-/* lose KIND PROBABILITY */
-static bool
-run_lose (struct world *w, int argc, char **argv)
-{
-  static const char *const names[]
-      = { "heartbeat", "join", "record", "holdings", "allot", "budget" };
-  if (argc != 3)
-    return false;
-  double p = strtod (argv[2], NULL);
-  for (int i = 0; i < 6; i++)
-    if (strcmp (argv[1], names[i]) == 0)
+  const struct
+  {
+    const char *name;
+    double *value;
+  } values[] = {
+    { "drift", &w->drift },
+    { "jitter", &w->jitter_us },
+    { "repeat", &w->repeat },
+    { "dead-after", &w->dead_after },
+    { "poisson", &w->poisson },
+    { "static", &w->static_shares },
+    { "lose", &w->lose },
+    { "lose-answer", &w->lose_answer },
+    { "lose-record", &w->lose_kind[MSG_RECORD] },
+    { "lose-allot", &w->lose_kind[MSG_ALLOT] },
+    { "lose-budget", &w->lose_kind[MSG_BUDGET] },
+    { "platform-down", &w->platform_down },
+  };
+  for (size_t i = 0; i < sizeof values / sizeof *values; i++)
+    if (strcmp (values[i].name, name) == 0)
       {
-        w->lose_kind[i] = p;
+        *values[i].value = value;
+        for (int k = 0; k < NODES_MAX && values[i].value == &w->drift; k++)
+          w->nodes[k].drift = value * (2 * world_random (w) - 1);
+        if (values[i].value == &w->platform_down)
+          announce_all (w);
         return true;
       }
-  if (strcmp (argv[1], "answer") == 0)
-    w->lose_answer = p;
-  else if (strcmp (argv[1], "any") == 0)
-    w->lose = p;
-  else
-    return false;
-  return true;
+  return false;
 }
 
+/* org NAME RATE BURST [NODE...]: set a rate, at all nodes if none is
+   named. */
 static bool
-run_set (struct world *w, int argc, char **argv)
+set_rate (struct world *w, int argc, char **argv)
 {
-  if (argc == 2 && strcmp (argv[1], "poisson") == 0)
-    w->poisson = true;
-  else if (argc == 2 && strcmp (argv[1], "static") == 0)
-    w->static_shares = true;
-  else if (argc == 2 && strcmp (argv[1], "quiet") == 0)
-    w->stream_count = 0;
-  else if (argc == 3 && strcmp (argv[1], "dead-after") == 0)
-    w->dead_after_us = (int64_t)(strtod (argv[2], NULL) * SECOND);
-  else if (argc == 3 && strcmp (argv[1], "repeat") == 0)
-    w->repeat = strtod (argv[2], NULL);
-  else if (argc == 3 && strcmp (argv[1], "jitter") == 0)
-    w->jitter_us = strtod (argv[2], NULL);
-  else
+  int at = 0;
+  while (at < w->org_count && strcmp (w->orgs[at].name, argv[1]) != 0)
+    at++;
+  if (argc < 4 || at == ORGS_MAX)
     return false;
+  struct org *o = &w->orgs[at];
+  bool is_new = at == w->org_count;
+  w->org_count += is_new;
+  snprintf (o->name, sizeof o->name, "%s", argv[1]);
+  o->level = central_refill (w, o, o->level, o->level_at);
+  o->ideal_level = central_refill (w, o, o->ideal_level, o->ideal_at);
+  o->level_at = o->ideal_at = w->now;
+  for (int i = 0; i < NODES_MAX; i++)
+    {
+      bool named = argc == 4;
+      for (int k = 4; k < argc; k++)
+        named = named || strcmp (argv[k], w->nodes[i].name) == 0;
+      if (!named)
+        continue;
+      o->rate[i] = strtod (argv[2], NULL);
+      o->burst[i] = strtod (argv[3], NULL);
+      if (w->nodes[i].state != NODE_ABSENT)
+        tell_rates (w, i);
+    }
+  if (is_new)
+    o->level = o->burst[0];
   return true;
 }
 
+/* load ORG NODE RATE */
 static bool
-run_run (struct world *w, int argc, char **argv)
-{
-  if (argc == 2)
-    run_until (w, w->now + (int64_t)(strtod (argv[1], NULL) * SECOND));
-  return argc == 2;
-}
-
-static bool
-run_show (struct world *w, int argc, char **argv)
+set_load (struct world *w, int argc, char **argv)
 {
-  (void)argv;
-  show (w);
-  return argc == 1;
+  int org = 0, at = 0, node = argc == 4 ? node_find (w, argv[2]) : -1;
+  while (org < w->org_count && strcmp (w->orgs[org].name, argv[1]) != 0)
+    org++;
+  if (node < 0 || org == w->org_count)
+    return false;
+  while (at < w->stream_count
+         && (w->streams[at].org != org || w->streams[at].node != node))
+    at++;
+  if (at == w->stream_count)
+    w->stream_count++;
+  /* Streams of the same rate do not arrive in the same instant. */
+  double rate = strtod (argv[3], NULL);
+  w->streams[at]
+      = (struct stream){ org, node, rate,
+                         (double)w->now + 1e6 / rate * world_random (w) };
+  return rate > 0;
 }
 
-static const struct command commands[] = {
-  { "nodes", run_nodes },       { "drift", run_drift },
-  { "org", run_org },           { "rate", run_rate },
-  { "load", run_load },         { "start", run_start },
-  { "restart", run_start },     { "kill", run_kill },
-  { "pause", run_pause },       { "resume", run_resume },
-  { "leave", run_leave },       { "gone", run_gone },
-  { "cut", run_cut },           { "blind", run_blind },
-  { "platform", run_platform }, { "lose", run_lose },
-  { "set", run_set },           { "run", run_run },
-  { "show", run_show },         { NULL, NULL },
-};
-
 bool
 world_command (struct world *w, const char *line)
 {
@@ -1100,10 +974,22 @@
     return true;
   if (strcmp (argv[0], "run") != 0 && strcmp (argv[0], "show") != 0)
     say (w, "> %.*s", (int)strcspn (line, "#\n"), line);
-  for (const struct command *c = commands; c->name != NULL; c++)
-    if (strcmp (argv[0], c->name) == 0)
-      return c->run (w, argc, argv);
-  return false;
+  double value = argc > 1 ? strtod (argv[argc - 1], NULL) : 0;
+  if (strcmp (argv[0], "run") == 0 && argc == 2)
+    run_until (w, w->now + (int64_t)(value * SECOND));
+  else if (strcmp (argv[0], "show") == 0)
+    show (w);
+  else if (strcmp (argv[0], "quiet") == 0)
+    w->stream_count = 0;
+  else if (strcmp (argv[0], "set") == 0 && argc == 3)
+    return set_value (w, argv[1], value);
+  else if (strcmp (argv[0], "org") == 0 && argc > 1)
+    return set_rate (w, argc, argv);
+  else if (strcmp (argv[0], "load") == 0 && argc > 1)
+    return set_load (w, argc, argv);
+  else
+    return run_verb (w, argc, argv);
+  return true;
 }
 
 bool
@@ -1131,8 +1017,13 @@
   w->random[1] = (unsigned short)(seed >> 16);
   w->random[2] = 0x330e;
   w->fault = fault;
-  w->dead_after_us = 1500000;
+  w->dead_after = 1.5;
   w->transcript = talloc_strdup (w, "");
+  for (int i = 0; i < NODES_MAX; i++)
+    {
+      w->nodes[i].name[0] = (char)('a' + i);
+      w->nodes[i].offset = (i + 1) * 1000 * SECOND;
+    }
   schedule (w, event_new (w, TIMER_TICK, 0, 0), 0);
   return w;
 }
--- a/tests/budget_world.h
+++ b/tests/budget_world.h
@@ -1,7 +1,12 @@
 /** @file
  * Several instances of cell and budget in virtual time, with a small message
- * network and platform object.  Driven by lines of text; see the commands
- * table in budget_world.c.
+ * network and platform object.  Nodes are named a to l.  Driven by lines:
+ *
+ *   org NAME RATE BURST [NODE...]   load ORG NODE RATE    quiet
+ *   start|restart|kill|pause|resume|leave|gone NODE...
+ *   cut|blind [NODE...]             from the other nodes, from the platform
+ *   set NAME VALUE                  see set_value in budget_world.c
+ *   run SECONDS                     show
  */
 #ifndef TESTS_BUDGET_WORLD_H
 #define TESTS_BUDGET_WORLD_H
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -9,42 +9,48 @@
 #define FAULT_SCHEDULES 40
 
 static const char *const schedule_start[] = {
-  "nodes a b c d e f g", "drift 0.005",    "set jitter 2000",
-  "set poisson",         "org shop 40 20", "org tiny 20 2",
-  "start a b c d e",     "run 2",          "load shop a 50",
-  "load shop c 10",      "load shop d 10", "load tiny b 10",
-  "load tiny c 8",       "load tiny e 8",  "lose any 0.02",
-  "set repeat 0.05",     "run 1",          NULL,
+  "set drift 0.005",
+  "set jitter 2000",
+  "set poisson 1",
+  "org shop 40 20",
+  "org tiny 20 2",
+  "start a b c d e",
+  "run 2",
+  "load shop a 50",
+  "load shop c 10",
+  "load shop d 10",
+  "load tiny b 10",
+  "load tiny c 8",
+  "load tiny e 8",
+  "set lose 0.02",
+  "set repeat 0.05",
+  "run 1",
+  NULL,
 };
 
 static const char *const schedule_end[] = {
   "cut",
   "blind",
-  "platform up",
-  "lose any 0",
-  "lose answer 0",
-  "lose allot 0",
-  "lose record 0",
-  "lose budget 0",
+  "set platform-down 0",
+  "set lose 0",
+  "set lose-answer 0",
+  "set lose-allot 0",
+  "set lose-record 0",
+  "set lose-budget 0",
   "kill f g",
   "resume a b c d e",
   "restart a c",
   "gone",
   "run 20",
-  "set quiet",
+  "quiet",
   "run 2",
   "show",
   NULL,
 };
 
 static const char *const measure_start[] = {
-  "nodes a b c d e f g h",
-  "set poisson",
-  "set jitter 1000",
-  "org shop 400 200",
-  "start a b c d e f g h",
-  "run 5",
-  NULL,
+  "set poisson 1",         "set jitter 1000", "org shop 400 200",
+  "start a b c d e f g h", "run 5",           NULL,
 };
 
 /* Commands of a random schedule; %c is a random node, %d a number. */
@@ -67,18 +73,18 @@
   "blind %c",
   "blind %c %c",
   "blind",
-  "platform down",
-  "platform up",
-  "platform up",
+  "set platform-down 1",
+  "set platform-down 0",
+  "set platform-down 0",
   "start f",
   "start g",
-  "lose answer 0.3",
-  "lose allot 0.3",
-  "lose record 0.3",
-  "lose budget 0.2",
-  "lose allot 0",
-  "rate shop 3%d 2%d",
-  "rate tiny 2%d %d",
+  "set lose-answer 0.3",
+  "set lose-allot 0.3",
+  "set lose-record 0.3",
+  "set lose-budget 0.2",
+  "set lose-allot 0",
+  "org shop 3%d 2%d",
+  "org tiny 2%d %d",
   "load shop %c 3%d",
   "load tiny %c 2%d",
   "gone f",
@@ -229,7 +235,7 @@
   struct world *w = world_create (NULL, 7, FAULT_NONE);
   char line[64];
   if (still)
-    world_command (w, "set static");
+    world_command (w, "set static 1");
   run_lines (w, measure_start);
   for (char node = 'a'; node <= 'h'; node++)
     {
