--- a/core/failover.c
+++ b/core/failover.c
@@ -777,8 +777,12 @@
       const struct endpoint_view *e = &f->endpoints[i];
       if (!is_final (f, i, now))
         continue;
-      /* A replaced primary never held a write of the base term. */
-      holders += e->status.in_recovery || e->status.term < f->record.base_term;
+      /* A replaced primary never held a write of the base term.  The old
+         primary itself does not count: if it is in recovery, its data was
+         replaced. */
+      holders += i != primary
+                 && (e->status.in_recovery
+                     || e->status.term < f->record.base_term);
       if (is_eligible (f, e)
           && (best == INDEX_NONE
               || position_of (e) > position_of (&f->endpoints[best])))
