--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -50,18 +50,29 @@
 static void
 sessions_match_their_golden_files (void)
 {
-  static const char *const names[]
-      = { "failover-primary-fails",   "failover-primary-isolated",
-          "failover-paused-confirm1", "failover-paused-confirm0",
-          "failover-unconfirmed",     "failover-update-unresolved",
-          "failover-catch-up",        "failover-released",
-          "failover-not-released",    "failover-pauses",
-          "failover-update-lost",     "failover-promotion-lost",
-          "failover-driver-fenced",   "failover-driver-promoted",
-          "failover-outage-60s",      "failover-outage-30min",
-          "failover-slow-primary",    "failover-race",
-          "failover-old-primary",     "failover-daemon-isolated",
-          "failover-five-endpoints",  "failover-stale-lease" };
+  static const char *const names[] = { "failover-primary-fails",
+                                       "failover-primary-isolated",
+                                       "failover-paused-confirm1",
+                                       "failover-paused-confirm0",
+                                       "failover-unconfirmed",
+                                       "failover-update-unresolved",
+                                       "failover-catch-up",
+                                       "failover-behind-branch",
+                                       "failover-released",
+                                       "failover-not-released",
+                                       "failover-pauses",
+                                       "failover-update-lost",
+                                       "failover-promotion-lost",
+                                       "failover-driver-fenced",
+                                       "failover-driver-promoted",
+                                       "failover-outage-60s",
+                                       "failover-outage-30min",
+                                       "failover-slow-primary",
+                                       "failover-race",
+                                       "failover-old-primary",
+                                       "failover-daemon-isolated",
+                                       "failover-five-endpoints",
+                                       "failover-stale-lease" };
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     {
       void *scratch = talloc_new (NULL);
@@ -121,7 +132,7 @@
   int ms = 100 + (int)(erand48 (random) * 6000);
   static const char *const answers[] = { "update", "promote", "fence" };
   end[0] = '\0';
-  switch ((int)(erand48 (random) * 11))
+  switch ((int)(erand48 (random) * 13))
     {
     case 0:
     case 1:
@@ -154,6 +165,14 @@
     case 9:
       snprintf (fault, size, "lose d%d %s", d, answers[ms % 3]);
       break;
+    case 10:
+      snprintf (fault, size, "lag e%d %d", e, ms);
+      snprintf (end, size, "lag e%d 0", e);
+      break;
+    case 11:
+      snprintf (fault, size, "cut d%d d%d", d, other % members);
+      snprintf (end, size, "join d%d d%d", d, other % members);
+      break;
     default:
       snprintf (fault, size, "slow e%d %d", e, ms / 4);
       snprintf (end, size, "slow e%d 0", e);
