standins: replay random values from a seed in the log

Cause: a replica runs the primary's statements again, so a row with randomblob() got another value there; a test that reads it back by that value would report a stale read. Ruled out: refusing such statements, because tests use them as unique ids. Change: random() and randomblob() take their values from a seed that the record sets first. Functions of the time of day are not covered.

--- a/standins/postgres_sql.c
+++ b/standins/postgres_sql.c
@@ -534,15 +534,37 @@
   session_send_complete (s, tag);
 }
 
-/* Keep the text of a change, with its parameters, for the log. */
 static void
-add_pending (struct session *s)
+append_pending (struct session *s, const char *sql)
 {
-  char *expanded = sqlite3_expanded_sql (s->stmt);
   if (s->pending == NULL)
-    s->pending = talloc_strdup (s, expanded);
+    s->pending = talloc_strdup (s, sql);
   else
-    s->pending = talloc_asprintf_append_buffer (s->pending, ";%s", expanded);
+    s->pending = talloc_asprintf_append_buffer (s->pending, ";%s", sql);
+}
+
+/* Set the seed of a change that uses random values.
+   @return the statement that sets it, for the log; NULL if it uses none. */
+static char *
+seed_random (struct session *s)
+{
+  if (strcasestr (s->sql.start, "random") == NULL)
+    return NULL;
+  char *sql
+      = talloc_asprintf (s, "SELECT standin_seed(%" PRId64 ")", clock_now ());
+  sqlite3_exec (connection_db (s->connection), sql, NULL, NULL, NULL);
+  return sql;
+}
+
+/* Keep the text of a change, with its parameters, for the log.  Functions of
+   the time of day are not replaced; their values differ at replicas. */
+static void
+add_pending (struct session *s, const char *seed)
+{
+  char *expanded = sqlite3_expanded_sql (s->stmt);
+  if (seed != NULL)
+    append_pending (s, seed);
+  append_pending (s, expanded);
   sqlite3_free (expanded);
 }
 
@@ -565,6 +587,7 @@
   if (changes && !take_writer (s))
     return RUN_BLOCKED;
   enum run_result result = RUN_DONE;
+  char *seed = changes ? seed_random (s) : NULL;
   int step = sqlite3_step (s->stmt);
   if (step == SQLITE_BUSY || step == SQLITE_LOCKED)
     result = RUN_BLOCKED;
@@ -577,7 +600,8 @@
         result = fail_step (s);
     }
   if (result == RUN_DONE && changes)
-    add_pending (s);
+    add_pending (s, seed);
+  talloc_free (seed);
   if (result == RUN_DONE)
     send_tag (s, changes, rows);
   if (result == RUN_BLOCKED)
--- a/standins/postgres_store.c
+++ b/standins/postgres_store.c
@@ -13,6 +13,7 @@
 #define FIRST_LSN UINT64_C (0x1000000)
 
 #define STATEMENTS_KEPT 32
+#define MAX_RANDOM_BYTES 64
 #define STATEMENT_BYTES 2048
 
 static const char *const store_pragmas
@@ -52,6 +53,57 @@
     }
 }
 
+static void
+set_seed (sqlite3_context *context, int count, sqlite3_value **values)
+{
+  (void)count;
+  unsigned short *seed = sqlite3_user_data (context);
+  sqlite3_int64 value = sqlite3_value_int64 (values[0]);
+  for (int i = 0; i < 3; i++)
+    seed[i] = (unsigned short)(value >> (16 * i));
+}
+
+static void
+random_integer (sqlite3_context *context, int count, sqlite3_value **values)
+{
+  (void)count, (void)values;
+  unsigned short *seed = sqlite3_user_data (context);
+  uint64_t high = (uint32_t)jrand48 (seed);
+  sqlite3_result_int64 (
+      context, (sqlite3_int64)(high << 32 | (uint32_t)jrand48 (seed)));
+}
+
+static void
+random_blob (sqlite3_context *context, int count, sqlite3_value **values)
+{
+  (void)count;
+  unsigned short *seed = sqlite3_user_data (context);
+  int len = sqlite3_value_int (values[0]);
+  unsigned char bytes[MAX_RANDOM_BYTES];
+  if (len < 1 || len > MAX_RANDOM_BYTES)
+    len = len < 1 ? 1 : MAX_RANDOM_BYTES;
+  for (int i = 0; i < len; i++)
+    bytes[i] = (unsigned char)((uint32_t)jrand48 (seed) >> 24);
+  sqlite3_result_blob (context, bytes, len, SQLITE_TRANSIENT);
+}
+
+/* Replicas run the primary's statements again, so random values must come
+   from a seed that travels in the log. */
+static bool
+replace_random (sqlite3 *db)
+{
+  unsigned short *seed = calloc (3, sizeof *seed);
+  return sqlite3_create_function_v2 (db, "standin_seed", 1, SQLITE_UTF8, seed,
+                                     set_seed, NULL, NULL, free)
+             == SQLITE_OK
+         && sqlite3_create_function_v2 (db, "random", 0, SQLITE_UTF8, seed,
+                                        random_integer, NULL, NULL, NULL)
+                == SQLITE_OK
+         && sqlite3_create_function_v2 (db, "randomblob", 1, SQLITE_UTF8, seed,
+                                        random_blob, NULL, NULL, NULL)
+                == SQLITE_OK;
+}
+
 static sqlite3 *
 open_database (struct store *store, struct error *err)
 {
@@ -63,7 +115,8 @@
                            | SQLITE_OPEN_NOMUTEX,
                        NULL)
           != SQLITE_OK
-      || sqlite3_exec (db, store_pragmas, NULL, NULL, NULL) != SQLITE_OK)
+      || sqlite3_exec (db, store_pragmas, NULL, NULL, NULL) != SQLITE_OK
+      || !replace_random (db))
     {
       error_set (err, ERROR_INTERNAL, "sqlite: %s", sqlite3_errmsg (db));
       sqlite3_close (db);
--- a/tests/test_postgres.c
+++ b/tests/test_postgres.c
@@ -365,6 +365,32 @@
   talloc_free (scratch);
 }
 
+/* Guards against random values that differ at a replica, which runs the
+   primary's statements again. */
+static void
+replicas_hold_the_same_random_values (void)
+{
+  static const char sum[] = "SELECT group_concat(id) FROM "
+                            "(SELECT id FROM t ORDER BY id)";
+  void *scratch = talloc_new (NULL);
+  char expected[256];
+  struct process *p = start_primary (scratch);
+  struct process *r = start_replica (scratch, p, NULL);
+  PGconn *c = connect_as (p, "app"), *reader = connect_as (r, "app");
+  run (c, "CREATE TABLE t(id TEXT PRIMARY KEY)");
+  run (c, "BEGIN");
+  run (c, "INSERT INTO t VALUES(hex(randomblob(8))), (random())");
+  run (c, "INSERT INTO t VALUES(hex(RANDOMBLOB(8)))");
+  run (c, "COMMIT");
+  CHECK (run (c, "SELECT count(*) FROM t"), "3");
+  snprintf (expected, sizeof expected, "%s", run (c, sum));
+  CU_ASSERT (wait_replayed (r, poll_status (p).received, 1));
+  CHECK (run (reader, sum), expected);
+  PQfinish (c);
+  PQfinish (reader);
+  talloc_free (scratch);
+}
+
 static const char *
 run_control (const struct process *p, const char *format, int value)
 {
@@ -581,6 +607,8 @@
   { "pipeline_stops_at_an_error", pipeline_stops_at_an_error },
   { "writers_wait_in_order", writers_wait_in_order },
   { "replicas_lag_behind", replicas_lag_behind },
+  { "replicas_hold_the_same_random_values",
+    replicas_hold_the_same_random_values },
   { "primary_is_replaced", primary_is_replaced },
   { "diverged_replica_is_not_fed", diverged_replica_is_not_fed },
   { "late_replica_gets_a_copy", late_replica_gets_a_copy },
