--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -3,6 +3,8 @@
 #include "tests/script.h"
 #include "tests/tests.h"
 
+#include <ctype.h>
+#include <glob.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -68,9 +70,153 @@
   talloc_free (scratch);
 }
 
+/* The text of all files that a pattern matches, and their number. */
+static char *
+read_files (void *scratch, const char *pattern, size_t *count)
+{
+  glob_t paths;
+  char *all = talloc_strdup (scratch, "");
+  CU_ASSERT_EQUAL_FATAL (glob (pattern, 0, NULL, &paths), 0);
+  *count = paths.gl_pathc;
+  for (size_t i = 0; i < paths.gl_pathc; i++)
+    {
+      const char *text = script_read_file (scratch, paths.gl_pathv[i]);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+      all = talloc_strdup_append_buffer (all, text);
+    }
+  globfree (&paths);
+  return all;
+}
+
+static bool
+is_word (char c)
+{
+  return islower ((unsigned char)c) || c == '_';
+}
+
+/* Check each literal of the form of a code, such as "key_revoked", in the
+   statement at @p text.  @return the number of such literals. */
+static int
+check_codes (const char *text, const char *page)
+{
+  int count = 0;
+  size_t end = strcspn (text, ";");
+  for (const char *at = text; (at = strchr (at, '"')) != NULL;)
+    {
+      const char *close = strchr (at + 1, '"');
+      size_t len = 0;
+      if (at >= text + end || close == NULL)
+        break;
+      while (is_word (at[1 + len]))
+        len++;
+      if (len > 0 && at + 1 + len == close)
+        {
+          char row[80];
+          snprintf (row, sizeof row, "\n| `%.*s` | ", (int)len, at + 1);
+          count++;
+          if (strstr (page, row) == NULL)
+            printf ("no row for code %.*s ", (int)len, at + 1);
+          CU_ASSERT_PTR_NOT_NULL (strstr (page, row));
+        }
+      at = close + 1;
+    }
+  return count;
+}
+
+/* Guards against an error code that callers meet and the reference does not
+   explain. */
+static void
+interface_names_every_error_code (void)
+{
+  static const char *const places[]
+      = { "refuse (", "set_failure (", "reply_error (", "code = " };
+  void *scratch = talloc_new (NULL);
+  size_t files;
+  int codes = 0;
+  const char *page = script_read_file (scratch, "docs/interface.md");
+  const char *source = read_files (scratch, "daemon/*.c", &files);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (page);
+  for (size_t i = 0; i < sizeof places / sizeof places[0]; i++)
+    for (const char *at = source; (at = strstr (at, places[i])) != NULL; at++)
+      codes += check_codes (at, page);
+  /* Fewer would mean that the places above are not those of the source. */
+  CU_ASSERT (codes >= 30);
+  talloc_free (scratch);
+}
+
+/* Guards against a page that names a metric, table or marker that does not
+   exist. */
+static void
+pages_name_only_existing_metrics (void)
+{
+  static const char prefix[] = "azurewind_";
+  void *scratch = talloc_new (NULL);
+  size_t files, words = 0;
+  const char *source = read_files (scratch, "daemon/*.c", &files);
+  const char *pages = read_files (scratch, "docs/*.md", &files);
+  CU_ASSERT (files >= 5);
+  for (const char *at = pages; (at = strstr (at, prefix)) != NULL;)
+    {
+      size_t len = 0;
+      while (is_word (at[len]))
+        len++;
+      const char *word = talloc_strndup (scratch, at, len);
+      const char *found = strstr (source, word);
+      while (found != NULL && is_word (found[len]))
+        found = strstr (found + 1, word);
+      if (found == NULL)
+        printf ("%s is not in daemon/ ", word);
+      CU_ASSERT_PTR_NOT_NULL (found);
+      words++;
+      at += len;
+    }
+  CU_ASSERT (words > 0);
+  talloc_free (scratch);
+}
+
+/* Guards against a proof by a test that does not exist. */
+static void
+named_tests_exist (void)
+{
+  void *scratch = talloc_new (NULL);
+  size_t files;
+  int names = 0;
+  const char *page = script_read_file (scratch, "docs/guarantees.md");
+  const char *source = read_files (scratch, "tests/test_*.c", &files);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (page);
+  for (const char *at = page; (at = strchr (at, '`')) != NULL; at++)
+    {
+      size_t suite = 0, name = 0;
+      while (is_word (at[1 + suite]))
+        suite++;
+      const char *rest = at + 1 + suite + 1;
+      if (suite == 0 || rest[-1] != '/')
+        continue;
+      while (is_word (rest[name]))
+        name++;
+      if (rest[name] != '`')
+        continue;
+      char *suite_line = talloc_asprintf (scratch, "TEST_SUITE (%.*s, cases)",
+                                          (int)suite, at + 1);
+      char *case_line
+          = talloc_asprintf (scratch, "  { \"%.*s\",", (int)name, rest);
+      if (strstr (source, suite_line) == NULL
+          || strstr (source, case_line) == NULL)
+        printf ("no test %.*s ", (int)(suite + 1 + name), at + 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (source, suite_line));
+      CU_ASSERT_PTR_NOT_NULL (strstr (source, case_line));
+      names++;
+    }
+  CU_ASSERT (names >= 11);
+  talloc_free (scratch);
+}
+
 static const struct test_case cases[] = {
   { "guide_has_the_current_reference", guide_has_the_current_reference },
   { "manuals_name_everything", manuals_name_everything },
+  { "interface_names_every_error_code", interface_names_every_error_code },
+  { "pages_name_only_existing_metrics", pages_name_only_existing_metrics },
+  { "named_tests_exist", named_tests_exist },
   { NULL, NULL },
 };
 TEST_SUITE (docs, cases)
