--- a/daemon/call.c
+++ b/daemon/call.c
@@ -12,6 +12,8 @@
 /* A read is sent once, again after each of five waits for a replica, and
    then to the primary. */
 #define MAX_SENDS 8
+/* A change of primary takes one to three seconds. */
+#define NO_PRIMARY_RETRY_US (1 * USEC_PER_SEC)
 /* A read that was popped and found its endpoints busy asks again then. */
 #define BUSY_RETRY_US (1 * USEC_PER_MSEC)
 
@@ -403,6 +405,14 @@
   call_refuse (c, "overloaded", "the queue is full", retry_us);
 }
 
+/* 57P0x, 08xxx: the server stops, the fate of a commit is open. */
+static bool
+leaves_commit_open (const struct pgsql_reply *reply)
+{
+  return strncmp (reply->sqlstate, "57P0", 4) == 0
+         || strncmp (reply->sqlstate, "08", 2) == 0;
+}
+
 /* The endpoint answered, the statement failed and was rolled back. */
 static void
 on_statement_failed (struct call *c, const struct pgsql_reply *reply)
@@ -422,9 +432,7 @@
       handle (c, REQUEST_FENCED);
       return;
     }
-  /* 57P0x, 08xxx: the server stops, the fate of the commit is open. */
-  if (strncmp (reply->sqlstate, "57P0", 4) == 0
-      || strncmp (reply->sqlstate, "08", 2) == 0)
+  if (leaves_commit_open (reply))
     {
       handle (c, REQUEST_LOST);
       return;
@@ -848,18 +856,28 @@
   g->dispatching = false;
 }
 
+/* Without a primary the caller learns when one is likely. */
+static void
+set_deadline_failure (struct call *c)
+{
+  if (!c->is_read && group_writable (c->group, clock_now ()) == NULL)
+    {
+      set_failure (c, "no_primary", "no primary before the deadline");
+      c->retry_us = NO_PRIMARY_RETRY_US;
+    }
+  else
+    set_failure (c, "deadline", "the deadline passed");
+}
+
 static void
-expire_queue (struct group *g, struct admission *queue)
+expire_queue (struct admission *queue)
 {
   struct admission_entry *entry;
   while ((entry = admission_expired (queue, clock_now ())) != NULL)
     {
       struct call *c = entry->request;
       c->queued = false;
-      set_failure (c, "deadline",
-                   group_writable (g, clock_now ()) == NULL
-                       ? "no primary before the deadline"
-                       : "the deadline passed in the queue");
+      set_deadline_failure (c);
       handle (c, REQUEST_EXPIRED);
     }
 }
@@ -867,8 +885,8 @@
 void
 call_expire (struct group *g)
 {
-  expire_queue (g, g->writes);
-  expire_queue (g, g->reads);
+  expire_queue (g->writes);
+  expire_queue (g->reads);
 }
 
 static void
@@ -887,7 +905,7 @@
   leave_list (&g->held, c);
   leave_list (&g->resolving, c);
   drop_connection (c, false, true);
-  set_failure (c, "deadline", "the deadline passed");
+  set_deadline_failure (c);
   c->deadline_timer
       = daemon_after (g->daemon, c, LOOKUP_GRACE_US, on_deadline, c);
   handle (c, REQUEST_EXPIRED);
@@ -1052,6 +1070,12 @@
   struct call *c = data;
   if (on_broken (c, reply))
     return;
+  if (reply->end == PGSQL_FAILED && leaves_commit_open (reply))
+    {
+      drop_connection (c, false, true);
+      handle (c, REQUEST_LOST);
+      return;
+    }
   if (reply->end == PGSQL_FAILED
       || strcmp (PQcmdStatus (reply->results[1]), "COMMIT") != 0)
     {
--- a/daemon/daemon.c
+++ b/daemon/daemon.c
@@ -9,8 +9,9 @@
 
 #define PART "daemon"
 #define DRAIN_CHECK_US (50 * USEC_PER_MSEC)
-/* The balancer needs this long to see that the health check fails. */
-#define DRAIN_MIN_US (1 * USEC_PER_SEC)
+/* Requests are served for this long after the health check began to fail,
+   so that the load balancer takes the VM out before it refuses any. */
+#define DRAIN_GRACE_US (2 * USEC_PER_SEC)
 
 struct repeating
 {
@@ -69,6 +70,7 @@
 {
   struct daemon *daemon;
   int64_t started;
+  bool refusing;
 };
 
 static void
@@ -77,7 +79,16 @@
   struct drain *drain = data;
   struct daemon *d = drain->daemon;
   int64_t elapsed = clock_now () - drain->started;
-  if (elapsed < DRAIN_MIN_US || front_busy (d->front) > 0)
+  if (elapsed < DRAIN_GRACE_US)
+    return;
+  if (!drain->refusing)
+    {
+      drain->refusing = true;
+      front_drain (d->front);
+      cell_set_leaving (d->cell, true);
+      budget_set_leaving (d->budget, true);
+    }
+  if (front_busy (d->front) > 0)
     return;
   if (!d->stopped)
     log_info (PART, "drained elapsed_ms=%d", (int)(elapsed / USEC_PER_MSEC));
@@ -90,11 +101,8 @@
   if (d->draining)
     return;
   struct drain *drain = talloc (d, struct drain);
-  *drain = (struct drain){ d, clock_now () };
+  *drain = (struct drain){ d, clock_now (), false };
   d->draining = true;
   log_info (PART, "draining busy=%d", front_busy (d->front));
-  front_drain (d->front);
-  cell_set_leaving (d->cell, true);
-  budget_set_leaving (d->budget, true);
   daemon_every (d, d, DRAIN_CHECK_US, check_drained, drain);
 }
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -41,6 +41,7 @@
   int64_t asked_at; /**< First question to the budget. */
   bool asked;
   char *transaction; /**< Id, for a request inside a transaction. */
+  bool begins;       /**< Opens a transaction. */
   char *lookup_key;  /**< For GET /v1/requests/<key>. */
 };
 
@@ -247,10 +248,47 @@
     }
 }
 
+/* The transaction may have ended while the request waited for its rate. */
+static struct transaction *
+find_transaction (struct arrival *a)
+{
+  struct transaction *t
+      = transaction_find (a->front->daemon, bstr_from (a->transaction));
+  if (t == NULL || !transaction_belongs (t, a->key_id, a->http->connection))
+    {
+      refuse (a, 404, "unknown_transaction",
+              "no such transaction on this connection", 0);
+      return NULL;
+    }
+  if (transaction_is_busy (t))
+    {
+      refuse (a, 409, "transaction_busy",
+              "the transaction is running another request", 0);
+      return NULL;
+    }
+  return t;
+}
+
+static void
+run_in_transaction (struct arrival *a)
+{
+  struct transaction *t = find_transaction (a);
+  if (t == NULL)
+    return;
+  struct query *q = talloc_steal (t, a->query);
+  transaction_query (t, a->http, a->request_id, q);
+  talloc_free (a);
+}
+
 static void
 continue_admitted (struct arrival *a)
 {
-  if (a->transaction == NULL)
+  if (a->transaction != NULL)
+    {
+      run_in_transaction (a);
+      return;
+    }
+  if (!a->begins)
     {
       start_call (a);
       return;
@@ -354,7 +392,7 @@
       return;
     }
   if (!find_group (a, http_query_value (a->http, "service"))
-      || !authenticate (a, false))
+      || !authenticate (a, false) || !read_session (a))
     return;
   a->lookup_key = bstr_to_text (a, key);
   set_deadline (a, 0);
@@ -379,59 +417,61 @@
     }
   if (!find_group (a, bstr_from (name)) || !authenticate (a, false))
     return;
-  a->transaction = talloc_strdup (a, "");
+  a->begins = true;
   set_deadline (a, 0);
   admit (a);
 }
 
-/* POST /v1/transactions/<id>/<verb> */
+static void
+end_transaction (struct arrival *a, bool commit)
+{
+  struct transaction *t = find_transaction (a);
+  if (t == NULL)
+    return;
+  a->organisation = transaction_organisation (t);
+  if (!commit)
+    {
+      transaction_rollback (t, a->http, a->request_id);
+      talloc_free (a);
+    }
+  else if (read_session (a))
+    transaction_commit (t, a->http, a->request_id, &a->token, a);
+}
+
+/* POST /v1/transactions/<id>/<verb>.  Statements count against the rate;
+   ending a transaction never does, because it frees a connection. */
 static void
 on_transaction (struct arrival *a, struct bstr rest)
 {
   const char *slash = memchr (rest.start, '/', rest.len);
   size_t len = slash != NULL ? (size_t)(slash - rest.start) : rest.len;
-  struct bstr id = { rest.start, len };
   struct bstr verb = bstr_skip (rest, len + 1);
+  a->transaction = bstr_to_text (a, (struct bstr){ rest.start, len });
   if (!authenticate (a, false))
     return;
-  struct transaction *t = transaction_find (a->front->daemon, id);
-  if (t == NULL || !transaction_belongs (t, a->key_id, a->http->connection))
-    {
-      refuse (a, 404, "unknown_transaction",
-              "no such transaction on this connection", 0);
-      return;
-    }
-  if (transaction_is_busy (t))
-    {
-      refuse (a, 409, "transaction_busy",
-              "the transaction is running another request", 0);
-      return;
-    }
-  if (bstr_equals_text (verb, "query"))
+  if (bstr_equals_text (verb, "commit"))
+    end_transaction (a, true);
+  else if (bstr_equals_text (verb, "rollback"))
+    end_transaction (a, false);
+  else if (bstr_equals_text (verb, "query"))
     {
-      if (!read_query (a))
+      struct transaction *t = find_transaction (a);
+      if (t == NULL || !read_query (a))
         return;
-      struct query *q = talloc_steal (t, a->query);
-      transaction_query (t, a->http, a->request_id, q);
+      a->group = transaction_group (t);
+      a->organisation = transaction_organisation (t);
+      set_deadline (a, a->query->deadline_ms);
+      admit (a);
     }
-  else if (bstr_equals_text (verb, "commit"))
-    transaction_commit (t, a->http, a->request_id);
-  else if (bstr_equals_text (verb, "rollback"))
-    transaction_rollback (t, a->http, a->request_id);
   else
-    {
-      refuse (a, 404, "not_found", "no such route", 0);
-      return;
-    }
-  talloc_free (a);
+    refuse (a, 404, "not_found", "no such route", 0);
 }
 
 static void
 on_health (struct arrival *a)
 {
   struct daemon *d = a->front->daemon;
-  bool ready = !a->front->draining && d->settings != NULL
-               && cell_is_member (d->cell)
+  bool ready = !d->draining && d->settings != NULL && cell_is_member (d->cell)
                && cell_lease_valid (d->cell, clock_now ());
   const char *text
       = ready ? "{\"status\":\"ready\"}\n" : "{\"status\":\"not_ready\"}\n";
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -526,7 +526,7 @@
 on_poll_tick (void *data)
 {
   struct group *g = data;
-  if (g->retired)
+  if (g->retired && g->held == NULL)
     return;
   for (int i = 0; i < g->endpoint_count; i++)
     poll_endpoint (&g->endpoints[i]);
@@ -574,11 +574,14 @@
 void
 group_on_release (struct daemon *d, const char *service, uint64_t term)
 {
-  struct group *g = group_find (d, bstr_from (service));
-  if (g == NULL || term == 0)
-    return;
-  authority_release (g->authority, term - 1);
-  authority_term_seen (g->authority, term);
+  /* Also groups that a newer configuration replaced: their running writes
+     must not be acknowledged for an older term either. */
+  for (struct group *g = d->groups; g != NULL && term > 0; g = g->next)
+    if (strcmp (g->service, service) == 0)
+      {
+        authority_release (g->authority, term - 1);
+        authority_term_seen (g->authority, term);
+      }
 }
 
 void
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -264,16 +264,19 @@
 
 void
 transaction_commit (struct transaction *t, struct http_request *http,
-                    const char *request_id)
+                    const char *request_id, const struct token *token,
+                    void *owner)
 {
   struct call_options options = {
     .group = t->group,
     .organisation = t->organisation,
     .http = http,
     .request_id = request_id,
+    .token = token,
     .deadline_us = t->organisation->values.deadline_ms * USEC_PER_MSEC,
   };
   struct call *c = call_create (&options);
+  talloc_steal (c, owner);
   struct endpoint *e = t->endpoint;
   struct pgsql_connection *connection = t->connection;
   t->endpoint = NULL;
@@ -312,6 +315,18 @@
   return t->client == connection && strcmp (t->key_id, key_id) == 0;
 }
 
+struct group *
+transaction_group (const struct transaction *t)
+{
+  return t->group;
+}
+
+struct organisation *
+transaction_organisation (const struct transaction *t)
+{
+  return t->organisation;
+}
+
 bool
 transaction_is_busy (const struct transaction *t)
 {
--- a/daemon/transaction.h
+++ b/daemon/transaction.h
@@ -28,8 +28,13 @@
 bool transaction_is_busy (const struct transaction *t);
 void transaction_query (struct transaction *t, struct http_request *http,
                         const char *request_id, struct query *q);
+/** @param token the caller's session, which the answer's token extends.
+ * @param owner memory that holds the token's strings; it is taken over. */
 void transaction_commit (struct transaction *t, struct http_request *http,
-                         const char *request_id);
+                         const char *request_id, const struct token *token,
+                         void *owner);
+struct group *transaction_group (const struct transaction *t);
+struct organisation *transaction_organisation (const struct transaction *t);
 void transaction_rollback (struct transaction *t, struct http_request *http,
                            const char *request_id);
 /** Roll back what the client connection left open. */
