failover: replace a primary that is leaving while it still answers

Cause: nothing started a change of primary when the primary's endpoint was marked as leaving, so it got new writes until it ended, and its end was an unplanned failover.

Ruled out: fencing first as in an unplanned change, because the fence stops the replicas while writes are still on the way; choosing an endpoint that stays but has a lower position, because it may lack an acknowledged write; starting while too few replicas remain to give authority, because the change would end the service.

Change: failover_set_leaving. One member drives the change, by rank. The members release, the replicas receive the rest for 100 ms, then fence, choose once an endpoint that stays holds all that the old primary wrote (at most 500 ms), promote, open. Marks are part of the random schedules.

Conclusion: a primary that leaves gets no new work a fraction of a second after the mark if the replicas can carry on. A transaction that runs longer than the waits is told not_run.

--- a/core/failover.c
+++ b/core/failover.c
@@ -25,6 +25,18 @@
 #define REMOVED_LEASES 10
 /* Driver timeouts without progress until a living driver is replaced. */
 #define STUCK_TIMEOUTS 3
+/* Time that writes which were sent before their member released the old term
+   get to reach the primary that leaves, and then the replicas.  A write to a
+   nearby endpoint takes a few milliseconds. */
+#define PLANNED_QUIET_US INT64_C (100000)
+/* Longest wait of a planned change for releases, and later for replicas that
+   lag; then its steps are those of an unplanned one. */
+#define PLANNED_RELEASE_US INT64_C (300000)
+#define PLANNED_CATCH_UP_US INT64_C (500000)
+/* Interval between the positions of the primary that replicas are compared
+   with.  A replica that reached the last but one of them receives the rest
+   within PLANNED_CATCH_UP_US. */
+#define MARK_US INT64_C (200000)
 /* Time after a change of term in which authority is sought with fast
    polls. */
 #define SETTLE_US INT64_C (2000000)
@@ -49,6 +61,10 @@
   int fences_in_flight;
   int64_t poll_sent_at;
   int64_t follow_sent_at;
+  bool leaving;
+  /* Positions of the last two statuses that are MARK_US apart. */
+  uint64_t mark, earlier_mark;
+  int64_t mark_at;
 };
 
 struct member_view
@@ -96,7 +112,8 @@
 
   int64_t due_since; /* Since when a condition asks this member to act. */
   int64_t driving_since;
-  int64_t over_since; /* When older authority was found to have ended. */
+  int64_t over_since;     /* When older authority was found to have ended. */
+  int64_t released_since; /* When every member had released, 0 before. */
   int64_t release_sent_at;
   int64_t promote_sent_at;
   bool may_promote; /* The candidate was chosen or polled by this driver. */
@@ -209,6 +226,7 @@
     {
       f->driving_since = now;
       f->over_since = 0;
+      f->released_since = 0;
       f->release_sent_at = 0;
       f->promote_sent_at = 0;
       f->may_promote = false;
@@ -287,6 +305,12 @@
             const struct endpoint_status *status, int64_t now)
 {
   struct endpoint_view *e = &f->endpoints[endpoint];
+  if (e->mark_at == 0 || now - e->mark_at >= MARK_US)
+    {
+      e->earlier_mark = e->mark_at == 0 ? status->received : e->mark;
+      e->mark = status->received;
+      e->mark_at = now;
+    }
   e->status = *status;
   e->answered_at = now;
   see_term (f, status->term);
@@ -387,6 +411,15 @@
   f->member_count = count;
 }
 
+void
+failover_set_leaving (struct failover *f, int endpoint, bool leaving,
+                      int64_t now)
+{
+  advance (f, now);
+  if (endpoint >= 0 && endpoint < f->options.endpoint_count)
+    f->endpoints[endpoint].leaving = leaving;
+}
+
 void
 failover_on_members_read (struct failover *f, int64_t sent_at, int64_t now)
 {
@@ -630,12 +663,44 @@
              && s->received < primary->received);
 }
 
+/* Decide whether the primary is to be replaced because it leaves.  The
+   replicas alone must be able to give authority and confirm writes, or the
+   change would end the service instead of moving it.
+   @param rank set to this member's place among those heard from. */
+static bool
+primary_should_move (const struct failover *f, int64_t now, int *rank)
+{
+  int replicas = 0, candidates = 0;
+  int self = find_member (f, f->options.self);
+  const struct endpoint_view *primary = &f->endpoints[f->record.primary];
+  if (!primary->leaving || self == INDEX_NONE
+      || !is_reachable (f, f->record.primary, now)
+      || primary->status.in_recovery || primary->status.term != f->record.term)
+    return false;
+  for (int i = 0; i < f->options.endpoint_count; i++)
+    {
+      const struct endpoint_view *e = &f->endpoints[i];
+      if (i == f->record.primary || !is_reachable (f, i, now)
+          || !e->status.in_recovery || e->status.term != f->record.term
+          || e->status.fence > f->record.term)
+        continue;
+      replicas++;
+      candidates += !e->leaving && e->status.received >= primary->earlier_mark;
+    }
+  *rank = 0;
+  for (int i = 0; i < self; i++)
+    *rank += is_fresh (f, i, now);
+  return candidates > 0 && replicas >= endpoint_majority (f)
+         && replicas > f->options.confirm_replicas;
+}
+
 static bool
 next_stable (struct failover *f, int64_t now, uint64_t op,
              struct failover_action *action)
 {
   int rank = 0;
-  if (primary_has_failed (f, now, &rank))
+  if (primary_has_failed (f, now, &rank)
+      || primary_should_move (f, now, &rank))
     {
       if (is_turn (f, rank, STAGGER_US, now))
         open_next_term (f, op);
@@ -690,6 +755,15 @@
   return count >= endpoint_majority (f) ? times[endpoint_majority (f) - 1] : 0;
 }
 
+static bool
+members_released (const struct failover *f)
+{
+  for (int i = 0; i < f->member_count; i++)
+    if (f->members[i].released < f->record.term)
+      return false;
+  return f->member_count > 0;
+}
+
 /* Whether everyone who can hold authority for an older term gave it up.
    The member list must have been read after the fence, because a member
    that joined later saw the marker, and one that joined before is on it. */
@@ -698,12 +772,8 @@
 {
   int64_t settled = latest (f->created_at, f->member_removed_at)
                     + REMOVED_LEASES * f->options.lease_us;
-  if (f->member_count == 0 || now < settled || f->members_read_at < fenced_at)
-    return false;
-  for (int i = 0; i < f->member_count; i++)
-    if (f->members[i].released < f->record.term)
-      return false;
-  return true;
+  return now >= settled && f->members_read_at >= fenced_at
+         && members_released (f);
 }
 
 static bool
@@ -765,6 +835,43 @@
          && s->term == f->record.base_term;
 }
 
+/* Whether the old primary is replaced because it leaves, and still works. */
+static bool
+is_planned (const struct failover *f, int64_t now)
+{
+  return f->endpoints[f->record.primary].leaving
+         && is_reachable (f, f->record.primary, now)
+         && leads_base_term (f, f->record.primary);
+}
+
+/* Choose among the endpoints that stay and hold all that the old primary
+   wrote, which bounds every acknowledged write. */
+static int
+choose_staying (const struct failover *f, int64_t now)
+{
+  int primary = f->record.primary;
+  if (!is_final (f, primary, now) || !leads_base_term (f, primary))
+    return INDEX_NONE;
+  for (int i = 0; i < f->options.endpoint_count; i++)
+    {
+      const struct endpoint_view *e = &f->endpoints[i];
+      if (!e->leaving && is_final (f, i, now) && is_eligible (f, e)
+          && position_of (e) >= position_of (&f->endpoints[primary]))
+        return i;
+    }
+  return INDEX_NONE;
+}
+
+/* Whether @p a is the better candidate.  Position comes first: an endpoint
+   that stays but lags may lack an acknowledged write. */
+static bool
+is_better (const struct endpoint_view *a, const struct endpoint_view *b)
+{
+  if (position_of (a) != position_of (b))
+    return position_of (a) > position_of (b);
+  return b->leaving && !a->leaving;
+}
+
 /* Choose the endpoint to promote among those whose position is final.
    @return INDEX_NONE while an acknowledged write could be missing. */
 static int
@@ -784,8 +891,7 @@
                  && (e->status.in_recovery
                      || e->status.term < f->record.base_term);
       if (is_eligible (f, e)
-          && (best == INDEX_NONE
-              || position_of (e) > position_of (&f->endpoints[best])))
+          && (best == INDEX_NONE || is_better (e, &f->endpoints[best])))
         best = i;
     }
   if (best == INDEX_NONE || holders >= needed_holders (f))
@@ -843,6 +949,18 @@
   return poll_all (f, now, action);
 }
 
+/* Whether to stop the replicas' receivers.  In a planned change they first
+   receive what was written before the members released the old term. */
+static bool
+may_fence (struct failover *f, int64_t now)
+{
+  if (f->released_since == 0 && members_released (f))
+    f->released_since = now;
+  return !is_planned (f, now) || now - f->driving_since >= PLANNED_RELEASE_US
+         || (f->released_since != 0
+             && now - f->released_since >= PLANNED_QUIET_US);
+}
+
 static bool
 next_fencing (struct failover *f, int64_t now, uint64_t op,
               struct failover_action *action)
@@ -857,7 +975,11 @@
     }
   if (f->over_since != 0)
     {
-      int candidate = choose_candidate (f, now);
+      int candidate = choose_staying (f, now);
+      bool may_wait
+          = is_planned (f, now) && now - f->over_since < PLANNED_CATCH_UP_US;
+      if (candidate == INDEX_NONE && !may_wait)
+        candidate = choose_candidate (f, now);
       if (candidate != INDEX_NONE)
         {
           struct group_record next = f->record;
@@ -869,7 +991,8 @@
         }
       return next_catch_up (f, now, action);
     }
-  for (int i = 0; i < f->options.endpoint_count; i++)
+  bool fences = may_fence (f, now);
+  for (int i = 0; fences && i < f->options.endpoint_count; i++)
     if (f->endpoints[i].fenced_term < f->record.term
         && fence_endpoint (f, i, now, action))
       return true;
--- a/core/failover.h
+++ b/core/failover.h
@@ -127,6 +127,11 @@
 /** The members of the cell that count, in order; set at each change. */
 void failover_set_members (struct failover *f, const uint64_t *members,
                            int count, int64_t now);
+/** Mark an endpoint as leaving, or withdraw the mark.  A primary that leaves
+ * is replaced while it still answers; a leaving endpoint is promoted only if
+ * no other one may be. */
+void failover_set_leaving (struct failover *f, int endpoint, bool leaving,
+                           int64_t now);
 /** The members last set are those of a read that was sent at @p sent_at.
  * Without this event the driver always waits for the lease. */
 void failover_on_members_read (struct failover *f, int64_t sent_at,
--- a/tests/failover_world.c
+++ b/tests/failover_world.c
@@ -257,7 +257,10 @@
             acknowledge (w, d, m->write);
         }
       else if (verdict == ACK_DISCARDED)
-        w->writes[m->write].discarded = true;
+        {
+          w->writes[m->write].discarded = true;
+          w->result.discarded++;
+        }
       else if (verdict == ACK_WAIT)
         d->held[kept++] = d->held[i];
     }
@@ -710,6 +713,10 @@
     e->is_down = verb[0] == 'f';
   else if (strcmp (verb, "cut") == 0 || strcmp (verb, "join") == 0)
     w->cut[node][other] = w->cut[other][node] = verb[0] == 'c';
+  else if (strcmp (verb, "leaving") == 0 || strcmp (verb, "staying") == 0)
+    for (int i = 0; i < w->options.members; i++)
+      failover_set_leaving (w->daemons[i].failover, node, verb[0] == 'l',
+                            clock_of (w, &w->daemons[i]));
   else if (strcmp (verb, "outage") == 0)
     w->outage = strcmp (a, "on") == 0;
   else if (strcmp (verb, "slow") == 0)
--- a/tests/failover_world.h
+++ b/tests/failover_world.h
@@ -27,6 +27,7 @@
 {
   int violations;
   int acknowledged;
+  int discarded;    /**< Writes whose callers were told not_run. */
   int missing;      /**< Acknowledged writes that the newest history lacks. */
   int64_t gap;      /**< Longest time without an acknowledgement, us. */
   uint64_t term;    /**< Newest opened. */
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -72,7 +72,18 @@
                                        "failover-old-primary",
                                        "failover-daemon-isolated",
                                        "failover-five-endpoints",
-                                       "failover-stale-lease" };
+                                       "failover-stale-lease",
+                                       "failover-planned",
+                                       "failover-planned-early",
+                                       "failover-planned-withdrawn",
+                                       "failover-planned-outage",
+                                       "failover-planned-race",
+                                       "failover-planned-all",
+                                       "failover-planned-one-stays",
+                                       "failover-planned-dies",
+                                       "failover-planned-driver",
+                                       "failover-planned-lag",
+                                       "failover-planned-slow" };
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     {
       void *scratch = talloc_new (NULL);
@@ -121,6 +132,35 @@
     }
 }
 
+/* Guards against a planned change that cuts off a write that was already
+   sent, or that takes as long as an unplanned one. */
+static void
+planned_change_cuts_no_write (void)
+{
+  static const struct
+  {
+    const char *session;
+    int64_t gap_ms;
+  } cases[] = {
+    { "failover-planned", 500 },      { "failover-planned-one-stays", 500 },
+    { "failover-planned-race", 500 }, { "failover-planned-outage", 500 },
+    { "failover-planned-all", 300 },  { "failover-planned-early", 1500 },
+    { "failover-planned-slow", 800 },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      void *scratch = talloc_new (NULL);
+      const struct failover_world_result *r
+          = failover_world_result (run_session (scratch, cases[i].session,
+                                                (struct world_options){ 0 }));
+      printf ("%s: gap %" PRId64 " ms, %d writes cut\n", cases[i].session,
+              r->gap / MS, r->discarded);
+      CU_ASSERT_EQUAL (r->discarded, 0);
+      CU_ASSERT (r->gap <= cases[i].gap_ms * MS);
+      talloc_free (scratch);
+    }
+}
+
 /* Draw one fault.  @return the command that ends it, empty if none. */
 static void
 draw_fault (unsigned short random[3], int endpoints, int members, char *fault,
@@ -132,7 +172,7 @@
   int ms = 100 + (int)(erand48 (random) * 6000);
   static const char *const answers[] = { "update", "promote", "fence" };
   end[0] = '\0';
-  switch ((int)(erand48 (random) * 13))
+  switch ((int)(erand48 (random) * 14))
     {
     case 0:
     case 1:
@@ -173,6 +213,10 @@
       snprintf (fault, size, "cut d%d d%d", d, other % members);
       snprintf (end, size, "join d%d d%d", d, other % members);
       break;
+    case 12:
+      snprintf (fault, size, "leaving e%d", e);
+      snprintf (end, size, "staying e%d", e);
+      break;
     default:
       snprintf (fault, size, "slow e%d %d", e, ms / 4);
       snprintf (end, size, "slow e%d 0", e);
@@ -289,6 +333,7 @@
 
 static const struct test_case cases[] = {
   { "sessions_match_their_golden_files", sessions_match_their_golden_files },
+  { "planned_change_cuts_no_write", planned_change_cuts_no_write },
   { "checks_notice_a_missing_mechanism", checks_notice_a_missing_mechanism },
   { "random_schedules_keep_the_invariants",
     random_schedules_keep_the_invariants },
