failover: shorten detection, lost responses and the change of driver

Cause: a primary whose process ended was found only after 1 s of silence; an update without a response waited for the host's timeout and for 500 ms per lost read; a driver was replaced after four missed heartbeats, and its successor counted the lease anew from its own fence.

Ruled out (docs/failover.md): a shorter suspect time or lease, closed connections or server errors as evidence, refusals without the replicas' word, skipping the lease wait within ten leases of a start or removal.

Change: failover_on_refused, refused_us and primary_view.refused: at least four refused attempts in a row over refused_us count as a vote; a majority must vote and every replica that answers must not have heard the primary. Updates are read back after 100 ms. A driver sends its view every 100 ms and is replaced after half of driver_timeout. The lease is counted from when the marker was first seen on a majority, whoever set it.

--- a/core/failover.c
+++ b/core/failover.c
@@ -6,6 +6,18 @@
 #define RETRY_US INT64_C (100000)
 /* Interval between reads of an object that does not answer. */
 #define READ_RETRY_US INT64_C (500000)
+/* An update without a result is read back after this time, and again at this
+   interval until UPDATE_LATE_US.  The platform answers in milliseconds, so
+   the response is then probably lost; afterwards it is probably down. */
+#define READ_BACK_US INT64_C (100000)
+#define UPDATE_LATE_US INT64_C (1000000)
+/* Refused attempts to connect that count as evidence, and the longest time
+   between two of them. */
+#define REFUSED_MIN 4
+#define REFUSED_GAP_US INT64_C (500000)
+/* Interval between the views of a driver during a change.  They let it be
+   replaced after half its timeout; heartbeats alone are too rare for that. */
+#define DRIVER_VIEW_US INT64_C (100000)
 /* Delay per rank before a member acts on what all members see.  An update
    takes a few milliseconds, so the next rank sees the first one's. */
 #define STAGGER_US INT64_C (150000)
@@ -24,7 +36,7 @@
    within this many, its missing release is not ignored. */
 #define REMOVED_LEASES 10
 /* Driver timeouts without progress until a living driver is replaced. */
-#define STUCK_TIMEOUTS 3
+#define STUCK_TIMEOUTS 4
 /* Time that writes which were sent before their member released the old term
    get to reach the primary that leaves, and then the replicas.  A write to a
    nearby endpoint takes a few milliseconds. */
@@ -53,14 +65,19 @@
   struct endpoint_status status;
   int64_t answered_at; /* 0 if never. */
   uint64_t fenced_term;
-  int64_t fenced_at;
   /* The receiver was stopped and the status measured after this time; set
      by a fence that was the only one in flight. */
   int64_t measured_after;
+  /* Highest marker in any status, and when it was first seen. */
+  uint64_t marker;
+  int64_t marker_at;
   int64_t fence_sent_at;
   int fences_in_flight;
   int64_t poll_sent_at;
   int64_t follow_sent_at;
+  /* Consecutive attempts to connect that were refused. */
+  int refusals;
+  int64_t refused_since, refused_at;
   bool leaving;
   /* Positions of the last two statuses that are MARK_US apart. */
   uint64_t mark, earlier_mark;
@@ -118,6 +135,7 @@
   int64_t promote_sent_at;
   bool may_promote; /* The candidate was chosen or polled by this driver. */
   int last_vote;
+  int64_t view_due_at; /* When the last view was due. */
 };
 
 struct failover *
@@ -153,6 +171,8 @@
       f->due_since = 0;
       f->must_read = true;
       f->read_sent_at = 0;
+      for (int i = 0; i < f->options.endpoint_count; i++)
+        f->endpoints[i].refusals = 0;
     }
   f->last_now = latest (f->last_now, now);
 }
@@ -311,6 +331,12 @@
       e->mark = status->received;
       e->mark_at = now;
     }
+  if (status->fence > e->marker)
+    {
+      e->marker = status->fence;
+      e->marker_at = now;
+    }
+  e->refusals = 0;
   e->status = *status;
   e->answered_at = now;
   see_term (f, status->term);
@@ -329,6 +355,22 @@
     f->may_promote = true;
 }
 
+void
+failover_on_refused (struct failover *f, int endpoint, int64_t now)
+{
+  advance (f, now);
+  if (endpoint < 0 || endpoint >= f->options.endpoint_count)
+    return;
+  struct endpoint_view *e = &f->endpoints[endpoint];
+  if (e->refusals == 0 || now - e->refused_at > REFUSED_GAP_US)
+    {
+      e->refusals = 0;
+      e->refused_since = now;
+    }
+  e->refusals++;
+  e->refused_at = now;
+}
+
 void
 failover_on_fenced (struct failover *f, int endpoint, bool ok,
                     const struct endpoint_status *status, int64_t now)
@@ -346,10 +388,7 @@
   if (sole)
     e->measured_after = e->fence_sent_at;
   if (status->fence > e->fenced_term)
-    {
-      e->fenced_term = status->fence;
-      e->fenced_at = now;
-    }
+    e->fenced_term = status->fence;
 }
 
 void
@@ -427,6 +466,18 @@
   f->members_read_at = latest (f->members_read_at, sent_at);
 }
 
+/* Whether the primary's host says that nothing listens there. */
+static bool
+primary_refuses (const struct failover *f, int64_t now)
+{
+  if (f->options.refused_us == 0 || f->record.primary < 0
+      || f->record.primary >= f->options.endpoint_count)
+    return false;
+  const struct endpoint_view *e = &f->endpoints[f->record.primary];
+  return e->refusals >= REFUSED_MIN && now - e->refused_at <= REFUSED_GAP_US
+         && e->refused_at - e->refused_since >= f->options.refused_us;
+}
+
 struct primary_view
 failover_view (const struct failover *f, int64_t now)
 {
@@ -442,7 +493,10 @@
     heard = latest (heard, f->endpoints[f->record.primary].answered_at);
   /* A process that is just being resumed has not listened yet. */
   if (now - f->last_now <= PAUSE_US)
-    view.silence_us = now - heard;
+    {
+      view.silence_us = now - heard;
+      view.refused = primary_refuses (f, now);
+    }
   return view;
 }
 
@@ -452,7 +506,7 @@
 {
   if (!view->reaches_majority || view->term != f->record.term)
     return 0;
-  return (view->silence_us >= f->options.suspect_us)
+  return (view->silence_us >= f->options.suspect_us || view->refused)
          + (view->silence_us >= f->options.unreachable_us);
 }
 
@@ -463,7 +517,10 @@
   int vote = vote_of (f, &view);
   bool changed = vote != f->last_vote;
   f->last_vote = vote;
-  return changed;
+  if (!changed && (!is_driving (f) || now - f->view_due_at < DRIVER_VIEW_US))
+    return false;
+  f->view_due_at = now;
+  return true;
 }
 
 static bool
@@ -483,6 +540,26 @@
   return f->members[member].view;
 }
 
+/* Whether a replica that answers has, or may have, heard from the primary
+   since it began to refuse connections.  The first quarter of the time is
+   left out, because what a replica heard just before arrives late. */
+static bool
+replicas_may_hear_primary (const struct failover *f, int64_t now)
+{
+  int64_t since = f->endpoints[f->record.primary].refused_since;
+  for (int i = 0; i < f->options.endpoint_count; i++)
+    {
+      const struct endpoint_view *e = &f->endpoints[i];
+      if (i != f->record.primary && is_reachable (f, i, now)
+          && e->status.in_recovery && e->status.term == f->record.term
+          && (e->answered_at < since + f->options.refused_us
+              || e->answered_at - e->status.primary_age_us
+                     > since + f->options.refused_us / 4))
+        return true;
+    }
+  return false;
+}
+
 /* Whether a replica that answers has heard from the primary lately. */
 static bool
 replicas_hear_primary (const struct failover *f, int64_t now)
@@ -521,8 +598,10 @@
       suspect += vote >= 1;
       unreachable += vote >= 2;
     }
-  return unreachable >= majority
-         || (suspect >= majority && !replicas_hear_primary (f, now));
+  bool heard = own.silence_us >= f->options.suspect_us
+                   ? replicas_hear_primary (f, now)
+                   : replicas_may_hear_primary (f, now);
+  return unreachable >= majority || (suspect >= majority && !heard);
 }
 
 /* Whether a condition has held for this member's turn. */
@@ -727,13 +806,18 @@
   for (int i = 0; i < f->options.endpoint_count; i++)
     at_term += f->endpoints[i].status.term == f->record.term;
   struct primary_view own = failover_view (f, now);
-  if (own.silence_us >= f->options.suspect_us * 3 / 4
+  const struct endpoint_view *primary = &f->endpoints[f->record.primary];
+  bool refuses = f->options.refused_us != 0 && primary->refusals > 0
+                 && now - primary->refused_at <= REFUSED_GAP_US;
+  if (refuses || own.silence_us >= f->options.suspect_us * 3 / 4
       || (now - f->term_at < SETTLE_US && at_term < endpoint_majority (f)))
     return poll_all (f, now, action);
   return false;
 }
 
-/* Time at which a majority carried the marker, 0 if it does not yet. */
+/* Time by which a majority carried the marker, 0 if it does not yet.  Who
+   set it does not matter, so a driver that takes over counts the lease from
+   the polls that showed it the marker. */
 static int64_t
 majority_fenced_at (const struct failover *f)
 {
@@ -742,15 +826,15 @@
   for (int i = 0; i < f->options.endpoint_count; i++)
     {
       const struct endpoint_view *e = &f->endpoints[i];
-      if (e->fenced_term != f->record.term)
+      if (e->marker < f->record.term)
         continue;
       int at = count++;
-      while (at > 0 && times[at - 1] > e->fenced_at)
+      while (at > 0 && times[at - 1] > e->marker_at)
         {
           times[at] = times[at - 1];
           at--;
         }
-      times[at] = e->fenced_at;
+      times[at] = e->marker_at;
     }
   return count >= endpoint_majority (f) ? times[endpoint_majority (f) - 1] : 0;
 }
@@ -1085,7 +1169,7 @@
     heard = latest (heard, f->members[driver].view.received_at);
   bool is_due
       = self != INDEX_NONE && own.reaches_majority
-        && (now - heard >= f->options.driver_timeout_us
+        && (now - heard >= f->options.driver_timeout_us / 2
             || now - changed >= STUCK_TIMEOUTS * f->options.driver_timeout_us);
   if (!is_due)
     {
@@ -1104,7 +1188,10 @@
 static bool
 next_read (struct failover *f, int64_t now, struct failover_action *action)
 {
-  if (f->read_sent_at != 0 && now - f->read_sent_at < READ_RETRY_US)
+  bool is_late
+      = f->update == UPDATE_NONE || now - f->update_sent_at >= UPDATE_LATE_US;
+  int64_t interval = is_late ? READ_RETRY_US : READ_BACK_US;
+  if (f->read_sent_at != 0 && now - f->read_sent_at < interval)
     return false;
   f->read_sent_at = now;
   return act (action, FAILOVER_READ, INDEX_NONE, f);
@@ -1129,7 +1216,12 @@
       f->update_in_flight = false;
       f->read_sent_at = 0;
     }
-  return f->update == UPDATE_UNRESOLVED && next_read (f, now, action);
+  /* The record shows whether an update took effect, also while its response
+     may still come. */
+  bool reads_back
+      = f->update == UPDATE_SENT && now - f->update_sent_at >= READ_BACK_US;
+  return (reads_back || f->update == UPDATE_UNRESOLVED)
+         && next_read (f, now, action);
 }
 
 bool
--- a/core/failover.h
+++ b/core/failover.h
@@ -55,7 +55,12 @@
   int64_t lease_us;
   int64_t suspect_us;
   int64_t unreachable_us;
-  int64_t driver_timeout_us; /**< Silence after which a driver is replaced. */
+  /** Silence after which a candidate is given up; a driver is replaced after
+   * half of it, because it sends its view every 100 ms. */
+  int64_t driver_timeout_us;
+  /** Time over which attempts to connect to the primary must be refused until
+   * it counts as suspect; 0: refusals are ignored. */
+  int64_t refused_us;
 };
 
 enum failover_action_kind
@@ -89,6 +94,7 @@
   uint64_t term;         /**< Term whose primary is meant. */
   int64_t silence_us;    /**< Since the primary last answered a poll. */
   bool reaches_majority; /**< Of the group's endpoints. */
+  bool refused;          /**< It refused connections for refused_us. */
   int64_t received_at;   /**< When the view arrived here. */
 };
 
@@ -113,6 +119,10 @@
 /** An endpoint answered a poll. */
 void failover_on_status (struct failover *f, int endpoint,
                          const struct endpoint_status *status, int64_t now);
+/** An attempt to connect to an endpoint was refused at once (ECONNREFUSED):
+ * nothing listens on its port.  Not to be called for a timeout, an
+ * unreachable host or an error that the server itself sent. */
+void failover_on_refused (struct failover *f, int endpoint, int64_t now);
 /** @param status measured after the fence, ignored if not @p ok. */
 void failover_on_fenced (struct failover *f, int endpoint, bool ok,
                          const struct endpoint_status *status, int64_t now);
@@ -145,8 +155,8 @@
 
 /** This member's own view, to be sent to peers. */
 struct primary_view failover_view (const struct failover *f, int64_t now);
-/** @return true once after each change of this member's vote: peers are
- * then sent the view at once. */
+/** @return true once after each change of this member's vote, and every
+ * 100 ms while it drives a change: peers are then sent the view at once. */
 bool failover_view_due (struct failover *f, int64_t now);
 enum failover_phase failover_phase (const struct failover *f);
 const struct group_record *failover_record (const struct failover *f);
--- a/tests/failover_world.c
+++ b/tests/failover_world.c
@@ -29,7 +29,8 @@
   VIEW,
   RELEASE,
   RELEASED,
-  ACKNOWLEDGE
+  ACKNOWLEDGE,
+  REFUSED
 };
 
 struct message
@@ -51,6 +52,7 @@
 struct endpoint
 {
   bool is_down, in_recovery;
+  bool is_closed; /* Its host refuses connections while it is down. */
   uint64_t term, fence;
   int follows;
   int64_t heard_at, delay, lag;
@@ -88,6 +90,7 @@
   struct write writes[MAX_WRITES];
   int write_count, last_write;
   bool cut[NODES][NODES];
+  bool refused[NODES][NODES]; /* Connections by a filter in between. */
   bool outage;
   struct group_record record;
   int promoted[64];
@@ -170,13 +173,29 @@
   enqueue (w, m, w->now + TIMEOUT_US);
 }
 
+static bool
+is_refused (const struct world *w, const struct message *m)
+{
+  const struct endpoint *e = &w->endpoints[m->to];
+  return m->kind == POLL && !m->is_answer && !w->cut[m->from][m->to]
+         && ((e->is_down && e->is_closed) || w->refused[m->from][m->to]);
+}
+
 static void
 post (struct world *w, struct message m)
 {
+  if (is_refused (w, &m))
+    {
+      m.kind = REFUSED;
+      m.endpoint = m.to;
+      m.to = m.from;
+      enqueue (w, m, w->now + 2 * ONE_WAY_US);
+      return;
+    }
   int64_t delay = ONE_WAY_US;
   int endpoint = m.is_answer ? m.from : m.to;
   struct daemon *d = m.is_answer ? &w->daemons[m.to - DAEMON (0)] : NULL;
-  bool lost = w->cut[m.from][m.to]
+  bool lost = w->cut[m.from][m.to] || w->refused[m.from][m.to]
               || (w->outage && (m.from == PLATFORM || m.to == PLATFORM));
   if (w->options.jitter_us > 0)
     delay += (int64_t)(erand48 (w->random) * w->options.jitter_us);
@@ -555,6 +574,9 @@
       failover_on_released (d->failover, w->daemons[m->from - DAEMON (0)].id,
                             m->term, now);
       break;
+    case REFUSED:
+      failover_on_refused (d->failover, m->endpoint, now);
+      break;
     case ACKNOWLEDGE:
       note (w, "d%d sends late", (int)(d - w->daemons));
       acknowledge (w, d, m->write);
@@ -710,7 +732,14 @@
       = &w->daemons[node >= DAEMON (0) && node < PLATFORM ? node - DAEMON (0)
                                                           : 0];
   if (strcmp (verb, "fail") == 0 || strcmp (verb, "return") == 0)
-    e->is_down = verb[0] == 'f';
+    {
+      e->is_down = verb[0] == 'f';
+      e->is_closed = false;
+    }
+  else if (strcmp (verb, "crash") == 0)
+    e->is_down = e->is_closed = true;
+  else if (strcmp (verb, "refuse") == 0 || strcmp (verb, "accept") == 0)
+    w->refused[node][other] = verb[0] == 'r';
   else if (strcmp (verb, "cut") == 0 || strcmp (verb, "join") == 0)
     w->cut[node][other] = w->cut[other][node] = verb[0] == 'c';
   else if (strcmp (verb, "leaving") == 0 || strcmp (verb, "staying") == 0)
@@ -779,7 +808,8 @@
                                       .lease_us = 1000 * MS,
                                       .suspect_us = 1000 * MS,
                                       .unreachable_us = 3000 * MS,
-                                      .driver_timeout_us = 2000 * MS },
+                                      .driver_timeout_us = 1500 * MS,
+                                      .refused_us = 300 * MS },
           clock_of (w, d));
       d->routing = routing_create (
           w,
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -83,7 +83,12 @@
                                        "failover-planned-dies",
                                        "failover-planned-driver",
                                        "failover-planned-lag",
-                                       "failover-planned-slow" };
+                                       "failover-planned-slow",
+                                       "failover-crash",
+                                       "failover-crash-released",
+                                       "failover-crash-restart",
+                                       "failover-refused-one",
+                                       "failover-refused-heard" };
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
     {
       void *scratch = talloc_new (NULL);
@@ -172,7 +177,7 @@
   int ms = 100 + (int)(erand48 (random) * 6000);
   static const char *const answers[] = { "update", "promote", "fence" };
   end[0] = '\0';
-  switch ((int)(erand48 (random) * 14))
+  switch ((int)(erand48 (random) * 16))
     {
     case 0:
     case 1:
@@ -217,6 +222,14 @@
       snprintf (fault, size, "leaving e%d", e);
       snprintf (end, size, "staying e%d", e);
       break;
+    case 13:
+      snprintf (fault, size, "crash e%d", e);
+      snprintf (end, size, "return e%d", e);
+      break;
+    case 14:
+      snprintf (fault, size, "refuse d%d e%d", d, e);
+      snprintf (end, size, "accept d%d e%d", d, e);
+      break;
     default:
       snprintf (fault, size, "slow e%d %d", e, ms / 4);
       snprintf (end, size, "slow e%d 0", e);
