common: copy bytes after a NUL, cut texts at characters, exact JSON numbers

Cause: the fuzzer of token_decode read past a heap block. bstr_to_text used talloc_strndup, which ends at a NUL, while bstr_copy kept the whole length. Two smaller faults beside it: error texts were cut inside a UTF-8 character, and json_string then drops the whole message from the answer; strtoull read "-1" in an object's number as 2^64 - 1 and a number over 2^64 as 2^64 - 1. Ruled out: refusing NUL in tokens only, because the copy is wrong for every caller. Change: bstr_to_text copies all bytes; bstr_cut shortens at a character and error_set uses it; common/json_number has the reader and the writer that cell_object and group_object each had (digits only, no overflow). With the cut or the digit check switched off, its test fails.

--- a/common/bstr.h
+++ b/common/bstr.h
@@ -54,11 +54,27 @@
   return (struct bstr){ s.start + count, s.len - count };
 }
 
+/** Shorten @p s to at most @p most bytes, not inside a UTF-8 sequence. */
+static inline struct bstr
+bstr_cut (struct bstr s, size_t most)
+{
+  if (s.len <= most)
+    return s;
+  while (most > 0 && ((unsigned char)s.start[most] & 0xC0) == 0x80)
+    most--;
+  return (struct bstr){ s.start, most };
+}
+
 /** Copy @p s, with a terminating NUL, into memory owned by @p parent. */
 static inline char *
 bstr_to_text (void *parent, struct bstr s)
 {
-  return talloc_strndup (parent, s.start != NULL ? s.start : "", s.len);
+  /* Not talloc_strndup, which ends at a NUL inside the string. */
+  char *text = talloc_array (parent, char, s.len + 1);
+  if (s.len > 0)
+    memcpy (text, s.start, s.len);
+  text[s.len] = '\0';
+  return text;
 }
 
 /** Copy @p s into memory owned by @p parent. */
--- a/common/error.c
+++ b/common/error.c
@@ -1,19 +1,35 @@
 #include "common/error.h"
 
+#include "common/bstr.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
+/* Texts go into JSON answers, which take only whole characters.  @p full is
+   longer than the text, so that the cut sees what follows. */
+#define FULL_SIZE (sizeof ((struct error *)NULL)->text + 4)
+
+static void
+store_text (struct error *err, const char *full)
+{
+  struct bstr cut = bstr_cut (bstr_from (full), sizeof err->text - 1);
+  memcpy (err->text, cut.start, cut.len);
+  err->text[cut.len] = '\0';
+}
+
 bool
 error_set (struct error *err, enum error_code code, const char *format, ...)
 {
   if (err != NULL)
     {
+      char full[FULL_SIZE];
       va_list args;
       va_start (args, format);
-      err->code = code;
-      vsnprintf (err->text, sizeof err->text, format, args);
+      vsnprintf (full, sizeof full, format, args);
       va_end (args);
+      err->code = code;
+      store_text (err, full);
     }
   return false;
 }
@@ -23,16 +39,15 @@
 {
   if (err != NULL)
     {
-      char cause[sizeof err->text];
-      memcpy (cause, err->text, sizeof cause);
+      char full[FULL_SIZE];
       va_list args;
       va_start (args, format);
-      err->code = code;
-      int used = vsnprintf (err->text, sizeof err->text, format, args);
+      int used = vsnprintf (full, sizeof full, format, args);
       va_end (args);
-      if (used >= 0 && (size_t)used < sizeof err->text)
-        snprintf (err->text + used, sizeof err->text - (size_t)used, ": %s",
-                  cause);
+      err->code = code;
+      if (used >= 0 && (size_t)used < sizeof full)
+        snprintf (full + used, sizeof full - (size_t)used, ": %s", err->text);
+      store_text (err, full);
     }
   return false;
 }
--- a/daemon/cell_object.c
+++ b/daemon/cell_object.c
@@ -1,8 +1,8 @@
 #include "daemon/cell_object.h"
 
-#include <inttypes.h>
+#include "common/json_number.h"
+
 #include <jansson.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 char *
@@ -11,15 +11,6 @@
   return talloc_asprintf (parent, "azurewind/cells/%s", cell);
 }
 
-/* Numbers of 64 bits are written as text: JSON readers often use doubles. */
-static json_t *
-number (uint64_t value)
-{
-  char text[24];
-  snprintf (text, sizeof text, "%" PRIu64, value);
-  return json_string (text);
-}
-
 static json_t *
 render_members (const struct cell_member *members, int count)
 {
@@ -27,8 +18,8 @@
   for (int i = 0; i < count; i++)
     {
       json_t *m = json_object ();
-      json_object_set_new (m, "id", number (members[i].id));
-      json_object_set_new (m, "join_op", number (members[i].join_op));
+      json_object_set_new (m, "id", json_number_new (members[i].id));
+      json_object_set_new (m, "join_op", json_number_new (members[i].join_op));
       json_object_set_new (m, "name", json_string (members[i].name));
       json_object_set_new (m, "address", json_string (members[i].address));
       json_array_append_new (list, m);
@@ -40,8 +31,8 @@
 cell_object_render (void *parent, const struct cell_record *r)
 {
   json_t *json = json_object ();
-  json_object_set_new (json, "op", number (r->op));
-  json_object_set_new (json, "coordinator", number (r->coordinator));
+  json_object_set_new (json, "op", json_number_new (r->op));
+  json_object_set_new (json, "coordinator", json_number_new (r->coordinator));
   json_object_set_new (json, "previous_settled",
                        json_boolean (r->previous_settled));
   json_object_set_new (json, "members",
@@ -55,17 +46,6 @@
   return value;
 }
 
-static bool
-parse_number (const json_t *json, const char *name, uint64_t *value)
-{
-  const char *text = json_string_value (json_object_get (json, name));
-  char *end;
-  if (text == NULL || *text == '\0')
-    return false;
-  *value = strtoull (text, &end, 10);
-  return *end == '\0';
-}
-
 static bool
 parse_text (const json_t *json, const char *name, char *text, size_t size)
 {
@@ -85,8 +65,8 @@
   for (size_t i = 0; i < size; i++)
     {
       const json_t *m = json_array_get (list, i);
-      if (!parse_number (m, "id", &members[i].id)
-          || !parse_number (m, "join_op", &members[i].join_op)
+      if (!json_number_get (m, "id", &members[i].id)
+          || !json_number_get (m, "join_op", &members[i].join_op)
           || !parse_text (m, "name", members[i].name, sizeof members[i].name)
           || !parse_text (m, "address", members[i].address,
                           sizeof members[i].address))
@@ -101,8 +81,8 @@
 {
   json_t *json = json_loadb (value.start, value.len, 0, NULL);
   memset (r, 0, sizeof *r);
-  bool ok = json != NULL && parse_number (json, "op", &r->op)
-            && parse_number (json, "coordinator", &r->coordinator)
+  bool ok = json != NULL && json_number_get (json, "op", &r->op)
+            && json_number_get (json, "coordinator", &r->coordinator)
             && parse_members (json_object_get (json, "members"), r->members,
                               &r->member_count)
             && parse_members (json_object_get (json, "previous"), r->previous,
--- a/daemon/group_object.c
+++ b/daemon/group_object.c
@@ -1,8 +1,8 @@
 #include "daemon/group_object.h"
 
-#include <inttypes.h>
+#include "common/json_number.h"
+
 #include <jansson.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 static const char *const phases[]
@@ -22,31 +22,23 @@
                                                  : "";
 }
 
-/* Numbers of 64 bits are written as text: JSON readers often use doubles. */
-static json_t *
-number (uint64_t value)
-{
-  char text[24];
-  snprintf (text, sizeof text, "%" PRIu64, value);
-  return json_string (text);
-}
-
 struct bstr
 group_object_render (void *parent, const struct group *g,
                      const struct group_record *r)
 {
   json_t *json = json_object ();
-  json_object_set_new (json, "term", number (r->term));
+  json_object_set_new (json, "term", json_number_new (r->term));
   json_object_set_new (json, "primary",
                        json_string (endpoint_name (g, r->primary)));
   json_object_set_new (json, "candidate",
                        json_string (endpoint_name (g, r->candidate)));
   json_object_set_new (json, "phase", json_string (phases[r->phase]));
-  json_object_set_new (json, "driver", number (r->driver));
-  json_object_set_new (json, "op", number (r->op));
-  json_object_set_new (json, "branch_start", number (r->branch_start));
-  json_object_set_new (json, "base_term", number (r->base_term));
-  json_object_set_new (json, "base_start", number (r->base_start));
+  json_object_set_new (json, "driver", json_number_new (r->driver));
+  json_object_set_new (json, "op", json_number_new (r->op));
+  json_object_set_new (json, "branch_start",
+                       json_number_new (r->branch_start));
+  json_object_set_new (json, "base_term", json_number_new (r->base_term));
+  json_object_set_new (json, "base_start", json_number_new (r->base_start));
   char *text = json_dumps (json, JSON_COMPACT);
   struct bstr value = bstr_copy (parent, bstr_from (text));
   free (text);
@@ -54,17 +46,6 @@
   return value;
 }
 
-static bool
-read_number (const json_t *json, const char *name, uint64_t *value)
-{
-  const char *text = json_string_value (json_object_get (json, name));
-  char *end;
-  if (text == NULL || *text == '\0')
-    return false;
-  *value = strtoull (text, &end, 10);
-  return *end == '\0';
-}
-
 static bool
 read_endpoint (const json_t *json, const char *name, const struct group *g,
                int *index)
@@ -98,12 +79,12 @@
                     const struct group *g, struct group_record *r)
 {
   json_t *json = json_loadb (object->value.start, object->value.len, 0, NULL);
-  bool ok = json != NULL && read_number (json, "term", &r->term)
-            && read_number (json, "driver", &r->driver)
-            && read_number (json, "op", &r->op)
-            && read_number (json, "branch_start", &r->branch_start)
-            && read_number (json, "base_term", &r->base_term)
-            && read_number (json, "base_start", &r->base_start)
+  bool ok = json != NULL && json_number_get (json, "term", &r->term)
+            && json_number_get (json, "driver", &r->driver)
+            && json_number_get (json, "op", &r->op)
+            && json_number_get (json, "branch_start", &r->branch_start)
+            && json_number_get (json, "base_term", &r->base_term)
+            && json_number_get (json, "base_start", &r->base_start)
             && read_endpoint (json, "primary", g, &r->primary)
             && read_endpoint (json, "candidate", g, &r->candidate)
             && read_phase (json, &r->phase)
--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -1,4 +1,5 @@
 #include "common/error.h"
+#include "common/json_number.h"
 #include "common/stats.h"
 #include "tests/tests.h"
 
@@ -28,10 +29,65 @@
   CU_ASSERT_EQUAL (histogram_quantile (&h, 1.0), 100000);
 }
 
+/* Guards against an answer whose message is lost because it ends inside a
+   character. */
+static void
+errors_hold_whole_characters (void)
+{
+  struct error err = { 0 };
+  char text[400] = "x";
+  for (int i = 0; i < 190; i++)
+    strcat (text, "\xC3\xA9");
+  error_set (&err, ERROR_INVALID, "%s", text);
+  CU_ASSERT_EQUAL (strlen (err.text), 255);
+  error_set (&err, ERROR_INVALID, "%s", text + 1);
+  CU_ASSERT_EQUAL (strlen (err.text), 254);
+  error_wrap (&err, ERROR_REFUSED, "%s", "a");
+  CU_ASSERT_EQUAL (strlen (err.text), 255);
+  error_wrap (&err, ERROR_REFUSED, "%s", text);
+  CU_ASSERT_EQUAL (strlen (err.text), 255);
+}
+
+/* Guards against a copy that ends at a NUL but keeps the whole length, so
+   that readers run over its end. */
+static void
+copies_keep_every_byte (void)
+{
+  struct bstr copy = bstr_copy (NULL, (struct bstr){ "a\0b", 3 });
+  CU_ASSERT_EQUAL (copy.len, 3);
+  CU_ASSERT_EQUAL (talloc_get_size (copy.start), 4);
+  CU_ASSERT_EQUAL (memcmp (copy.start, "a\0b", 4), 0);
+  talloc_free ((void *)(uintptr_t)copy.start);
+}
+
+/* Guards against an operation id that is read as another one. */
+static void
+json_numbers_are_exact (void)
+{
+  static const char *const bad[]
+      = { "", "-1", "+1", " 1", "1 ", "0x1", "1.0", "18446744073709551616" };
+  uint64_t value;
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      json_t *json = json_pack ("{s:s}", "n", bad[i]);
+      CU_ASSERT_FALSE (json_number_get (json, "n", &value));
+      json_decref (json);
+    }
+  json_t *json = json_pack ("{s:o, s:i}", "n", json_number_new (UINT64_MAX),
+                            "integer", 1);
+  CU_ASSERT (json_number_get (json, "n", &value) && value == UINT64_MAX);
+  CU_ASSERT_FALSE (json_number_get (json, "integer", &value));
+  CU_ASSERT_FALSE (json_number_get (json, "absent", &value));
+  json_decref (json);
+}
+
 static const struct test_case cases[] = {
   { "wrap_keeps_the_cause", wrap_keeps_the_cause },
   { "quantiles_stay_within_the_stated_error",
     quantiles_stay_within_the_stated_error },
+  { "errors_hold_whole_characters", errors_hold_whole_characters },
+  { "copies_keep_every_byte", copies_keep_every_byte },
+  { "json_numbers_are_exact", json_numbers_are_exact },
   { NULL, NULL },
 };
 TEST_SUITE (common, cases)
