--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -324,6 +324,32 @@
   talloc_free (scratch);
 }
 
+/* Guards against undefined behaviour in toml++ 3.3 at letters that are not
+   ASCII, and against a text that is read past a NUL in it.  Only a build with
+   sanitizers sees the first. */
+static void
+foreign_letters_are_refused_in_names (void)
+{
+  static const char *const bad[] = {
+    "[services.\xCF\x9B]\n",     /* U+03DB */
+    "[services.caf\xC3\xA9]\n",  /* U+00E9 */
+    "[services.\xE2\xB1\x9E]\n", /* U+2C5E */
+    "[services.a]\ndatabase = \"x\\u0000yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\"\n",
+  };
+  void *scratch = talloc_new (NULL);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct error err = { 0 };
+      CU_ASSERT_PTR_NULL (
+          settings_parse (scratch, "config", bstr_from (bad[i]), &err));
+      CU_ASSERT_EQUAL (err.code, ERROR_INVALID);
+    }
+  struct toml_node *root = toml_reader_parse (
+      scratch, "config", bstr_from ("# \xCF\x9B caf\xC3\xA9\na = 1\n"), NULL);
+  CU_ASSERT_PTR_NOT_NULL (root);
+  talloc_free (scratch);
+}
+
 static const struct test_case cases[] = {
   { "bad_input_has_one_clear_error", bad_input_has_one_clear_error },
   { "levels_inherit", levels_inherit },
@@ -331,6 +357,8 @@
   { "diff_lists_values_in_force", diff_lists_values_in_force },
   { "spans_cover_values", spans_cover_values },
   { "mutated_trees_are_handled", mutated_trees_are_handled },
+  { "foreign_letters_are_refused_in_names",
+    foreign_letters_are_refused_in_names },
   { NULL, NULL },
 };
 TEST_SUITE (settings, cases)
