--- a/proto/pack.c
+++ b/proto/pack.c
@@ -73,14 +73,50 @@
   msgpack_sbuffer_write (&p->buffer, bytes, len);
 }
 
+/* Whether @p bytes hold only the types that the writer above uses.  A count
+   of 32 bits would make msgpack reserve up to 96 GiB for the array before it
+   looks for the elements; nothing that fits into a message has one. */
+static bool
+has_known_types (struct bstr bytes)
+{
+  static const unsigned char number_sizes[]
+      = { 4, 8, 1, 2, 4, 8, 1, 2, 4, 8 }; /* From float32 to int64. */
+  const unsigned char *at = (const unsigned char *)bytes.start;
+  size_t left = bytes.len;
+  while (left > 0)
+    {
+      unsigned char type = *at;
+      size_t size = 1;
+      if (type >= 0xCA && type <= 0xD3)
+        size += number_sizes[type - 0xCA];
+      else if (type >= 0xA0 && type <= 0xBF)
+        size += type & 0x1F;
+      else if (type == 0xD9 && left >= 2)
+        size += 1 + (size_t)at[1];
+      else if (type == 0xDA && left >= 3)
+        size += 2 + ((size_t)at[1] << 8 | at[2]);
+      else if (type == 0xDC)
+        size += 2;
+      else if (!(type <= 0x7F || type >= 0xE0 || (type & 0xF0) == 0x90
+                 || type == 0xC2 || type == 0xC3))
+        return false;
+      if (size > left)
+        return false;
+      at += size;
+      left -= size;
+    }
+  return true;
+}
+
 bool
 unpack_begin (struct unpack *u, struct bstr bytes)
 {
   size_t used = 0;
   memset (u, 0, sizeof *u);
   msgpack_unpacked_init (&u->message);
-  if (msgpack_unpack_next (&u->message, bytes.start, bytes.len, &used)
-          != MSGPACK_UNPACK_SUCCESS
+  if (!has_known_types (bytes)
+      || msgpack_unpack_next (&u->message, bytes.start, bytes.len, &used)
+             != MSGPACK_UNPACK_SUCCESS
       || used != bytes.len)
     {
       u->failed = true;
--- a/proto/pack.h
+++ b/proto/pack.h
@@ -23,7 +23,6 @@
 void pack_uint (struct pack *p, uint64_t value);
 void pack_int (struct pack *p, int64_t value);
 void pack_bool (struct pack *p, bool value);
-/** Packed in single precision where that is exact, else in double. */
 void pack_double (struct pack *p, double value);
 void pack_float (struct pack *p, float value);
 void pack_bstr (struct pack *p, struct bstr value);
--- /dev/null
+++ b/tests/test_pack.c
@@ -0,0 +1,173 @@
+#include "proto/pack.h"
+#include "tests/tests.h"
+
+#include <math.h>
+#include <stdint.h>
+
+static bool
+begins (struct unpack *u, const void *bytes, size_t len)
+{
+  bool ok = unpack_begin (u, (struct bstr){ bytes, len });
+  if (!ok)
+    unpack_end (u);
+  return ok;
+}
+
+/* Guards against numbers and texts that change on their way. */
+static void
+limits_survive_a_round_trip (void)
+{
+  static const uint64_t uints[]
+      = { 0,     127,   128,        255,       256,
+          65535, 65536, UINT32_MAX, INT64_MAX, UINT64_MAX };
+  static const int64_t ints[]
+      = { INT64_MIN, INT32_MIN, -129, -33, -32, -1, 0, 127, 128, INT64_MAX };
+  static const size_t lengths[] = { 0, 31, 32, 255, 256, 65535 };
+  static const char zeros[65536];
+  struct pack p;
+  struct unpack u;
+  pack_begin (&p);
+  pack_array (&p, 29);
+  for (int i = 0; i < 10; i++)
+    pack_uint (&p, uints[i]);
+  for (int i = 0; i < 10; i++)
+    pack_int (&p, ints[i]);
+  for (int i = 0; i < 6; i++)
+    pack_bstr (&p, (struct bstr){ zeros, lengths[i] });
+  pack_double (&p, 1.0 / 3);
+  pack_float (&p, 0.25F);
+  pack_bool (&p, true);
+  struct bstr bytes = pack_bytes (&p);
+  CU_ASSERT_FATAL (begins (&u, bytes.start, bytes.len));
+  unpack_array (&u, 29);
+  for (int i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (unpack_uint (&u), uints[i]);
+  for (int i = 0; i < 10; i++)
+    CU_ASSERT_EQUAL (unpack_int (&u), ints[i]);
+  for (int i = 0; i < 6; i++)
+    CU_ASSERT_EQUAL (unpack_bstr (&u).len, lengths[i]);
+  CU_ASSERT_EQUAL (unpack_double (&u), 1.0 / 3);
+  CU_ASSERT_EQUAL (unpack_double (&u), 0.25);
+  CU_ASSERT_TRUE (unpack_bool (&u));
+  CU_ASSERT_FALSE (u.failed);
+  CU_ASSERT_EQUAL (unpack_uint (&u), 0);
+  CU_ASSERT_TRUE (u.failed); /* Nothing is left. */
+  unpack_end (&u);
+  pack_end (&p);
+}
+
+/* Guards against a few bytes that make the reader reserve 96 GiB, and
+   against types and rests that no writer of ours makes. */
+static void
+foreign_bytes_are_refused (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t len;
+  } bad[] = {
+    { "", 0 },
+    { "\xDD\xFF\xFF\xFF\xFF", 5 }, /* An array with 32 bits of count. */
+    { "\xDD\x00\x00\x00\x00", 5 },
+    { "\xDF\xFF\xFF\xFF\xFF", 5 }, /* Maps. */
+    { "\x80", 1 },
+    { "\xDE\x00\x00", 3 },
+    { "\xDB\xFF\xFF\xFF\xFF", 5 }, /* A text with 32 bits of length. */
+    { "\xC4\x01x", 3 },            /* Binary. */
+    { "\xC0", 1 },                 /* nil */
+    { "\xC1", 1 },
+    { "\xD4\x01x", 3 },        /* An extension. */
+    { "\xDC\xFF\xFF\x00", 4 }, /* More elements than bytes. */
+    { "\xA5"
+      "abcd",
+      5 }, /* A text that is cut. */
+    { "\xDA\xFF", 2 },
+    { "\xD9", 1 },
+    { "\xCF\x00\x00", 3 },
+    { "\x01\x02", 2 }, /* Two values. */
+  };
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      struct unpack u;
+      CU_ASSERT_FALSE (begins (&u, bad[i].bytes, bad[i].len));
+    }
+}
+
+/* Guards against a value of another type or range that is taken, and a
+   reader that goes on after an error. */
+static void
+values_out_of_range_fail (void)
+{
+  static const char nan_bytes[] = "\xCB\x7F\xF8\x00\x00\x00\x00\x00\x00";
+  static const char infinite[] = "\xCA\x7F\x80\x00\x00";
+  struct unpack u;
+  char text[4];
+  CU_ASSERT_FATAL (begins (&u, nan_bytes, 9));
+  CU_ASSERT (unpack_double (&u) == 0 && u.failed);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, infinite, 5));
+  CU_ASSERT (unpack_double (&u) == 0 && u.failed);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, "\xCF\xFF\xFF\xFF\xFF\xFF\xFF\xFF\xFF", 9));
+  CU_ASSERT (unpack_int (&u) == 0 && u.failed);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, "\xFF", 1));
+  CU_ASSERT (unpack_uint (&u) == 0 && u.failed);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u,
+                           "\xA4"
+                           "abcd",
+                           5));
+  unpack_text (&u, text, sizeof text);
+  CU_ASSERT (u.failed && text[0] == '\0');
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u,
+                           "\xA3"
+                           "a\0b",
+                           4));
+  unpack_text (&u, text, sizeof text);
+  CU_ASSERT (u.failed && text[0] == '\0');
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u,
+                           "\xA3"
+                           "abc",
+                           4));
+  unpack_text (&u, text, sizeof text);
+  CU_ASSERT (!u.failed);
+  CU_ASSERT_STRING_EQUAL (text, "abc");
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, "\x92\x01\x02", 3));
+  unpack_array (&u, 3);
+  CU_ASSERT (u.failed && unpack_uint (&u) == 0 && unpack_bstr (&u).len == 0);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, "\x92\x01\x02", 3));
+  CU_ASSERT (unpack_array_any (&u, 1) == 0 && u.failed);
+  unpack_end (&u);
+}
+
+/* Guards against nesting that overruns the reader's table of levels. */
+static void
+nesting_is_bounded (void)
+{
+  static const char nested[] = "\x91\x91\x91\x91\x91\x91\x91\x91\x91\x07";
+  struct unpack u;
+  CU_ASSERT_FATAL (begins (&u, nested + 2, 8));
+  for (int i = 0; i < UNPACK_MAX_DEPTH - 1; i++)
+    unpack_array (&u, 1);
+  CU_ASSERT (!u.failed && unpack_uint (&u) == 7);
+  unpack_end (&u);
+  CU_ASSERT_FATAL (begins (&u, nested, 10));
+  for (int i = 0; i < UNPACK_MAX_DEPTH + 1; i++)
+    unpack_array (&u, 1);
+  CU_ASSERT (u.failed && u.depth < UNPACK_MAX_DEPTH);
+  unpack_end (&u);
+}
+
+static const struct test_case cases[] = {
+  { "limits_survive_a_round_trip", limits_survive_a_round_trip },
+  { "foreign_bytes_are_refused", foreign_bytes_are_refused },
+  { "values_out_of_range_fail", values_out_of_range_fail },
+  { "nesting_is_bounded", nesting_is_bounded },
+  { NULL, NULL },
+};
+TEST_SUITE (pack, cases)
