query: read comments as PostgreSQL does

PostgreSQL nests block comments and ends a line comment at a carriage return; first_word did neither. Change: skip_comment counts the depth; a line comment ends at \r or \n. The name of an unknown field is cut at a character. Conclusion: a caller cannot hide the first word of a statement.

--- a/daemon/query.c
+++ b/daemon/query.c
@@ -28,7 +28,27 @@
   return 0;
 }
 
-/* Skip white space and comments before the first word. */
+/* Skip a comment as PostgreSQL does: they nest.
+   @return NULL if the comment does not end. */
+static const char *
+skip_comment (const char *sql)
+{
+  int depth = 0;
+  do
+    {
+      bool opens = strncmp (sql, "/*", 2) == 0;
+      bool closes = strncmp (sql, "*/", 2) == 0;
+      if (*sql == '\0')
+        return NULL;
+      depth += opens ? 1 : closes ? -1 : 0;
+      sql += opens || closes ? 2 : 1;
+    }
+  while (depth > 0);
+  return sql;
+}
+
+/* Skip white space and comments before the first word.  A difference to
+   PostgreSQL would let a caller hide COMMIT from the check below. */
 static const char *
 first_word (const char *sql)
 {
@@ -37,13 +57,12 @@
       while (isspace ((unsigned char)*sql) || *sql == '(' || *sql == ';')
         sql++;
       if (strncmp (sql, "--", 2) == 0)
-        sql += strcspn (sql, "\n");
+        sql += strcspn (sql, "\r\n");
       else if (strncmp (sql, "/*", 2) == 0)
         {
-          const char *end = strstr (sql + 2, "*/");
-          if (end == NULL)
+          sql = skip_comment (sql);
+          if (sql == NULL)
             return "";
-          sql = end + 2;
         }
       else
         return sql;
@@ -79,8 +98,8 @@
     for (unsigned i = first; i <= last; i++)
       known = known || strcmp (name, fields[i]) == 0;
     if (!known)
-      return error_set (err, ERROR_INVALID, "field \"%.40s\" is unknown",
-                        name);
+      return error_set (err, ERROR_INVALID, "field \"%.*s\" is unknown",
+                        BSTR_ARG (bstr_cut (bstr_from (name), 40)));
   }
   return true;
 }
