http: stop with open requests, listen again at once after the limit

MHD_stop_daemon calls abort when a connection is suspended, so a server that is freed with an open request ends the process. The daemon does not reach it today, because its drain waits for every request. At the connection limit libmicrohttpd stops listening and starts again only at its next run; without other events that was the timer of 1 s. Ruled out: leaving it to the callers of net/http to answer first, since an error path that frees the server cannot. Change: the server keeps a list of suspended requests and resumes them before it stops; their connections close. A closed connection at the limit schedules another run. Conclusion: freeing a server is safe at any time, and callers that come after an overload wait no second.

--- a/net/http.c
+++ b/net/http.c
@@ -21,16 +21,21 @@
   size_t max_body;
   uint64_t next_connection;
   unsigned connections;
+  unsigned max_connections;
   unsigned pending;
+  struct pending_request *suspended;
   int port;
   bool run_scheduled;
   bool running;
+  bool stopping;
 };
 
 struct pending_request
 {
   struct http_request request; /**< First, so that it can be cast back. */
   struct http_server *server;
+  struct pending_request *next; /**< In the server's list of suspended ones. */
+  struct pending_request **link; /**< What points here. */
   struct MHD_Connection *connection;
   char *buffer;
   size_t used, size;
@@ -145,6 +150,29 @@
   return result;
 }
 
+static void
+suspend_request (struct pending_request *p)
+{
+  struct http_server *server = p->server;
+  p->suspended = true;
+  p->next = server->suspended;
+  p->link = &server->suspended;
+  if (p->next != NULL)
+    p->next->link = &p->next;
+  server->suspended = p;
+  MHD_suspend_connection (p->connection);
+}
+
+static void
+resume_request (struct pending_request *p)
+{
+  *p->link = p->next;
+  if (p->next != NULL)
+    p->next->link = p->link;
+  p->suspended = false;
+  MHD_resume_connection (p->connection);
+}
+
 static enum MHD_Result
 on_request (void *data, struct MHD_Connection *connection, const char *url,
             const char *method, const char *version, const char *upload_data,
@@ -153,6 +181,8 @@
   (void)version;
   struct http_server *server = data;
   struct pending_request *p = *context;
+  if (server->stopping)
+    return MHD_NO;
   if (p == NULL)
     {
       *context = begin_request (server, connection, url, method);
@@ -172,8 +202,7 @@
       server->handler->ops->request (server->handler, &p->request);
       if (p->response == NULL)
         {
-          p->suspended = true;
-          MHD_suspend_connection (connection);
+          suspend_request (p);
           return MHD_YES;
         }
     }
@@ -209,7 +238,10 @@
       return;
     }
   uint64_t *id = *socket_context;
-  server->connections--;
+  /* At the limit libmicrohttpd stops listening, and starts again only when
+     it runs the next time; no event may come for that. */
+  if (server->connections-- == server->max_connections)
+    schedule_run (server);
   if (server->handler->ops->closed != NULL && id != NULL)
     server->handler->ops->closed (server->handler, *id);
   talloc_free (id);
@@ -218,8 +250,14 @@
 static int
 server_destructor (struct http_server *server)
 {
-  if (server->mhd != NULL)
-    MHD_stop_daemon (server->mhd);
+  if (server->mhd == NULL)
+    return 0;
+  /* libmicrohttpd calls abort when it stops with suspended connections. */
+  server->stopping = true;
+  while (server->suspended != NULL)
+    resume_request (server->suspended);
+  MHD_run (server->mhd);
+  MHD_stop_daemon (server->mhd);
   return 0;
 }
 
@@ -247,6 +285,7 @@
   server->ev = options->ev;
   server->handler = options->handler;
   server->max_body = options->max_body;
+  server->max_connections = options->max_connections;
   server->run_soon = tevent_create_immediate (server);
   if (!parse_address (options->address, &address))
     {
@@ -355,8 +394,7 @@
   server->pending--;
   if (p->suspended)
     {
-      p->suspended = false;
-      MHD_resume_connection (p->connection);
+      resume_request (p);
       schedule_run (server);
     }
 }
