--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -118,6 +118,14 @@
   c->reply.failed = -1;
 }
 
+/* The message goes into a JSON answer, which takes only whole characters. */
+static void
+set_message (struct pgsql_reply *reply, const char *text)
+{
+  snprintf (reply->message, sizeof reply->message, "%.*s",
+            BSTR_ARG (bstr_cut (bstr_from (text), 190)));
+}
+
 static void
 finish_call (struct pgsql_connection *c, enum pgsql_end end)
 {
@@ -153,8 +161,7 @@
       acquired (data, NULL, &err);
       break;
     case CONNECTION_RUNNING:
-      snprintf (c->reply.message, sizeof c->reply.message, "%.190s",
-                PQerrorMessage (c->pg));
+      set_message (&c->reply, PQerrorMessage (c->pg));
       finish_call (c, PGSQL_LOST);
       break;
     case CONNECTION_OWNED:
@@ -174,8 +181,7 @@
   c->reply.failed = c->reply.count;
   snprintf (c->reply.sqlstate, sizeof c->reply.sqlstate, "%s",
             state != NULL ? state : "XX000");
-  snprintf (c->reply.message, sizeof c->reply.message, "%.190s",
-            text != NULL ? text : "unknown error");
+  set_message (&c->reply, text != NULL ? text : "unknown error");
 }
 
 static void
