--- a/daemon/control.c
+++ b/daemon/control.c
@@ -163,6 +163,17 @@
   return false;
 }
 
+/* A member that the list does not contain any more has ended; a VM's name
+   is not used again. */
+static void
+report_gone (struct daemon *d, const struct platform_vm *vms, int count)
+{
+  const struct cell_record *record = cell_record (d->cell);
+  for (int i = 0; i < record->member_count; i++)
+    if (!vm_listed (vms, count, record->members[i].name))
+      cell_on_vm_gone (d->cell, record->members[i].name, clock_now ());
+}
+
 static void
 on_vms (void *data, const struct error *err, const struct platform_vm *vms,
         int count)
@@ -173,6 +184,9 @@
     return;
   if (vm_listed (vms, count, d->options->name))
     c->seen_in_list = true;
+  /* A list that never named this VM is not kept for this fleet. */
+  if (c->seen_in_list)
+    report_gone (d, vms, count);
   for (int i = 0; i < count; i++)
     if (vms[i].leaving && bstr_equals_text (vms[i].name, d->options->name)
         && !d->draining)
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -14,20 +14,21 @@
 #define PART "front"
 #define IDLE_SECONDS 300
 #define REQUEST_ID_MAX 64
-/* Longest time between two looks at a budget that asked for tokens. */
-#define BUDGET_WAIT_MAX_US (20 * USEC_PER_MSEC)
 
 struct front
 {
   struct http_handler handler; /**< First, so that it can be cast back. */
   struct daemon *daemon;
   struct http_server *server;
+  struct arrival *waiting; /**< For tokens of a budget. */
   bool draining;
 };
 
 /* A request between its arrival and its place in a queue. */
 struct arrival
 {
+  struct arrival *next, **link; /**< In the waiting list. */
+  struct tevent_timer *timer;
   struct front *front;
   struct http_request *http;
   char request_id[REQUEST_ID_MAX + 1];
@@ -37,9 +38,10 @@
   char key_id[KEY_ID_LENGTH + 1];
   struct token token;
   int64_t deadline;
-  int64_t admitted_at; /**< First question to the budget, 0 before. */
-  char *transaction;   /**< Id, for a request inside a transaction. */
-  char *lookup_key;    /**< For GET /v1/requests/<key>. */
+  int64_t asked_at; /**< First question to the budget. */
+  bool asked;
+  char *transaction; /**< Id, for a request inside a transaction. */
+  char *lookup_key;  /**< For GET /v1/requests/<key>. */
 };
 
 static void
@@ -189,12 +191,60 @@
 
 static void admit (struct arrival *a);
 
+static void
+stop_waiting (struct arrival *a)
+{
+  if (a->link == NULL)
+    return;
+  *a->link = a->next;
+  if (a->next != NULL)
+    a->next->link = a->link;
+  a->link = NULL;
+  TALLOC_FREE (a->timer);
+}
+
 static void
 on_budget_wait (struct tevent_context *ev, struct tevent_timer *te,
                 struct timeval now, void *data)
 {
   (void)ev, (void)te, (void)now;
-  admit (data);
+  struct arrival *a = data;
+  a->timer = NULL;
+  stop_waiting (a);
+  admit (a);
+}
+
+static void
+wait_for_budget (struct arrival *a, int64_t wait_us)
+{
+  struct front *f = a->front;
+  a->next = f->waiting;
+  a->link = &f->waiting;
+  if (a->next != NULL)
+    a->next->link = &a->next;
+  f->waiting = a;
+  a->timer = daemon_after (f->daemon, a, wait_us, on_budget_wait, a);
+}
+
+void
+front_on_grant (struct daemon *d)
+{
+  /* The list is taken out first, because a request that still has to wait
+     joins it again. */
+  struct arrival *list = NULL;
+  while (d->front != NULL && d->front->waiting != NULL)
+    {
+      struct arrival *a = d->front->waiting;
+      stop_waiting (a);
+      a->next = list;
+      list = a;
+    }
+  while (list != NULL)
+    {
+      struct arrival *a = list;
+      list = a->next;
+      admit (a);
+    }
 }
 
 static void
@@ -217,6 +267,13 @@
   talloc_free (a);
 }
 
+/* The budget takes 0 for the first question about a request. */
+static int64_t
+waited (const struct arrival *a, int64_t now)
+{
+  return now > a->asked_at ? now - a->asked_at : 1;
+}
+
 /* Take one token of the organisation's rate, waiting for a peer if need
    be. */
 static void
@@ -231,11 +288,12 @@
               "this daemon cannot reach a majority of its cell", USEC_PER_SEC);
       return;
     }
-  if (a->admitted_at == 0)
-    a->admitted_at = now;
+  if (!a->asked)
+    a->asked_at = now;
   struct budget_decision decision
       = budget_admit (d->budget, a->organisation->budget_name, lease,
-                      now - a->admitted_at, now);
+                      a->asked ? waited (a, now) : 0, now);
+  a->asked = true;
   switch (decision.verdict)
     {
     case BUDGET_ADMIT:
@@ -244,10 +302,7 @@
     case BUDGET_WAIT:
       if (now + decision.wait_us < a->deadline)
         {
-          int64_t wait = decision.wait_us < BUDGET_WAIT_MAX_US
-                             ? decision.wait_us
-                             : BUDGET_WAIT_MAX_US;
-          daemon_after (d, a, wait, on_budget_wait, a);
+          wait_for_budget (a, decision.wait_us);
           break;
         }
       __attribute__ ((fallthrough));
@@ -376,6 +431,7 @@
 {
   struct daemon *d = a->front->daemon;
   bool ready = !a->front->draining && d->settings != NULL
+               && cell_is_member (d->cell)
                && cell_lease_valid (d->cell, clock_now ());
   const char *text
       = ready ? "{\"status\":\"ready\"}\n" : "{\"status\":\"not_ready\"}\n";
--- a/proto/message.c
+++ b/proto/message.c
@@ -7,6 +7,20 @@
 #define MESSAGE_VERSION 1
 #define MAX_SHARES 4096
 
+static void
+pack_views (struct pack *p, const struct message *m)
+{
+  pack_array (p, (unsigned)m->view_count);
+  for (int i = 0; i < m->view_count; i++)
+    {
+      pack_array (p, 4);
+      pack_bstr (p, bstr_from (m->views[i].group));
+      pack_uint (p, m->views[i].view.term);
+      pack_int (p, m->views[i].view.silence_us);
+      pack_bool (p, m->views[i].view.reaches_majority);
+    }
+}
+
 static void
 pack_heartbeat (struct pack *p, const struct message *m)
 {
@@ -21,15 +35,7 @@
   pack_bool (p, m->heartbeat.leaving);
   pack_uint (p, m->config_version);
   pack_uint (p, m->keys_version);
-  pack_array (p, (unsigned)m->view_count);
-  for (int i = 0; i < m->view_count; i++)
-    {
-      pack_array (p, 4);
-      pack_bstr (p, bstr_from (m->views[i].group));
-      pack_uint (p, m->views[i].view.term);
-      pack_int (p, m->views[i].view.silence_us);
-      pack_bool (p, m->views[i].view.reaches_majority);
-    }
+  pack_views (p, m);
   pack_array (p, (unsigned)m->report_count);
   for (int i = 0; i < m->report_count; i++)
     {
@@ -44,7 +50,7 @@
 static void
 pack_budget (struct pack *p, const struct budget_message *b)
 {
-  pack_array (p, 10);
+  pack_array (p, 11);
   pack_uint (p, b->kind);
   pack_uint (p, b->to);
   pack_uint (p, b->version);
@@ -55,12 +61,14 @@
   pack_bool (p, b->urgent);
   pack_double (p, b->held_fraction);
   pack_double (p, b->held_tokens);
+  pack_uint (p, b->hint);
 }
 
 static void
-pack_member (struct pack *p, const struct cell_member *m)
+pack_join (struct pack *p, const struct cell_member *m, uint64_t version)
 {
-  pack_array (p, 3);
+  pack_array (p, 4);
+  pack_uint (p, version);
   pack_uint (p, m->id);
   pack_bstr (p, bstr_from (m->name));
   pack_bstr (p, bstr_from (m->address));
@@ -90,11 +98,14 @@
     case MESSAGE_HEARTBEAT:
       pack_heartbeat (p, m);
       break;
+    case MESSAGE_VIEW:
+      pack_views (p, m);
+      break;
     case MESSAGE_BUDGET:
       pack_budget (p, &m->budget);
       break;
     case MESSAGE_JOIN:
-      pack_member (p, &m->member);
+      pack_join (p, &m->member, m->version);
       break;
     default:
       pack_array (p, 5);
@@ -125,6 +136,23 @@
   return (struct bstr){ (const char *)sealed, size };
 }
 
+static void
+unpack_views (struct unpack *u, void *parent, struct message *m)
+{
+  unsigned count = unpack_array_any (u, MESSAGE_MAX_VIEWS);
+  m->views = talloc_zero_array (parent, struct message_view, count);
+  m->view_count = (int)count;
+  for (unsigned i = 0; i < count && !u->failed; i++)
+    {
+      unpack_array (u, 4);
+      unpack_text (u, m->views[i].group, sizeof m->views[i].group);
+      m->views[i].view.member = m->from;
+      m->views[i].view.term = unpack_uint (u);
+      m->views[i].view.silence_us = unpack_int (u);
+      m->views[i].view.reaches_majority = unpack_bool (u);
+    }
+}
+
 static void
 unpack_heartbeat (struct unpack *u, void *parent, struct message *m)
 {
@@ -141,19 +169,8 @@
   m->heartbeat.leaving = unpack_bool (u);
   m->config_version = unpack_uint (u);
   m->keys_version = unpack_uint (u);
-  unsigned count = unpack_array_any (u, MESSAGE_MAX_VIEWS);
-  m->views = talloc_zero_array (parent, struct message_view, count);
-  m->view_count = (int)count;
-  for (unsigned i = 0; i < count && !u->failed; i++)
-    {
-      unpack_array (u, 4);
-      unpack_text (u, m->views[i].group, sizeof m->views[i].group);
-      m->views[i].view.member = m->from;
-      m->views[i].view.term = unpack_uint (u);
-      m->views[i].view.silence_us = unpack_int (u);
-      m->views[i].view.reaches_majority = unpack_bool (u);
-    }
-  count = unpack_array_any (u, MESSAGE_MAX_REPORTS);
+  unpack_views (u, parent, m);
+  unsigned count = unpack_array_any (u, MESSAGE_MAX_REPORTS);
   m->reports = talloc_zero_array (parent, struct budget_report, count);
   m->report_count = (int)count;
   for (unsigned i = 0; i < count && !u->failed; i++)
@@ -172,7 +189,7 @@
 unpack_budget (struct unpack *u, struct message *m)
 {
   struct budget_message *b = &m->budget;
-  unpack_array (u, 10);
+  unpack_array (u, 11);
   uint64_t kind = unpack_uint (u);
   if (kind > BUDGET_GRANT_ACK)
     u->failed = true;
@@ -187,15 +204,17 @@
   b->urgent = unpack_bool (u);
   b->held_fraction = unpack_double (u);
   b->held_tokens = unpack_double (u);
+  b->hint = unpack_uint (u);
   if (b->fraction < 0 || b->fraction > 1 || b->tokens < 0
       || b->held_fraction < 0 || b->held_tokens < 0)
     u->failed = true;
 }
 
 static void
-unpack_member (struct unpack *u, struct cell_member *m)
+unpack_join (struct unpack *u, struct cell_member *m, uint64_t *version)
 {
-  unpack_array (u, 3);
+  unpack_array (u, 4);
+  *version = unpack_uint (u);
   m->id = unpack_uint (u);
   unpack_text (u, m->name, sizeof m->name);
   unpack_text (u, m->address, sizeof m->address);
@@ -239,11 +258,14 @@
     case MESSAGE_HEARTBEAT:
       unpack_heartbeat (u, parent, m);
       break;
+    case MESSAGE_VIEW:
+      unpack_views (u, parent, m);
+      break;
     case MESSAGE_BUDGET:
       unpack_budget (u, m);
       break;
     case MESSAGE_JOIN:
-      unpack_member (u, &m->member);
+      unpack_join (u, &m->member, &m->version);
       break;
     default:
       unpack_plain (u, parent, m);
