--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -44,7 +44,10 @@
   fleet_pids=""
   rm -rf "$fleet_dir"
 }
-trap fleet_stop EXIT INT TERM
+trap fleet_stop EXIT
+# A signal must end the script, not only the step that it interrupts.
+trap 'exit 130' INT
+trap 'exit 143' TERM
 
 # start_platform
 start_platform() {
