--- a/core/settings.c
+++ b/core/settings.c
@@ -138,6 +138,11 @@
     .max = MAX_IDENTIFIER,
     .text = "azurewind",
     .help = "Database user of the connections." },
+  { .name = "cell",
+    .type = OPTION_NAME,
+    .offset = SERVICE (cell),
+    .text = "cell-1",
+    .help = "Cell whose daemons serve it and hold its budgets." },
   { .name = "open_organisation",
     .type = OPTION_NAME,
     .offset = SERVICE (open_organisation),
@@ -176,8 +181,8 @@
     = { "endpoints", "organisations", NULL };
 /* Names that a service takes besides its values, for suggestions. */
 static const char *const service_names[]
-    = { "endpoints", "organisations",     "database",
-        "user",      "open_organisation", NULL };
+    = { "endpoints",         "organisations", "database", "user",
+        "open_organisation", "cell",          NULL };
 
 const struct option_spec *
 settings_value_options (void)
--- a/core/settings.h
+++ b/core/settings.h
@@ -53,6 +53,7 @@
   char *name;
   char *database;
   char *user;
+  char *cell;              /**< Whose daemons serve it. */
   char *open_organisation; /**< NULL if none. */
   struct settings_values values;
   struct settings_endpoint *endpoints; /**< In the order of the text. */
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -136,6 +136,14 @@
       return false;
     }
   a->group = group_find (d, service);
+  const struct settings_service *known
+      = settings_find_service (d->settings, service);
+  if (a->group == NULL && known != NULL)
+    {
+      refuse (a, 421, "other_cell",
+              "the daemons of another cell serve this service", 0);
+      return false;
+    }
   if (a->group == NULL || !a->group->values.enabled)
     {
       refuse (a, 404, "unknown_service", "the service does not exist", 0);
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -16,6 +16,10 @@
 /* A poll without an answer for this long gets a new connection. */
 #define POLL_TIMEOUT_US (1000 * USEC_PER_MSEC)
 #define CONNECT_TIMEOUT_MS 1000
+/* A server that restarts refuses connections for less than this. */
+#define REFUSED_US (300 * USEC_PER_MSEC)
+/* Time to the next attempt after a refused connection. */
+#define REFUSED_RETRY_US (100 * USEC_PER_MSEC)
 /* Least time between two polls of one endpoint while a write waits for
    confirmation; it bounds the cost on a fast network. */
 #define HURRY_US (1 * USEC_PER_MSEC)
@@ -188,6 +192,14 @@
               e->group->service, e->name, reply->message);
 }
 
+static void
+on_refused_retry (struct tevent_context *ev, struct tevent_timer *te,
+                  struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  poll_endpoint (data);
+}
+
 static void
 on_poll_connection (void *data, struct pgsql_connection *c,
                     const struct error *err)
@@ -200,6 +212,12 @@
       log_debug (PART, "cannot connect service=%s endpoint=%s error=\"%s\"",
                  e->group->service, e->name, err->text);
       group_on_failure (e);
+      if (err->code == ERROR_NOT_FOUND)
+        {
+          failover_on_refused (e->group->failover, e->index, clock_now ());
+          daemon_after (e->group->daemon, e->group, REFUSED_RETRY_US,
+                        on_refused_retry, e);
+        }
       return;
     }
   poll_endpoint (e);
@@ -704,6 +722,7 @@
           .lease_us = g->values.lease_ms * USEC_PER_MSEC,
           .suspect_us = g->values.suspect_ms * USEC_PER_MSEC,
           .unreachable_us = g->values.unreachable_ms * USEC_PER_MSEC,
+          .refused_us = REFUSED_US,
           .driver_timeout_us = 3 * g->values.suspect_ms * USEC_PER_MSEC },
       now);
   g->routing = routing_create (
@@ -822,6 +841,14 @@
     }
 }
 
+/* Only the members of a service's cell may hold its budgets and
+   connections. */
+static bool
+is_own_service (const struct daemon *d, const struct settings_service *s)
+{
+  return strcmp (s->cell, d->options->cell) == 0;
+}
+
 void
 group_apply_settings (struct daemon *d)
 {
@@ -829,13 +856,15 @@
     {
       const struct settings_service *s
           = settings_find_service (d->settings, bstr_from (g->service));
-      if (s == NULL || !same_endpoints (g, s))
+      if (s == NULL || !is_own_service (d, s) || !same_endpoints (g, s))
         g->retired = true;
     }
   for (int i = 0; i < d->settings->service_count; i++)
     {
       const struct settings_service *s = &d->settings->services[i];
       struct group *g = group_find (d, bstr_from (s->name));
+      if (!is_own_service (d, s))
+        continue;
       if (g == NULL)
         {
           g = create_group (d, s);
--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -150,6 +151,15 @@
     PQclear (reply.results[i]);
 }
 
+/* libpq reports the system's error only as text. */
+static enum error_code
+connect_error (const PGconn *pg)
+{
+  return strstr (PQerrorMessage (pg), strerror (ECONNREFUSED)) != NULL
+             ? ERROR_NOT_FOUND
+             : ERROR_UNAVAILABLE;
+}
+
 static void
 break_connection (struct pgsql_connection *c)
 {
@@ -159,7 +169,8 @@
   switch (c->state)
     {
     case CONNECTION_OPENING:
-      error_set (&err, ERROR_UNAVAILABLE, "%.200s", PQerrorMessage (c->pg));
+      error_set (&err, connect_error (c->pg), "%.200s",
+                 PQerrorMessage (c->pg));
       close_connection (c);
       acquired (data, NULL, &err);
       break;
--- a/net/pgsql.h
+++ b/net/pgsql.h
@@ -69,8 +69,9 @@
 bool pgsql_pool_has_room (const struct pgsql_pool *pool);
 
 /** Get a connection for exclusive use; opens one if none is idle.  The
- * callback may run before this returns.  ERROR_UNAVAILABLE if it cannot be
- * opened, ERROR_REFUSED if the limit is reached. */
+ * callback may run before this returns.  ERROR_NOT_FOUND if nothing
+ * listens at the address, ERROR_UNAVAILABLE if it cannot be opened for
+ * another reason, ERROR_REFUSED if the limit is reached. */
 void pgsql_acquire (struct pgsql_pool *pool, pgsql_acquired_fn *done,
                     void *data);
 
--- a/proto/message.c
+++ b/proto/message.c
@@ -13,11 +13,12 @@
   pack_array (p, (unsigned)m->view_count);
   for (int i = 0; i < m->view_count; i++)
     {
-      pack_array (p, 4);
+      pack_array (p, 5);
       pack_bstr (p, bstr_from (m->views[i].group));
       pack_uint (p, m->views[i].view.term);
       pack_int (p, m->views[i].view.silence_us);
       pack_bool (p, m->views[i].view.reaches_majority);
+      pack_bool (p, m->views[i].view.refused);
     }
 }
 
@@ -144,12 +145,13 @@
   m->view_count = (int)count;
   for (unsigned i = 0; i < count && !u->failed; i++)
     {
-      unpack_array (u, 4);
+      unpack_array (u, 5);
       unpack_text (u, m->views[i].group, sizeof m->views[i].group);
       m->views[i].view.member = m->from;
       m->views[i].view.term = unpack_uint (u);
       m->views[i].view.silence_us = unpack_int (u);
       m->views[i].view.reaches_majority = unpack_bool (u);
+      m->views[i].view.refused = unpack_bool (u);
     }
 }
 
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -8,8 +8,8 @@
 static const unsigned char other_key[SECRET_BYTES] = "other";
 
 static const char *const type_names[]
-    = { NULL,    "heartbeat", "budget",   "join",  "freeze",  "holdings",
-        "allot", "release",   "released", "fetch", "snapshot" };
+    = { NULL,       "heartbeat", "view",    "budget",   "join",  "freeze",
+        "holdings", "allot",     "release", "released", "fetch", "snapshot" };
 
 #define TYPES MESSAGE_SNAPSHOT
 #define OVERHEAD (crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES)
@@ -17,7 +17,10 @@
 static struct message_view views[]
     = { { "lending-ledger", { .term = 4, .silence_us = -1 } },
         { "glazing-core",
-          { .term = 1, .silence_us = 2500, .reaches_majority = true } } };
+          { .term = 1,
+            .silence_us = 2500,
+            .reaches_majority = true,
+            .refused = true } } };
 static struct budget_report reports[] = { { .organisation = "ledger/moshi",
                                             .fraction = 0.5,
                                             .tokens = 12,
@@ -47,6 +50,10 @@
       m.reports = reports;
       m.report_count = 1;
       break;
+    case MESSAGE_VIEW:
+      m.views = views;
+      m.view_count = 2;
+      break;
     case MESSAGE_BUDGET:
       m.budget = (struct budget_message){ .kind = BUDGET_GRANT_ACK,
                                           .from = m.from,
