--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -7,9 +7,14 @@
 static const unsigned char fleet_key[SECRET_BYTES] = "fleet";
 static const unsigned char other_key[SECRET_BYTES] = "other";
 
-static const char *const type_names[]
-    = { NULL,    "heartbeat", "budget",   "join",  "freeze",  "holdings",
-        "allot", "release",   "released", "fetch", "snapshot" };
+static const char *const type_names[] = {
+  [MESSAGE_HEARTBEAT] = "heartbeat", [MESSAGE_VIEW] = "view",
+  [MESSAGE_BUDGET] = "budget",       [MESSAGE_JOIN] = "join",
+  [MESSAGE_FREEZE] = "freeze",       [MESSAGE_HOLDINGS] = "holdings",
+  [MESSAGE_ALLOT] = "allot",         [MESSAGE_RELEASE] = "release",
+  [MESSAGE_RELEASED] = "released",   [MESSAGE_FETCH] = "fetch",
+  [MESSAGE_SNAPSHOT] = "snapshot",
+};
 
 #define TYPES MESSAGE_SNAPSHOT
 #define OVERHEAD (crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES)
@@ -47,6 +52,10 @@
       m.reports = reports;
       m.report_count = 1;
       break;
+    case MESSAGE_VIEW:
+      m.views = views;
+      m.view_count = 2;
+      break;
     case MESSAGE_BUDGET:
       m.budget = (struct budget_message){ .kind = BUDGET_GRANT_ACK,
                                           .from = m.from,
@@ -58,9 +67,11 @@
                                           .tokens = 10.5,
                                           .urgent = true,
                                           .held_fraction = 0.5,
-                                          .held_tokens = 20 };
+                                          .held_tokens = 20,
+                                          .hint = 44 };
       break;
     case MESSAGE_JOIN:
+      m.version = 7;
       m.member = (struct cell_member){ .id = 42,
                                        .name = "vm-1",
                                        .address = "tcp://127.0.0.1:7000" };
@@ -152,7 +163,7 @@
              && x->version == y->version && x->id == y->id
              && x->fraction == y->fraction && x->tokens == y->tokens
              && x->urgent == y->urgent && x->held_fraction == y->held_fraction
-             && x->held_tokens == y->held_tokens);
+             && x->held_tokens == y->held_tokens && x->hint == y->hint);
   CU_ASSERT_EQUAL (a->member.id, b->member.id);
   CU_ASSERT_STRING_EQUAL (a->member.name, b->member.name);
   CU_ASSERT_STRING_EQUAL (a->member.address, b->member.address);
