common: one file reader, one address parser, one loop for stand-ins

Change: common/file, common/address, standins/standin, fuzz.h and process_collect hold one each. A secret or TLS file that cannot be opened is now reported with the system's reason. Ruled out: merging the rows that are alike by shape only (accessors of net modules, option tables), which are not the same logic.

--- a/Makefile
+++ b/Makefile
@@ -59,10 +59,10 @@
 $(BUILD)/azurewind: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cli/*.c)) $(LIB)
 	$(link)
 
-$(BUILD)/standin-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/platform*.c)) $(LIB)
+$(BUILD)/standin-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/platform*.c standins/standin.c)) $(LIB)
 	$(link)
 
-$(BUILD)/standin-postgres: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/postgres*.c)) $(LIB)
+$(BUILD)/standin-postgres: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/postgres*.c standins/standin.c)) $(LIB)
 	$(link)
 
 $(BUILD)/azurewind-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load*.c)) $(LIB)
--- a/cli/cli.c
+++ b/cli/cli.c
@@ -2,14 +2,12 @@
 
 #include "proto/key.h"
 
-#include <errno.h>
 #include <popt.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <time.h>
 #include <unistd.h>
 
-#define MAX_FILE_BYTES 1000000
 #define DEFAULT_TIMEOUT_MS 5000
 #define DEFAULT_INTERVAL_MS 1000
 #define MAX_WORDS 32
@@ -53,25 +51,6 @@
     json_decref (json);
 }
 
-bool
-cli_read_file (void *parent, const char *path, struct bstr *text,
-               struct error *err)
-{
-  char *bytes = talloc_size (parent, MAX_FILE_BYTES + 1);
-  FILE *file = fopen (path, "rb");
-  if (file == NULL)
-    return error_set (err, ERROR_INVALID, "%s: %s", path, strerror (errno));
-  size_t n = fread (bytes, 1, MAX_FILE_BYTES + 1, file);
-  bool failed = ferror (file);
-  fclose (file);
-  if (failed || n > MAX_FILE_BYTES)
-    return error_set (err, ERROR_INVALID,
-                      "%s: not readable, or above %d bytes", path,
-                      MAX_FILE_BYTES);
-  *text = (struct bstr){ bytes, n };
-  return true;
-}
-
 void
 cli_wait_after_conflict (void)
 {
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -80,11 +80,6 @@
 /** Print @p json to the output and release it. */
 void cli_print_json (struct cli *cli, json_t *json);
 
-/** Read a file of at most 1 MB; a relative path starts at the current
- * folder. */
-bool cli_read_file (void *parent, const char *path, struct bstr *text,
-                    struct error *err);
-
 /** @return the current UTC time, "2026-01-31T12:00:00Z". */
 char *cli_timestamp (void *parent);
 
--- a/cli/config.c
+++ b/cli/config.c
@@ -1,8 +1,11 @@
 #include "cli/cli.h"
+#include "common/file.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
 
+#define MAX_FILE_BYTES 1000000
+
 static char *
 version_text (void *parent, uint64_t version)
 {
@@ -94,7 +97,8 @@
 read_tree (struct cli *cli, const char *path, struct bstr *text,
            struct settings **settings, struct error *err)
 {
-  if (!cli_read_file (cli, path, text, err))
+  text->start = file_read (cli, path, MAX_FILE_BYTES, &text->len, err);
+  if (text->start == NULL)
     return false;
   *settings = settings_parse (cli, path, *text, err);
   return *settings != NULL;
--- /dev/null
+++ b/common/address.h
@@ -0,0 +1,14 @@
+/** @file
+ * Socket addresses as text.
+ */
+#ifndef COMMON_ADDRESS_H
+#define COMMON_ADDRESS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+
+/** Read "IP:PORT" with an IPv4 address.
+ * @return false if it is malformed. */
+bool address_parse (const char *text, struct sockaddr_in *address);
+
+#endif
--- a/core/chart.c
+++ b/core/chart.c
@@ -1,7 +1,11 @@
 #include "core/chart.h"
 
+#include "common/file.h"
+
 #include <stdio.h>
 
+#define MAX_FILE_BYTES 65536
+
 #define MAX_WORDS 5
 
 struct transition
@@ -305,26 +309,16 @@
 chart_load (void *parent, const struct chart_vocabulary *v, const char *path,
             struct error *err)
 {
-  struct chart *c = NULL;
-  char *text = talloc_strdup (parent, "");
-  char chunk[4096];
-  size_t n;
-  FILE *file = fopen (path, "rb");
-  if (file == NULL)
+  size_t len;
+  char *text = file_read (parent, path, MAX_FILE_BYTES, &len, NULL);
+  if (text == NULL)
     {
       error_set (err, ERROR_NOT_FOUND, "%s: cannot open chart \"%s\"", path,
                  v->name);
-      goto out;
+      return NULL;
     }
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
-    text = talloc_strndup_append_buffer (text, chunk, n);
-  if (ferror (file))
-    error_set (err, ERROR_UNAVAILABLE, "%s: cannot read chart \"%s\"", path,
-               v->name);
-  else
-    c = chart_parse (parent, v, path, bstr_from (text), err);
-  fclose (file);
-out:
+  struct chart *c
+      = chart_parse (parent, v, path, (struct bstr){ text, len }, err);
   talloc_free (text);
   return c;
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,6 +1,7 @@
 /** @file
  * azurewindd: reads its settings, starts the parts and runs the loop.
  */
+#include "common/file.h"
 #include "common/log.h"
 #include "daemon/admin.h"
 #include "daemon/control.h"
@@ -16,26 +17,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#define PART "daemon"
+/* Of the fleet secret or a TLS certificate or key. */
+#define MAX_FILE_BYTES 1000000
 
-static char *
-read_file (void *parent, const char *path, struct error *err)
-{
-  FILE *file = fopen (path, "rb");
-  char *text = NULL;
-  char chunk[4096];
-  size_t n;
-  if (file == NULL)
-    {
-      error_set (err, ERROR_NOT_FOUND, "cannot open %s", path);
-      return NULL;
-    }
-  text = talloc_strdup (parent, "");
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
-    text = talloc_strndup_append_buffer (text, chunk, n);
-  fclose (file);
-  return text;
-}
+#define PART "daemon"
 
 /* The file holds 64 hexadecimal digits, for example from
    "azurewind secret create". */
@@ -44,7 +29,8 @@
 {
   unsigned char secret[SECRET_BYTES];
   size_t len = 0;
-  char *text = read_file (d, d->options->secret_file, err);
+  char *text
+      = file_read (d, d->options->secret_file, MAX_FILE_BYTES, NULL, err);
   if (text == NULL)
     return error_wrap (err, ERROR_INVALID, "fleet secret");
   int rc = sodium_hex2bin (secret, sizeof secret, text, strcspn (text, "\n"),
@@ -65,10 +51,12 @@
 {
   if (d->options->tls_certificate == NULL)
     return true;
-  d->tls_certificate_text = read_file (d, d->options->tls_certificate, err);
+  d->tls_certificate_text
+      = file_read (d, d->options->tls_certificate, MAX_FILE_BYTES, NULL, err);
   if (d->tls_certificate_text == NULL)
     return false;
-  d->tls_key_text = read_file (d, d->options->tls_key, err);
+  d->tls_key_text
+      = file_read (d, d->options->tls_key, MAX_FILE_BYTES, NULL, err);
   return d->tls_key_text != NULL;
 }
 
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -1,5 +1,6 @@
 #include "daemon/options.h"
 
+#include "common/file.h"
 #include "common/toml_reader.h"
 
 #include <errno.h>
@@ -237,30 +238,16 @@
 static bool
 read_file (struct daemon_options *o, struct error *err)
 {
-  bool ok = false;
+  size_t len;
   void *scratch = talloc_new (NULL);
-  char *text = talloc_size (scratch, MAX_FILE_BYTES + 1);
-  FILE *file = fopen (o->settings_file, "rb");
-  if (file == NULL)
-    {
-      error_set (err, ERROR_INVALID, "%s: %s", o->settings_file,
-                 strerror (errno));
-      goto done;
-    }
-  size_t n = fread (text, 1, MAX_FILE_BYTES + 1, file);
-  if (ferror (file) || n > MAX_FILE_BYTES)
-    {
-      error_set (err, ERROR_INVALID, "%s: not readable, or above %d bytes",
-                 o->settings_file, MAX_FILE_BYTES);
-      goto done;
-    }
-  struct toml_node *root = toml_reader_parse (scratch, o->settings_file,
-                                              (struct bstr){ text, n }, err);
-  ok = root != NULL
-       && option_read (table, NULL, o, o, o->settings_file, root, err);
-done:
-  if (file != NULL)
-    fclose (file);
+  struct toml_node *root = NULL;
+  const char *text
+      = file_read (scratch, o->settings_file, MAX_FILE_BYTES, &len, err);
+  if (text != NULL)
+    root = toml_reader_parse (scratch, o->settings_file,
+                              (struct bstr){ text, len }, err);
+  bool ok = root != NULL
+            && option_read (table, NULL, o, o, o->settings_file, root, err);
   talloc_free (scratch);
   return ok;
 }
--- a/net/http.c
+++ b/net/http.c
@@ -1,10 +1,8 @@
 #include "net/http.h"
 
-#include <arpa/inet.h>
+#include "common/address.h"
+
 #include <microhttpd.h>
-#include <netinet/in.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <unistd.h>
 
 /* Bytes of libmicrohttpd's pool per connection; the default of 32 KiB would
@@ -261,20 +259,6 @@
   return 0;
 }
 
-static bool
-parse_address (const char *text, struct sockaddr_in *address)
-{
-  char host[64];
-  int port;
-  if (sscanf (text, "%63[^:]:%d", host, &port) != 2 || port < 0
-      || port > 65535)
-    return false;
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
-}
-
 struct http_server *
 http_server_create (void *parent, const struct http_server_options *options,
                     struct error *err)
@@ -287,7 +271,7 @@
   server->max_body = options->max_body;
   server->max_connections = options->max_connections;
   server->run_soon = tevent_create_immediate (server);
-  if (!parse_address (options->address, &address))
+  if (!address_parse (options->address, &address))
     {
       error_set (err, ERROR_INVALID, "listen address \"%s\" is not HOST:PORT",
                  options->address);
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -2,14 +2,14 @@
  * Stand-in for the platform's object API: objects with versions and long
  * polls, the list of VMs, and faults set through POST /standin/faults.
  */
+#include "common/address.h"
 #include "common/clock.h"
 #include "standins/platform_objects.h"
+#include "standins/standin.h"
 
-#include <arpa/inet.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <microhttpd.h>
-#include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -555,13 +555,9 @@
 static bool
 start_daemon (struct server *server, const char *listen_address)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  char host[64];
-  int port;
-  if (sscanf (listen_address, "%63[^:]:%d", host, &port) != 2
-      || inet_pton (AF_INET, host, &address.sin_addr) != 1)
+  struct sockaddr_in address;
+  if (!address_parse (listen_address, &address))
     return false;
-  address.sin_port = htons ((uint16_t)port);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request,
       server, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
@@ -583,15 +579,6 @@
   return true;
 }
 
-static void
-on_terminate (struct tevent_context *ev, struct tevent_signal *se, int signum,
-              int count, void *siginfo, void *data)
-{
-  (void)ev, (void)se, (void)signum, (void)count, (void)siginfo;
-  bool *stop = data;
-  *stop = true;
-}
-
 /* libmicrohttpd requires that no connection is suspended at its end. */
 static void
 stop_daemon (struct server *server)
@@ -613,18 +600,10 @@
           { "vms-lag", 0, POPT_ARG_INT, &vms_lag_ms, 0,
             "time by which the list of VMs lags behind", "MS" },
           POPT_AUTOHELP POPT_TABLEEND };
-  poptContext context
-      = poptGetContext ("standin-platform", argc, argv, options, 0);
-  int rc = poptGetNextOpt (context);
   int status = EXIT_FAILURE;
-  bool stop = false;
   struct server *server = talloc_zero (NULL, struct server);
-  if (rc != -1)
-    {
-      fprintf (stderr, "standin-platform: %s: %s\n",
-               poptBadOption (context, 0), poptStrerror (rc));
-      goto done;
-    }
+  if (!standin_read_options ("standin-platform", options, argc, argv))
+    goto done;
   server->ev = tevent_context_init (server);
   server->objects = objects_create (server);
   server->vms = vms_create (server);
@@ -638,15 +617,11 @@
                listen_address);
       goto done;
     }
-  tevent_add_signal (server->ev, server, SIGTERM, 0, on_terminate, &stop);
-  tevent_add_signal (server->ev, server, SIGINT, 0, on_terminate, &stop);
-  while (!stop && tevent_loop_once (server->ev) == 0)
-    ;
+  standin_run (server->ev);
   stop_daemon (server);
   status = EXIT_SUCCESS;
 done:
   free (listen_address);
   talloc_free (server);
-  poptFreeContext (context);
   return status;
 }
--- a/standins/postgres.c
+++ b/standins/postgres.c
@@ -4,12 +4,12 @@
  * statements with a settable lag.  Faults are injected with statements
  * that start with "standin:" in a comment.
  */
+#include "common/address.h"
 #include "common/clock.h"
 #include "standins/postgres_server.h"
+#include "standins/standin.h"
 
 #include <arpa/inet.h>
-#include <popt.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -31,7 +31,7 @@
   struct sockaddr_in address;
   socklen_t len = sizeof address;
   int one = 1;
-  if (!server_parse_address (listen_address, &address))
+  if (!address_parse (listen_address, &address))
     return false;
   server->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt (server->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
@@ -46,15 +46,6 @@
   return true;
 }
 
-static void
-on_terminate (struct tevent_context *ev, struct tevent_signal *se, int signum,
-              int count, void *siginfo, void *data)
-{
-  (void)ev, (void)se, (void)signum, (void)count, (void)siginfo;
-  bool *stop = data;
-  *stop = true;
-}
-
 /* A replica that is further behind than this is rebuilt from a copy.  At
    5,000 transactions per second it is 40 s. */
 #define DEFAULT_RECORDS_KEPT 200000
@@ -83,19 +74,11 @@
           { "auto-rebuild", 0, POPT_ARG_NONE, &auto_rebuild, 0,
             "rebuild from the new primary after divergence", NULL },
           POPT_AUTOHELP POPT_TABLEEND };
-  poptContext context
-      = poptGetContext ("standin-postgres", argc, argv, options, 0);
-  int rc = poptGetNextOpt (context);
   int status = EXIT_FAILURE;
-  bool stop = false;
   struct error err = { 0 };
   struct server *server = NULL;
-  if (rc != -1)
-    {
-      fprintf (stderr, "standin-postgres: %s: %s\n",
-               poptBadOption (context, 0), poptStrerror (rc));
-      goto done;
-    }
+  if (!standin_read_options ("standin-postgres", options, argc, argv))
+    goto done;
   server = talloc_zero (NULL, struct server);
   server->ev = tevent_context_init (server);
   server->apply_lag_ms = apply_lag_ms;
@@ -126,10 +109,7 @@
     }
   server->last_received = clock_now ();
   replication_start (server);
-  tevent_add_signal (server->ev, server, SIGTERM, 0, on_terminate, &stop);
-  tevent_add_signal (server->ev, server, SIGINT, 0, on_terminate, &stop);
-  while (!stop && tevent_loop_once (server->ev) == 0)
-    ;
+  standin_run (server->ev);
   status = EXIT_SUCCESS;
 done:
   if (server != NULL && server->store != NULL)
@@ -141,6 +121,5 @@
   talloc_free (server);
   free (primary);
   free (listen_address);
-  poptFreeContext (context);
   return status;
 }
--- a/standins/postgres_replication.c
+++ b/standins/postgres_replication.c
@@ -1,3 +1,4 @@
+#include "common/address.h"
 #include "common/clock.h"
 #include "standins/postgres_server.h"
 
@@ -199,7 +200,7 @@
   static const char startup[] = "user\0replication\0";
   struct sockaddr_in address;
   if (server->upstream != NULL || server->cut
-      || !server_parse_address (server->primary, &address))
+      || !address_parse (server->primary, &address))
     return;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (fd < 0)
--- a/standins/postgres_server.h
+++ b/standins/postgres_server.h
@@ -127,8 +127,6 @@
 /** Timer of a duration from now, in ms. */
 struct timeval server_after_ms (int64_t ms);
 
-bool server_parse_address (const char *text, struct sockaddr_in *address);
-
 /* postgres_sql.c */
 
 /** Set the current statement and find its kind. */
--- a/standins/postgres_session.c
+++ b/standins/postgres_session.c
@@ -1,6 +1,5 @@
 #include "standins/postgres_server.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -541,16 +540,3 @@
   s->fde = tevent_add_fd (server->ev, s, fd, TEVENT_FD_READ, on_socket, s);
   return s;
 }
-
-bool
-server_parse_address (const char *text, struct sockaddr_in *address)
-{
-  char host[64];
-  int port;
-  if (sscanf (text, "%63[^:]:%d", host, &port) != 2)
-    return false;
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
-}
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -292,14 +292,6 @@
   return NULL;
 }
 
-static size_t
-collect (char *data, size_t size, size_t count, void *context)
-{
-  char **text = context;
-  *text = talloc_strndup_append_buffer (*text, data, size * count);
-  return size * count;
-}
-
 static struct fleet_answer
 call (struct fleet *f, int daemon, CURL *given, const char *path,
       const char *key, const char *session, const char *body)
@@ -319,7 +311,7 @@
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, 30000L);
   curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, collect);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, process_collect);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, &text);
   if (body != NULL)
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
--- a/tests/fuzz/chart.c
+++ b/tests/fuzz/chart.c
@@ -14,13 +14,6 @@
 static const struct chart_vocabulary vocabulary
     = { "drain", states, events, actions };
 
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  return 0;
-}
-
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -8,6 +8,7 @@
 #include "common/bstr.h"
 
 #include <jansson.h>
+#include <sodium.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,6 +20,15 @@
 int LLVMFuzzerInitialize (int *argc, char ***argv);
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
+/* Defined here, because each fuzzer is one source file. */
+int
+LLVMFuzzerInitialize (int *argc, char ***argv)
+{
+  (void)argc, (void)argv;
+  json_object_seed (FUZZ_HASH_SEED);
+  return sodium_init () < 0 ? 1 : 0;
+}
+
 /** End the run if a property does not hold. */
 #define FUZZ_CHECK(condition)                                                 \
   do                                                                          \
--- a/tests/fuzz/group_object.c
+++ b/tests/fuzz/group_object.c
@@ -4,14 +4,6 @@
 #include "daemon/group_object.h"
 #include "tests/fuzz/fuzz.h"
 
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  json_object_seed (FUZZ_HASH_SEED);
-  return 0;
-}
-
 static bool
 is_endpoint (int index)
 {
--- a/tests/fuzz/keys.c
+++ b/tests/fuzz/keys.c
@@ -5,16 +5,6 @@
 #include "proto/key.h"
 #include "tests/fuzz/fuzz.h"
 
-#include <sodium.h>
-
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  json_object_seed (FUZZ_HASH_SEED);
-  return sodium_init () < 0 ? 1 : 0;
-}
-
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/tests/fuzz/message.c
+++ b/tests/fuzz/message.c
@@ -11,13 +11,6 @@
 
 static const unsigned char key[SECRET_BYTES] = "fuzz";
 
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  return sodium_init () < 0 ? 1 : 0;
-}
-
 static struct bstr
 seal (void *parent, const uint8_t *plain, size_t size)
 {
--- a/tests/fuzz/settings.c
+++ b/tests/fuzz/settings.c
@@ -4,14 +4,6 @@
 #include "core/settings.h"
 #include "tests/fuzz/fuzz.h"
 
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  json_object_seed (FUZZ_HASH_SEED);
-  return 0;
-}
-
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/tests/fuzz/token.c
+++ b/tests/fuzz/token.c
@@ -9,13 +9,6 @@
 
 static const unsigned char key[SECRET_BYTES] = "fuzz";
 
-int
-LLVMFuzzerInitialize (int *argc, char ***argv)
-{
-  (void)argc, (void)argv;
-  return sodium_init () < 0 ? 1 : 0;
-}
-
 static struct bstr
 sign (void *parent, const uint8_t *body, size_t size)
 {
--- a/tests/main.c
+++ b/tests/main.c
@@ -1,3 +1,4 @@
+#include "tests/script.h"
 #include "tests/tests.h"
 
 #include <CUnit/Basic.h>
@@ -25,21 +26,6 @@
   return folder != NULL ? folder : "build/release";
 }
 
-static char *
-read_file (void *parent, const char *path)
-{
-  FILE *file = fopen (path, "rb");
-  char *text = talloc_strdup (parent, "");
-  char chunk[4096];
-  size_t n;
-  if (file == NULL)
-    return NULL;
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
-    text = talloc_strndup_append_buffer (text, chunk, n);
-  fclose (file);
-  return text;
-}
-
 static void
 print_first_difference (const char *path, const char *expected,
                         const char *actual)
@@ -76,7 +62,7 @@
     }
   else
     {
-      char *expected = read_file (scratch, path);
+      char *expected = script_read_file (scratch, path);
       equal = expected != NULL && strcmp (expected, text) == 0;
       if (!equal)
         print_first_difference (path, expected != NULL ? expected : "", text);
@@ -116,7 +102,7 @@
 main (int argc, char **argv)
 {
   void *scratch = talloc_new (NULL);
-  char *known_red = read_file (scratch, KNOWN_RED_FILE);
+  char *known_red = script_read_file (scratch, KNOWN_RED_FILE);
   if (CU_initialize_registry () != CUE_SUCCESS)
     return EXIT_FAILURE;
   for (const struct test_suite *s = suites; s != NULL; s = s->next)
--- a/tests/process.c
+++ b/tests/process.c
@@ -176,8 +176,8 @@
   return kb;
 }
 
-static size_t
-append_answer (char *bytes, size_t size, size_t count, void *data)
+size_t
+process_collect (char *bytes, size_t size, size_t count, void *data)
 {
   char **answer = data;
   *answer = talloc_strndup_append_buffer (*answer, bytes, size * count);
@@ -206,7 +206,7 @@
   if (body != NULL)
     curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS, body);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_answer);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, process_collect);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, &text);
   if (curl_easy_perform (easy) == CURLE_OK)
     curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
--- a/tests/process.h
+++ b/tests/process.h
@@ -39,6 +39,10 @@
 /** @return resident memory in KB, 0 if it cannot be read. */
 long process_memory_kb (const struct process *p);
 
+/** For CURLOPT_WRITEFUNCTION: append to the talloc text at @p data, a
+ * char **. */
+size_t process_collect (char *bytes, size_t size, size_t count, void *data);
+
 /** One blocking HTTP call with a timeout of 10 s.
  * @param body may be NULL.
  * @param answer set to memory owned by @p parent; may be NULL.
--- a/tests/script.c
+++ b/tests/script.c
@@ -1,21 +1,16 @@
 #include "tests/script.h"
 
+#include "common/file.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 
+#define MAX_FILE_BYTES 10000000
+
 char *
 script_read_file (void *parent, const char *path)
 {
-  FILE *file = fopen (path, "rb");
-  char *text = talloc_strdup (parent, "");
-  char chunk[4096];
-  size_t n;
-  if (file == NULL)
-    return NULL;
-  while ((n = fread (chunk, 1, sizeof chunk, file)) > 0)
-    text = talloc_strndup_append_buffer (text, chunk, n);
-  fclose (file);
-  return text;
+  return file_read (parent, path, MAX_FILE_BYTES, NULL, NULL);
 }
 
 void
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -1,3 +1,4 @@
+#include "common/file.h"
 #include "common/toml_reader.h"
 #include "core/settings.h"
 #include "tests/tests.h"
@@ -92,12 +93,10 @@
 static struct bstr
 read_tree (void *parent)
 {
-  FILE *file = fopen (TREE, "rb");
-  char *text = talloc_zero_size (parent, 8192);
-  size_t n = file != NULL ? fread (text, 1, 8191, file) : 0;
-  if (file != NULL)
-    fclose (file);
-  return (struct bstr){ text, n };
+  struct bstr text;
+  text.start = file_read (parent, TREE, 8192, &text.len, NULL);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (text.start);
+  return text;
 }
 
 /* Guards against a bad tree that is applied, and against an error that does
