experiment: measure the four measures under faults

Cause: the measures of docs/design.md, section 1.2, were only measured by the demo, with three daemons and one fault. Ruled out: a burst of less than 2 tokens per daemon, which is kept at one daemon, so that the fleet never counts as ready.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 # share a prefix (standins, tools).
 PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind \
   $(BUILD)/standin-platform $(BUILD)/standin-postgres \
-  $(BUILD)/azurewind-load
+  $(BUILD)/azurewind-load $(BUILD)/azurewind-fault
 TEST_SRC = $(wildcard tests/*.c)
 TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
 TEST = $(BUILD)/azurewind-tests
@@ -68,6 +68,9 @@
 $(BUILD)/azurewind-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load*.c)) $(LIB)
 	$(link)
 
+$(BUILD)/azurewind-fault: $(BUILD)/tools/fault.o $(LIB)
+	$(link)
+
 # Objects of the daemon and the tool without main, so that tests reach them.
 TEST_DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out daemon/main.c,$(wildcard daemon/*.c)))
 
@@ -95,6 +98,10 @@
 	$(MAKE) -j4 programs
 	BUILD=$(BUILD) tools/demo
 
+results: deps
+	$(MAKE) -j4 programs
+	BUILD=$(BUILD) tools/experiment --write docs/RESULTS.md
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -110,5 +117,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps test check demo format lint clean
+.PHONY: all programs deps test check demo results format lint clean
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/core/routing.c
+++ b/core/routing.c
@@ -290,12 +290,13 @@
   struct position after = { 0, 0 };
   bool has_primary = r->primary != INDEX_NONE && is_usable (r, r->primary, now)
                      && (request->tried & (1U << r->primary)) == 0;
-  bool replicas_allowed = true;
+  bool replicas_allowed = !r->options.primary_only;
   if (request->freshness == FRESHNESS_READ_YOUR_WRITES)
     after = request->after;
   else if (request->freshness == FRESHNESS_BOUNDED)
     replicas_allowed
-        = bounded_position (r, request->max_staleness_us, &after, now);
+        = bounded_position (r, request->max_staleness_us, &after, now)
+          && replicas_allowed;
 
   int replica = INDEX_NONE;
   /* The primary's own guard asks for the term that the caller has seen; its
--- a/core/routing.h
+++ b/core/routing.h
@@ -15,6 +15,7 @@
   int endpoint_count;
   int64_t catch_up_us;   /**< Longest wait for a replica to catch up. */
   int64_t stale_poll_us; /**< Age after which a poll no longer counts. */
+  bool primary_only;     /**< Baseline: replicas serve no reads. */
 };
 
 struct read_request
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -695,9 +695,12 @@
   g->routing = routing_create (
       g, &(struct routing_options){
              .endpoint_count = g->endpoint_count,
+             .primary_only = d->options->baseline_primary_reads,
              .catch_up_us = g->values.catch_up_ms * USEC_PER_MSEC,
              .stale_poll_us = 4 * d->options->poll_ms * USEC_PER_MSEC });
-  struct admission_options queue = { .max_queued = 1000, .browse_share = 0.1 };
+  struct admission_options queue = { .fifo = d->options->baseline_fifo,
+                                     .max_queued = 1000,
+                                     .browse_share = 0.1 };
   g->writes = admission_create (g, &queue);
   g->reads = admission_create (g, &queue);
   daemon_every (d, g, TICK_US, on_tick, g);
--- a/daemon/options.c
+++ b/daemon/options.c
@@ -146,6 +146,18 @@
     .number = 5000,
     .unit = "connections",
     .help = "Callers' connections that are open at one time" },
+  { .name = "baseline_primary_reads",
+    .type = OPTION_BOOL,
+    .offset = MEMBER (baseline_primary_reads),
+    .help = "For comparison: send every read to the primary" },
+  { .name = "baseline_static_shares",
+    .type = OPTION_BOOL,
+    .offset = MEMBER (baseline_static_shares),
+    .help = "For comparison: never move parts of a budget between daemons" },
+  { .name = "baseline_fifo",
+    .type = OPTION_BOOL,
+    .offset = MEMBER (baseline_fifo),
+    .help = "For comparison: one queue for all organisations and classes" },
   { 0 },
 };
 
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -32,6 +32,9 @@
   int64_t hold_ms;
   int64_t max_body_bytes;
   int max_connections;
+  bool baseline_primary_reads;
+  bool baseline_static_shares;
+  bool baseline_fifo;
 
   char *settings_file; /**< --settings, NULL if none was given. */
   bool exit_now;       /**< --help or --check was done; exit with success. */
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -505,10 +505,10 @@
   snprintf (cell.self.address, sizeof cell.self.address, "%s",
             bus_address (d->bus));
   d->cell = cell_create (d, &cell, now);
-  d->budget
-      = budget_create (d, &(struct budget_options){ .self = d->id,
-
-                                                    .resend_us = RESEND_US });
+  d->budget = budget_create (
+      d, &(struct budget_options){ .self = d->id,
+                                   .static_shares = o->baseline_static_shares,
+                                   .resend_us = RESEND_US });
   daemon_every (d, p, TICK_US, on_tick, d);
   read_object (d);
   return p;
--- a/standins/postgres.c
+++ b/standins/postgres.c
@@ -65,24 +65,27 @@
   char *listen_address = NULL;
   char *primary = NULL;
   int apply_lag_ms = 0, ship_delay_ms = 0, connect_delay_ms = 0;
+  int round_trip_ms = 0;
   int auto_rebuild = 0, keep_records = DEFAULT_RECORDS_KEPT;
-  struct poptOption options[]
-      = { { "listen", 'l', POPT_ARG_STRING, &listen_address, 0,
-            "address to listen on; port 0 takes a free one", "HOST:PORT" },
-          { "primary", 'p', POPT_ARG_STRING, &primary, 0,
-            "start as a replica of this server", "HOST:PORT" },
-          { "apply-lag", 0, POPT_ARG_INT, &apply_lag_ms, 0,
-            "delay before a received record is replayed", "MS" },
-          { "ship-delay", 0, POPT_ARG_INT, &ship_delay_ms, 0,
-            "delay before a committed record is sent to replicas", "MS" },
-          { "connect-delay", 0, POPT_ARG_INT, &connect_delay_ms, 0,
-            "time that opening a connection takes", "MS" },
-          { "keep-records", 0, POPT_ARG_INT, &keep_records, 0,
-            "least number of committed transactions kept for replicas",
-            "COUNT" },
-          { "auto-rebuild", 0, POPT_ARG_NONE, &auto_rebuild, 0,
-            "rebuild from the new primary after divergence", NULL },
-          POPT_AUTOHELP POPT_TABLEEND };
+  struct poptOption options[] = {
+    { "listen", 'l', POPT_ARG_STRING, &listen_address, 0,
+      "address to listen on; port 0 takes a free one", "HOST:PORT" },
+    { "primary", 'p', POPT_ARG_STRING, &primary, 0,
+      "start as a replica of this server", "HOST:PORT" },
+    { "apply-lag", 0, POPT_ARG_INT, &apply_lag_ms, 0,
+      "delay before a received record is replayed", "MS" },
+    { "ship-delay", 0, POPT_ARG_INT, &ship_delay_ms, 0,
+      "delay before a committed record is sent to replicas", "MS" },
+    { "connect-delay", 0, POPT_ARG_INT, &connect_delay_ms, 0,
+      "time that opening a connection takes", "MS" },
+    { "round-trip", 0, POPT_ARG_INT, &round_trip_ms, 0,
+      "time that each Sync and each simple query takes on the network", "MS" },
+    { "keep-records", 0, POPT_ARG_INT, &keep_records, 0,
+      "least number of committed transactions kept for replicas", "COUNT" },
+    { "auto-rebuild", 0, POPT_ARG_NONE, &auto_rebuild, 0,
+      "rebuild from the new primary after divergence", NULL },
+    POPT_AUTOHELP POPT_TABLEEND
+  };
   poptContext context
       = poptGetContext ("standin-postgres", argc, argv, options, 0);
   int rc = poptGetNextOpt (context);
@@ -101,6 +104,7 @@
   server->apply_lag_ms = apply_lag_ms;
   server->ship_delay_ms = ship_delay_ms;
   server->connect_delay_ms = connect_delay_ms;
+  server->round_trip_ms = round_trip_ms;
   server->auto_rebuild = auto_rebuild != 0;
   server->store = store_open (server, &err);
   if (server->store != NULL)
--- a/standins/postgres_server.h
+++ b/standins/postgres_server.h
@@ -35,7 +35,8 @@
   int64_t ship_delay_ms;
   int64_t statement_delay_ms;
   int64_t connect_delay_ms;
-  bool cut; /**< Partitioned: only control sessions are served. */
+  int64_t round_trip_ms; /**< Added to each Sync and simple query. */
+  bool cut;              /**< Partitioned: only control sessions are served. */
   bool auto_rebuild;
   bool drop_commit_answer; /**< Commit, then close without an answer. */
   int listener;
@@ -83,8 +84,9 @@
   bool skip_to_sync;
   bool waiting;                /**< For the writer or for a delay. */
   struct tevent_timer *resume; /**< Set while a delay runs. */
-  bool delayed; /**< The injected delay of this statement was served. */
-  char state;   /**< 'I', 'T' or 'E', as ReadyForQuery reports it. */
+  bool delayed;   /**< The injected delay of this statement was served. */
+  bool travelled; /**< The round trip of this message was served. */
+  char state;     /**< 'I', 'T' or 'E', as ReadyForQuery reports it. */
   bool read_only;
   struct connection *connection; /**< NULL until the first statement. */
   struct named_sql *named;
--- a/standins/postgres_session.c
+++ b/standins/postgres_session.c
@@ -161,12 +161,25 @@
   return true;
 }
 
+/* Hold the session back for the network's round trip, once per message that
+   a client waits for.  Other sessions go on. */
+static bool
+must_travel (struct session *s)
+{
+  int64_t delay = s->server->round_trip_ms;
+  if (delay <= 0 || s->control || s->travelled)
+    return false;
+  s->travelled = true;
+  session_resume (s, delay);
+  return true;
+}
+
 static enum run_result
 on_simple_query (struct session *s, struct wire_reader *r)
 {
   clear_params (s);
   sql_set (s, wire_get_text (r));
-  if (must_delay (s))
+  if (must_travel (s) || must_delay (s))
     return RUN_BLOCKED;
   enum run_result result = sql_prepare (s);
   if (result == RUN_DONE)
@@ -174,6 +187,18 @@
   if (result == RUN_BLOCKED)
     return result;
   s->delayed = false;
+  s->travelled = false;
+  send_ready (s);
+  return RUN_DONE;
+}
+
+static enum run_result
+on_sync (struct session *s)
+{
+  if (must_travel (s))
+    return RUN_BLOCKED;
+  s->travelled = false;
+  s->skip_to_sync = false;
   send_ready (s);
   return RUN_DONE;
 }
@@ -334,9 +359,7 @@
     case 'C':
       return on_close (s, &r);
     case 'S':
-      s->skip_to_sync = false;
-      send_ready (s);
-      return RUN_DONE;
+      return on_sync (s);
     case 'F':
       replication_on_follower (s, payload);
       return RUN_DONE;
--- a/tests/failover_world.c
+++ b/tests/failover_world.c
@@ -775,8 +775,9 @@
                                       .driver_timeout_us = 2000 * MS },
           clock_of (w, d));
       d->routing = routing_create (
-          w,
-          &(struct routing_options){ options->endpoints, 50 * MS, 1500 * MS });
+          w, &(struct routing_options){ .endpoint_count = options->endpoints,
+                                        .catch_up_us = 50 * MS,
+                                        .stale_poll_us = 1500 * MS });
       failover_set_members (d->failover, ids, options->members,
                             clock_of (w, d));
     }
--- a/tests/test_authority.c
+++ b/tests/test_authority.c
@@ -133,7 +133,9 @@
 create_routing (void)
 {
   struct routing *r = routing_create (
-      NULL, &(struct routing_options){ 3, 50 * MS, 1000 * MS });
+      NULL, &(struct routing_options){ .endpoint_count = 3,
+                                       .catch_up_us = 50 * MS,
+                                       .stale_poll_us = 1000 * MS });
   routing_set_primary (r, 0, 1, 0);
   return r;
 }
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -14,7 +14,7 @@
   fleet_pids="$! $fleet_pids"
   echo $! >"$fleet_dir/$name.pid"
   tries=0
-  until grep -q '^ready' "$fleet_dir/$name.out"; do
+  until grep -qs '^ready' "$fleet_dir/$name.out"; do
     tries=$((tries + 1))
     if [ $tries -gt 200 ]; then
       echo "$name did not start:" >&2
