net: notice refused connections at once

Cause: tevent does not report EPOLLERR to a handler that waits for output only, so a refused connection was found by a timer (libpq: 1 s). Ruled out: waits in the daemon; libcurl's total time was 4 ms of 1.7 s. Change: pgsql and http_loop also wait for input while they connect.

--- a/net/http_loop.c
+++ b/net/http_loop.c
@@ -53,7 +53,9 @@
   if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
     flags |= TEVENT_FD_READ;
   if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
-    flags |= TEVENT_FD_WRITE;
+    /* tevent reports an error of a socket, such as a refused connection,
+       only to those that wait for input. */
+    flags |= TEVENT_FD_READ | TEVENT_FD_WRITE;
   if (watch == NULL)
     {
       watch = talloc_zero (loop, struct socket_watch);
--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -272,6 +272,10 @@
     }
 }
 
+/* tevent reports an error of a socket, such as a refused connection, only to
+   those that wait for input. */
+#define CONNECT_FLAGS (TEVENT_FD_READ | TEVENT_FD_WRITE)
+
 static void
 update_interest (struct pgsql_connection *c, bool want_write)
 {
@@ -288,7 +292,7 @@
       tevent_fd_set_flags (c->fde, TEVENT_FD_READ);
       break;
     case PGRES_POLLING_WRITING:
-      tevent_fd_set_flags (c->fde, TEVENT_FD_WRITE);
+      tevent_fd_set_flags (c->fde, CONNECT_FLAGS);
       break;
     case PGRES_POLLING_OK:
       PQsetnonblocking (c->pg, 1);
@@ -423,7 +427,7 @@
       done (data, NULL, &err);
       return;
     }
-  c->fde = tevent_add_fd (pool->ev, c, PQsocket (c->pg), TEVENT_FD_WRITE,
+  c->fde = tevent_add_fd (pool->ev, c, PQsocket (c->pg), CONNECT_FLAGS,
                           on_socket, c);
   c->timer = tevent_add_timer (
       pool->ev, c,
