--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 # share a prefix (standins, tools).
 PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind \
   $(BUILD)/standin-platform $(BUILD)/standin-postgres \
-  $(BUILD)/azurewind-load $(BUILD)/azurewind-idle
+  $(BUILD)/azurewind-load $(BUILD)/azurewind-idle $(BUILD)/azurewind-fault
 TEST_SRC = $(wildcard tests/*.c)
 TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
 TEST = $(BUILD)/azurewind-tests
@@ -71,6 +71,9 @@
 $(BUILD)/azurewind-idle: $(BUILD)/tools/idle.o $(LIB)
 	$(link)
 
+$(BUILD)/azurewind-fault: $(BUILD)/tools/fault.o $(LIB)
+	$(link)
+
 # Objects of the daemon and the tool without main, so that tests reach them.
 TEST_DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out daemon/main.c,$(wildcard daemon/*.c)))
 
@@ -122,6 +125,10 @@
 	$(MAKE) -j4 programs
 	BUILD=$(BUILD) tools/bench
 
+results: deps
+	$(MAKE) -j4 programs
+	BUILD=$(BUILD) tools/experiment --write docs/RESULTS.md
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -137,5 +144,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps test check fuzzers fuzz demo bench format lint clean
+.PHONY: all programs deps test check fuzzers fuzz demo bench results format lint clean
 -include $(shell find build -name '*.d' 2>/dev/null)
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -26,8 +26,10 @@
   json_object_set_new (json, "name", json_string (e->name));
   json_object_set_new (
       json, "role",
-      json_string (e->index == authority_primary (g->authority) ? "primary"
-                                                                : "replica"));
+      json_string (endpoint_is_replaced (e) ? "replaced"
+                   : e->index == authority_primary (g->authority)
+                       ? "primary"
+                       : "replica"));
   json_object_set_new (json, "term",
                        json_integer ((json_int_t)e->status.term));
   json_object_set_new (json, "fence",
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -34,6 +34,9 @@
 /* ---- commands to one endpoint ------------------------------------------ */
 
 #define COMMAND_MAX 5
+/* A reset takes a round trip; this covers a slow one. */
+#define COMMAND_RETRIES 100
+#define COMMAND_RETRY_US (2 * USEC_PER_MSEC)
 
 /* A chain of single statements, each in a transaction of its own, because
    ALTER SYSTEM refuses to run inside a transaction block.  The first one
@@ -46,11 +49,14 @@
   enum failover_action_kind kind;
   const char *sql[COMMAND_MAX];
   int count, next;
+  int retries; /**< For want of a free connection. */
   int64_t sent_at;
 };
 
 static void run_next_statement (struct command *cmd,
                                 struct pgsql_connection *c);
+static void on_command_connection (void *data, struct pgsql_connection *c,
+                                   const struct error *err);
 
 static void
 finish_command (struct command *cmd, bool ok,
@@ -112,11 +118,28 @@
   pgsql_run (c, &statement, 1, on_command_done, step);
 }
 
+static void
+on_command_retry (struct tevent_context *ev, struct tevent_timer *te,
+                  struct timeval now, void *data)
+{
+  (void)ev, (void)te, (void)now;
+  struct command *cmd = data;
+  pgsql_acquire (cmd->endpoint->control_pool, on_command_connection, cmd);
+}
+
 static void
 on_command_connection (void *data, struct pgsql_connection *c,
                        const struct error *err)
 {
   struct command *cmd = data;
+  if (c == NULL && err->code == ERROR_REFUSED
+      && cmd->retries++ < COMMAND_RETRIES)
+    {
+      /* The connection of the command before is still being reset. */
+      daemon_after (cmd->endpoint->group->daemon, cmd, COMMAND_RETRY_US,
+                    on_command_retry, cmd);
+      return;
+    }
   if (c == NULL)
     {
       log_debug (PART, "no connection for a command endpoint=%s error=\"%s\"",
@@ -269,12 +292,30 @@
       poll_endpoint (&g->endpoints[i]);
 }
 
+/* An old primary that is back holds a branch of its own and must be rebuilt
+   by an operator. */
+static void
+warn_if_replaced (const struct endpoint *e,
+                  const struct endpoint_status *status)
+{
+  const struct group *g = e->group;
+  bool was = endpoint_is_replaced (e);
+  struct endpoint seen = *e;
+  seen.status = *status;
+  if (!was && endpoint_is_replaced (&seen))
+    log_warn (PART,
+              "replaced primary is back and must be rebuilt service=%s "
+              "endpoint=%s term=%" PRIu64,
+              g->service, e->name, status->term);
+}
+
 void
 group_on_status (struct endpoint *e, const struct endpoint_status *status,
                  int64_t sent_at)
 {
   struct group *g = e->group;
   int64_t now = clock_now ();
+  warn_if_replaced (e, status);
   e->status = *status;
   e->answered_at = now;
   authority_observe (g->authority, e->index, status, sent_at);
@@ -553,6 +594,14 @@
 /* ---- events from peers and the platform ----------------------------------
  */
 
+bool
+endpoint_is_replaced (const struct endpoint *e)
+{
+  const struct endpoint_status *s = &e->status;
+  return s->term > 0 && !s->in_recovery
+         && s->term < authority_term (e->group->authority);
+}
+
 struct group *
 group_find (struct daemon *d, struct bstr service)
 {
@@ -723,14 +772,17 @@
           .suspect_us = g->values.suspect_ms * USEC_PER_MSEC,
           .unreachable_us = g->values.unreachable_ms * USEC_PER_MSEC,
           .refused_us = REFUSED_US,
-          .driver_timeout_us = 3 * g->values.suspect_ms * USEC_PER_MSEC },
+          .driver_timeout_us = 3 * g->values.suspect_ms * USEC_PER_MSEC / 2 },
       now);
   g->routing = routing_create (
       g, &(struct routing_options){
              .endpoint_count = g->endpoint_count,
+             .primary_only = d->options->baseline_primary_reads,
              .catch_up_us = g->values.catch_up_ms * USEC_PER_MSEC,
              .stale_poll_us = 4 * d->options->poll_ms * USEC_PER_MSEC });
-  struct admission_options queue = { .max_queued = 1000, .browse_share = 0.1 };
+  struct admission_options queue = { .fifo = d->options->baseline_fifo,
+                                     .max_queued = 1000,
+                                     .browse_share = 0.1 };
   g->writes = admission_create (g, &queue);
   g->reads = admission_create (g, &queue);
   daemon_every (d, g, TICK_US, on_tick, g);
@@ -805,7 +857,11 @@
   if (service->open_organisation != NULL)
     g->open_organisation = talloc_strdup (g, service->open_organisation);
   for (int i = 0; i < g->endpoint_count; i++)
-    routing_set_leaving (g->routing, i, service->endpoints[i].leaving);
+    {
+      bool leaving = service->endpoints[i].leaving;
+      routing_set_leaving (g->routing, i, leaving);
+      failover_set_leaving (g->failover, i, leaving, now);
+    }
   /* Organisations stay in memory because running calls point to them; one
      that is gone from the settings is disabled. */
   for (struct organisation *o = g->organisations; o != NULL; o = o->next)
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -73,6 +73,9 @@
 struct group *group_find (struct daemon *d, struct bstr service);
 struct organisation *group_organisation (struct group *g, struct bstr name);
 
+/** @return whether it still leads a term that was replaced. */
+bool endpoint_is_replaced (const struct endpoint *e);
+
 /** An endpoint answered a status query that was sent at @p sent_at. */
 void group_on_status (struct endpoint *e, const struct endpoint_status *status,
                       int64_t sent_at);
