tools: add scale, core_slopes and the capacity page

The sizes of section 1.4 were not derived from anything measured. scale runs cells of 2 to 8 and up to 64 daemons, services, organisations and the decision core, fits lines and derives the stated fleet; `make capacity` rewrites the tables of docs/CAPACITY.md and docs/capacity.svg.

Ruled out: the time of a change read from /status of all daemons, which measured the reading; it is now taken from the daemons' logs.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 # share a prefix (standins, tools).
 PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind \
   $(BUILD)/standin-platform $(BUILD)/standin-postgres \
-  $(BUILD)/azurewind-load $(BUILD)/azurewind-idle
+  $(BUILD)/azurewind-load $(BUILD)/azurewind-idle \
+  $(BUILD)/azurewind-core-slopes
 TEST_SRC = $(wildcard tests/*.c)
 TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
 TEST = $(BUILD)/azurewind-tests
@@ -71,6 +72,10 @@
 $(BUILD)/azurewind-idle: $(BUILD)/tools/idle.o $(LIB)
 	$(link)
 
+$(BUILD)/azurewind-core-slopes: $(BUILD)/tools/core_slopes.o \
+  $(BUILD)/daemon/cell_object.o $(LIB)
+	$(link)
+
 # Objects of the daemon and the tool without main, so that tests reach them.
 TEST_DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(filter-out daemon/main.c,$(wildcard daemon/*.c)))
 
@@ -102,6 +107,10 @@
 	$(MAKE) -j4 programs
 	BUILD=$(BUILD) tools/bench
 
+capacity: deps
+	$(MAKE) -j4 programs
+	BUILD=$(BUILD) tools/scale --write
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -117,5 +126,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps test check demo bench format lint clean
+.PHONY: all programs deps test check demo bench capacity format lint clean
 -include $(shell find build -name '*.d' 2>/dev/null)
