--- a/daemon/call.c
+++ b/daemon/call.c
@@ -174,9 +174,7 @@
                  (uint64_t)(now - c->started));
   if (outcome == OUTCOME_RAN && c->too_many_rows)
     call_reply_error (c->http, 422, c->request_id, outcome, "too_many_rows",
-                      "the answer has more rows than the organisation's "
-                      "max_rows",
-                      0);
+                      "the answer has more rows than max_rows allows", 0);
   else if (outcome == OUTCOME_RAN)
     reply_ran (c);
   else
--- a/tests/test_pgsql.c
+++ b/tests/test_pgsql.c
@@ -256,7 +256,7 @@
   memset (&o, 0, sizeof o);
   pgsql_acquire (f->pool, on_acquired, &o);
   CU_ASSERT (loop_run (f->ev, LOOP_MS, is_acquired, &o));
-  CU_ASSERT (o.connection == NULL && o.code == ERROR_UNAVAILABLE);
+  CU_ASSERT (o.connection == NULL && o.code == ERROR_NOT_FOUND);
   CU_ASSERT (is_empty (f->pool));
   fixture_free (f);
 }
