tests: leaving primary and row limit with processes; fix an index in the failover driver

Change: only polls look at an endpoint. New tests leaving_primary_is_replaced and too_many_rows_are_refused.

--- a/tests/failover_world.c
+++ b/tests/failover_world.c
@@ -176,9 +176,10 @@
 static bool
 is_refused (const struct world *w, const struct message *m)
 {
+  if (m->kind != POLL || m->is_answer || w->cut[m->from][m->to])
+    return false;
   const struct endpoint *e = &w->endpoints[m->to];
-  return m->kind == POLL && !m->is_answer && !w->cut[m->from][m->to]
-         && ((e->is_down && e->is_closed) || w->refused[m->from][m->to]);
+  return (e->is_down && e->is_closed) || w->refused[m->from][m->to];
 }
 
 static void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -400,10 +400,10 @@
   talloc_free (f);
 }
 
-/* Guards against a configuration that does not reach a daemon that is cut
-   from the platform only by a restart during its outage. */
+/* Guards against a configuration that takes longer than its bound to reach
+   a daemon. */
 static void
-configuration_reaches_a_daemon_that_starts_in_an_outage (void)
+configuration_reaches_every_daemon (void)
 {
   struct fleet *f = fleet_start (NULL, &three);
   REQUIRE (f != NULL);
@@ -449,6 +449,50 @@
   talloc_free (f);
 }
 
+/* Guards against a primary that goes on taking writes after it was marked as
+   leaving, and against a planned change that loses or refuses a write. */
+static void
+leaving_primary_is_replaced (void)
+{
+  struct fleet *f = fleet_start (NULL, &three);
+  REQUIRE (f != NULL);
+  REQUIRE (run_is (f, 0, "write", NULL, "",
+                   "INSERT INTO bookings VALUES ('before', 1)", "ran"));
+  REQUIRE (fleet_put_config (f, NULL, "leaving = true\n"));
+  int64_t end = fleet_now_ms () + FAILOVER_BOUND_MS;
+  int primary = 0;
+  for (int i = 0; primary == 0 && fleet_now_ms () < end; i++)
+    {
+      REQUIRE (run_is (f, i % 3, "write", NULL, ",\"deadline_ms\":19000",
+                       "INSERT INTO bookings VALUES (hex(randomblob(8)), 1)",
+                       "ran"));
+      primary = fleet_wait_primary (f, 0, 1, 1000);
+    }
+  CU_ASSERT (primary > 0);
+  CU_ASSERT_EQUAL (count_rows (f, 1, "before"), 1);
+done:
+  talloc_free (f);
+}
+
+/* Guards against a limit of rows that has no effect, and against a write
+   that is called not_run because its answer is too long. */
+static void
+too_many_rows_are_refused (void)
+{
+  static const char ten[] = "WITH RECURSIVE n (i) AS (SELECT 1 UNION ALL "
+                            "SELECT i + 1 FROM n WHERE i < 10) SELECT i "
+                            "FROM n";
+  struct fleet *f
+      = fleet_start (NULL, &(struct fleet_options){ 1, "max_rows = 9" });
+  REQUIRE (f != NULL);
+  struct fleet_answer a = fleet_sql (f, 0, "read", NULL, "", ten);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "code"), "too_many_rows");
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "ran");
+  json_decref (a.json);
+done:
+  talloc_free (f);
+}
+
 /* Guards against a planned stop that cuts a running request. */
 static void
 graceful_shutdown_cuts_nothing (void)
@@ -554,9 +598,10 @@
   { "primary_killed_while_the_platform_is_stopped",
     primary_killed_while_the_platform_is_stopped },
   { "key_revoked_on_an_open_connection", key_revoked_on_an_open_connection },
-  { "configuration_reaches_every_daemon",
-    configuration_reaches_a_daemon_that_starts_in_an_outage },
+  { "configuration_reaches_every_daemon", configuration_reaches_every_daemon },
   { "leaving_endpoint_gets_no_new_reads", leaving_endpoint_gets_no_new_reads },
+  { "leaving_primary_is_replaced", leaving_primary_is_replaced },
+  { "too_many_rows_are_refused", too_many_rows_are_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
   { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
   { NULL, NULL },
