daemon: answer with JSON in one place

Cause: rendering a JSON value and answering with it stood in call.c, transaction.c and admin.c, rendering alone in cell_object.c and group_object.c. Change: daemon/reply and common/json_text; the callers use them. Conclusion: behaviour unchanged.

--- /dev/null
+++ b/common/json_text.h
@@ -0,0 +1,16 @@
+/** @file
+ * JSON values as text.
+ */
+#ifndef COMMON_JSON_TEXT_H
+#define COMMON_JSON_TEXT_H
+
+#include "common/bstr.h"
+
+#include <jansson.h>
+
+/** Render @p json and drop the reference to it.
+ * @param flags of json_dumps, for example JSON_COMPACT.
+ * @return text owned by @p parent. */
+struct bstr json_text_take (void *parent, json_t *json, size_t flags);
+
+#endif
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "daemon/front.h"
 #include "daemon/group.h"
+#include "daemon/reply.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -139,10 +140,7 @@
       json_array_append_new (groups, group_json (g));
   json_object_set_new (json, "groups", groups);
   json_object_set_new (json, "budgets", budgets_json (d));
-  char *text = json_dumps (json, JSON_INDENT (1));
-  http_reply (http, 200, "application/json", bstr_from (text), NULL);
-  free (text);
-  json_decref (json);
+  reply_json (http, 200, json, JSON_INDENT (1));
 }
 
 static void
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "daemon/reply.h"
 
 #include <inttypes.h>
 #include <sodium.h>
@@ -38,41 +39,6 @@
 /* ---- replies --------------------------------------------------------------
  */
 
-static const char *const outcome_names[] = { "not_run", "ran", "unknown" };
-
-static void
-send_json (struct http_request *http, unsigned status, json_t *json)
-{
-  char *text = json_dumps (json, JSON_COMPACT);
-  http_reply (http, status, "application/json", bstr_from (text), NULL);
-  free (text);
-  json_decref (json);
-}
-
-static json_t *
-error_json (const char *request_id, enum outcome outcome, const char *code,
-            const char *message, int64_t retry_us)
-{
-  json_t *json = json_object ();
-  json_object_set_new (json, "request_id", json_string (request_id));
-  json_object_set_new (json, "outcome", json_string (outcome_names[outcome]));
-  json_object_set_new (json, "code", json_string (code));
-  json_object_set_new (json, "message", json_string (message));
-  if (retry_us > 0)
-    json_object_set_new (json, "retry_after_ms",
-                         json_integer ((retry_us + 999) / USEC_PER_MSEC));
-  return json;
-}
-
-void
-call_reply_error (struct http_request *http, unsigned status,
-                  const char *request_id, enum outcome outcome,
-                  const char *code, const char *message, int64_t retry_us)
-{
-  send_json (http, status,
-             error_json (request_id, outcome, code, message, retry_us));
-}
-
 struct code_status
 {
   const char *code;
@@ -122,7 +88,7 @@
       json, "served_by",
       json_string (c->served_by_replica ? "replica" : "primary"));
   add_session (c, json);
-  send_json (c->http, 200, json);
+  reply_json (c->http, 200, json, JSON_COMPACT);
 }
 
 static void
@@ -173,8 +139,8 @@
   histogram_add (c->organisation->latency[c->entry.class_],
                  (uint64_t)(now - c->started));
   if (outcome == OUTCOME_RAN && c->too_many_rows)
-    call_reply_error (c->http, 422, c->request_id, outcome, "too_many_rows",
-                      "the answer has more rows than max_rows allows", 0);
+    reply_error (c->http, 422, c->request_id, outcome, "too_many_rows",
+                 "the answer has more rows than max_rows allows", 0);
   else if (outcome == OUTCOME_RAN)
     reply_ran (c);
   else
@@ -184,8 +150,8 @@
         code = "outcome_unknown";
       else if (code == NULL)
         code = "not_run";
-      call_reply_error (c->http, status_of (code, outcome), c->request_id,
-                        outcome, code, c->message, c->retry_us);
+      reply_error (c->http, status_of (code, outcome), c->request_id, outcome,
+                   code, c->message, c->retry_us);
     }
   if (outcome == OUTCOME_NOT_RUN && c->refund_on_not_run)
     budget_refund (g->daemon->budget, c->organisation->budget_name, now);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -92,10 +92,4 @@
 /** Convert one statement's result. @return a new reference. */
 json_t *call_result_json (const PGresult *result);
 
-/** Reply with an error for a request that never became a call. */
-void call_reply_error (struct http_request *http, unsigned status,
-                       const char *request_id, enum outcome outcome,
-                       const char *code, const char *message,
-                       int64_t retry_us);
-
 #endif
--- a/daemon/cell_object.c
+++ b/daemon/cell_object.c
@@ -1,9 +1,9 @@
 #include "daemon/cell_object.h"
 
 #include "common/json_number.h"
+#include "common/json_text.h"
 
 #include <jansson.h>
-#include <stdlib.h>
 
 char *
 cell_object_name (void *parent, const char *cell)
@@ -39,11 +39,7 @@
                        render_members (r->members, r->member_count));
   json_object_set_new (json, "previous",
                        render_members (r->previous, r->previous_count));
-  char *text = json_dumps (json, JSON_COMPACT);
-  struct bstr value = bstr_copy (parent, bstr_from (text));
-  free (text);
-  json_decref (json);
-  return value;
+  return json_text_take (parent, json, JSON_COMPACT);
 }
 
 static bool
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -4,6 +4,7 @@
 #include "common/log.h"
 #include "daemon/call.h"
 #include "daemon/query.h"
+#include "daemon/reply.h"
 #include "daemon/transaction.h"
 
 #include <inttypes.h>
@@ -49,8 +50,8 @@
 refuse (struct arrival *a, unsigned status, const char *code,
         const char *message, int64_t retry_us)
 {
-  call_reply_error (a->http, status, a->request_id, OUTCOME_NOT_RUN, code,
-                    message, retry_us);
+  reply_error (a->http, status, a->request_id, OUTCOME_NOT_RUN, code, message,
+               retry_us);
   talloc_free (a);
 }
 
--- a/daemon/group_object.c
+++ b/daemon/group_object.c
@@ -1,9 +1,9 @@
 #include "daemon/group_object.h"
 
 #include "common/json_number.h"
+#include "common/json_text.h"
 
 #include <jansson.h>
-#include <stdlib.h>
 
 static const char *const phases[]
     = { "stable",   "agreeing",  "fencing", "waiting",
@@ -39,11 +39,7 @@
                        json_number_new (r->branch_start));
   json_object_set_new (json, "base_term", json_number_new (r->base_term));
   json_object_set_new (json, "base_start", json_number_new (r->base_start));
-  char *text = json_dumps (json, JSON_COMPACT);
-  struct bstr value = bstr_copy (parent, bstr_from (text));
-  free (text);
-  json_decref (json);
-  return value;
+  return json_text_take (parent, json, JSON_COMPACT);
 }
 
 static bool
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -2,6 +2,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "daemon/reply.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -63,24 +64,27 @@
   talloc_free (t);
 }
 
-static void
-reply_json (struct transaction *t, unsigned status, json_t *json)
+/* The request that is answered now; the transaction is idle from here. */
+static struct http_request *
+take_request (struct transaction *t)
 {
-  char *text = json_dumps (json, JSON_COMPACT);
   struct http_request *http = t->http;
   t->http = NULL;
-  http_reply (http, status, "application/json", bstr_from (text), NULL);
-  free (text);
-  json_decref (json);
+  return http;
 }
 
 static void
-reply_error (struct transaction *t, unsigned status, enum outcome outcome,
-             const char *code, const char *message)
+answer (struct transaction *t, json_t *json)
 {
-  struct http_request *http = t->http;
-  t->http = NULL;
-  call_reply_error (http, status, t->request_id, outcome, code, message, 0);
+  reply_json (take_request (t), 200, json, JSON_COMPACT);
+}
+
+static void
+refuse (struct transaction *t, unsigned status, const char *code,
+        const char *message)
+{
+  reply_error (take_request (t), status, t->request_id, OUTCOME_NOT_RUN, code,
+               message, 0);
 }
 
 static json_t *
@@ -130,14 +134,13 @@
     {
       if (reply->end != PGSQL_FAILED)
         t->connection = NULL;
-      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost",
-                   "the transaction could not be opened");
+      refuse (t, 503, "endpoint_lost", "the transaction could not be opened");
       end_transaction (t, true);
       return;
     }
   json_t *json = reply_head (t);
   json_object_set_new (json, "outcome", json_string ("ran"));
-  reply_json (t, 200, json);
+  answer (t, json);
   if (t->abandoned)
     end_transaction (t, true);
   else
@@ -154,7 +157,7 @@
   t->connection = c;
   if (c == NULL)
     {
-      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost", err->text);
+      refuse (t, 503, "endpoint_lost", err->text);
       end_transaction (t, false);
       return;
     }
@@ -176,8 +179,8 @@
   struct endpoint *e = group_writable (t->group, now);
   if (now >= t->deadline || t->abandoned)
     {
-      reply_error (t, 503, OUTCOME_NOT_RUN, "overloaded",
-                   "no connection to a primary before the deadline");
+      refuse (t, 503, "overloaded",
+              "no connection to a primary before the deadline");
       end_transaction (t, false);
       return;
     }
@@ -223,19 +226,19 @@
   if (reply->end == PGSQL_LOST || reply->end == PGSQL_NOT_SENT)
     {
       t->connection = NULL;
-      reply_error (t, 503, OUTCOME_NOT_RUN, "endpoint_lost",
-                   "the connection broke; the transaction was rolled back");
+      refuse (t, 503, "endpoint_lost",
+              "the connection broke; the transaction was rolled back");
       end_transaction (t, false);
       return;
     }
   if (t->abandoned)
     {
-      reply_error (t, 503, OUTCOME_NOT_RUN, "closed", "the client went away");
+      refuse (t, 503, "closed", "the client went away");
       end_transaction (t, true);
       return;
     }
   if (reply->end == PGSQL_FAILED)
-    reply_error (t, 422, OUTCOME_NOT_RUN, "statement_failed", reply->message);
+    refuse (t, 422, "statement_failed", reply->message);
   else
     {
       json_t *json = reply_head (t), *results = json_array ();
@@ -243,7 +246,7 @@
         json_array_append_new (results, call_result_json (reply->results[i]));
       json_object_set_new (json, "outcome", json_string ("ran"));
       json_object_set_new (json, "results", results);
-      reply_json (t, 200, json);
+      answer (t, json);
     }
   start_idle (t);
 }
@@ -292,7 +295,7 @@
   set_request (t, http, request_id);
   json_t *json = reply_head (t);
   json_object_set_new (json, "outcome", json_string ("not_run"));
-  reply_json (t, 200, json);
+  answer (t, json);
   end_transaction (t, true);
 }
 
