group: keep a replaced group until nothing uses it

Cause: found by reading. A configuration that replaced a group freed it when no call had a connection, was held or queued. A transaction that waited for a primary, a request that waited for its rate and an answer of the platform still pointed to it. A failed read of the member list never answered its caller. Ruled out: a condition more in free_retired for each of them; whoever uses the group says so, and the old conditions fall away. Change: group_use and a count of users in place of "running", held and queue lengths; replaced groups are freed each second, not only at the next change. Test: waiting_request_outlives_its_group fails before (no answer), passes after.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -122,7 +122,6 @@
       int64_t now = clock_now ();
       admission_limit_end (c->endpoint->limit, now - c->sent_at, failed, now);
       c->endpoint = NULL;
-      c->group->running--;
     }
 }
 
@@ -677,7 +676,6 @@
   c->acquisition = a;
   c->endpoint = e;
   c->sent_at = clock_now ();
-  c->group->running++;
   pgsql_acquire (e->pool, on_connection, a);
 }
 
@@ -919,6 +917,7 @@
   struct group *g = o->group;
   struct call *c = talloc_zero (g, struct call);
   talloc_set_destructor (c, call_destructor);
+  group_use (c, g);
   c->group = g;
   c->organisation = o->organisation;
   c->http = o->http;
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -150,6 +150,7 @@
       refuse (a, 404, "unknown_service", "the service does not exist", 0);
       return false;
     }
+  group_use (a, a->group);
   return true;
 }
 
@@ -468,6 +469,7 @@
       if (t == NULL || !read_query (a))
         return;
       a->group = transaction_group (t);
+      group_use (a, a->group);
       a->organisation = transaction_organisation (t);
       set_deadline (a, a->query->deadline_ms);
       admit (a);
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -247,15 +247,35 @@
   apply_share (g);
 }
 
-static void
-free_retired (struct daemon *d)
+struct group_user
+{
+  struct group *group;
+};
+
+static int
+group_user_destructor (struct group_user *u)
+{
+  u->group->users--;
+  return 0;
+}
+
+void
+group_use (void *user, struct group *g)
+{
+  struct group_user *u = talloc (user, struct group_user);
+  u->group = g;
+  g->users++;
+  talloc_set_destructor (u, group_user_destructor);
+}
+
+void
+group_free_retired (struct daemon *d)
 {
   struct group **at = &d->groups;
   while (*at != NULL)
     {
       struct group *g = *at;
-      if (!g->retired || g->running > 0 || g->held != NULL
-          || admission_queued (g->writes) + admission_queued (g->reads) > 0)
+      if (!g->retired || g->users > 0)
         {
           at = &g->next;
           continue;
@@ -297,6 +317,6 @@
         }
       update_group (g, s);
     }
-  free_retired (d);
+  group_free_retired (d);
   group_on_members (d);
 }
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -44,8 +44,8 @@
   struct call *held;      /**< Writes that wait for confirmation. */
   struct call *resolving; /**< Calls that wait for a lookup of their key. */
   bool dispatching;
-  int running;       /**< Calls with a connection. */
-  bool retired;      /**< Replaced by a newer configuration. */
+  int users;    /**< Calls, transactions and platform calls that use it. */
+  bool retired; /**< Replaced by a newer configuration. */
   bool schema_ready; /**< The idempotency table exists. */
   bool schema_running;
   struct group_record opened; /**< Last stable record that was applied. */
@@ -53,6 +53,10 @@
 
 /** Bring the groups in line with the newest settings. */
 void group_apply_settings (struct daemon *d);
+/** Keep the group until @p user is freed. */
+void group_use (void *user, struct group *g);
+/** Free groups that were replaced and are not used any more. */
+void group_free_retired (struct daemon *d);
 struct group *group_find (struct daemon *d, struct bstr service);
 struct organisation *group_organisation (struct group *g, struct bstr name);
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,12 +1,14 @@
 /** @file
  * azurewindd: reads its settings, starts the parts and runs the loop.
  */
+#include "common/clock.h"
 #include "common/file.h"
 #include "common/log.h"
 #include "daemon/admin.h"
 #include "daemon/control.h"
 #include "daemon/daemon.h"
 #include "daemon/front.h"
+#include "daemon/group.h"
 #include "daemon/peers.h"
 
 #include "core/request.h"
@@ -77,6 +79,12 @@
   daemon_drain (data);
 }
 
+static void
+free_retired_groups (void *data)
+{
+  group_free_retired (data);
+}
+
 static bool
 start_parts (struct daemon *d, struct error *err)
 {
@@ -97,6 +105,7 @@
   d->front = front_create (d, err);
   if (d->front == NULL)
     return error_wrap (err, ERROR_UNAVAILABLE, "callers' port");
+  daemon_every (d, d, USEC_PER_SEC, free_retired_groups, d);
   tevent_add_signal (d->ev, d, SIGTERM, 0, on_signal, d);
   tevent_add_signal (d->ev, d, SIGINT, 0, on_signal, d);
   return true;
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -407,11 +407,10 @@
                  const struct platform_object *object)
 {
   struct members_read *r = data;
-  if (err->code == ERROR_NONE)
-    {
-      peers_on_object (r->daemon, object);
-      r->done (r->data, r->sent_at);
-    }
+  bool read = err->code == ERROR_NONE;
+  if (read)
+    peers_on_object (r->daemon, object);
+  r->done (r->data, read ? r->sent_at : 0);
   talloc_free (r);
 }
 
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -18,7 +18,9 @@
 /** Send this member's view of a primary to all members at once. */
 void peers_send_view (struct daemon *d, const char *service,
                       struct primary_view view);
-/** Read the cell object for a driver of a change of primary. */
+/** Read the cell object for a driver of a change of primary.
+ * @param done called once, with the time at which the read was sent, 0 if
+ * it failed. */
 void peers_read_members (struct daemon *d,
                          void (*done) (void *data, int64_t sent_at),
                          void *data);
--- a/daemon/primary.c
+++ b/daemon/primary.c
@@ -26,17 +26,27 @@
   call_dispatch (g);
 }
 
-struct record_update
+/* A call to the platform; it keeps its group until the answer arrives. */
+struct record_call
 {
   struct group *group;
-  struct group_record record;
+  struct group_record record; /**< Of an update. */
 };
 
+static struct record_call *
+start_call (struct group *g)
+{
+  struct record_call *call = talloc_zero (g, struct record_call);
+  call->group = g;
+  group_use (call, g);
+  return call;
+}
+
 static void
 on_update_done (void *data, const struct error *err,
                 const struct platform_object *object)
 {
-  struct record_update *u = data;
+  struct record_call *u = data;
   struct group *g = u->group;
   struct group_record current;
   int64_t now = clock_now ();
@@ -57,15 +67,14 @@
     }
   else
     failover_on_update (g->failover, UPDATE_LOST, 0, now);
-  talloc_free (u);
   primary_pump (g);
+  talloc_free (u);
 }
 
 static void
 update_object (struct group *g, const struct group_record *record)
 {
-  struct record_update *u = talloc_zero (g, struct record_update);
-  u->group = g;
+  struct record_call *u = start_call (g);
   u->record = *record;
   char *name = group_object_name (u, g->service);
   struct bstr value = group_object_render (u, g, record);
@@ -77,7 +86,8 @@
 on_read_done (void *data, const struct error *err,
               const struct platform_object *object)
 {
-  struct group *g = data;
+  struct record_call *call = data;
+  struct group *g = call->group;
   struct group_record record
       = { .primary = INDEX_NONE, .candidate = INDEX_NONE };
   if (err->code == ERROR_NONE && object->version > 0
@@ -89,14 +99,15 @@
       apply_record (g, &record);
     }
   primary_pump (g);
+  talloc_free (call);
 }
 
 void
 primary_read_object (struct group *g)
 {
-  char *name = group_object_name (g, g->service);
-  platform_get (g->daemon->platform, name, on_read_done, g);
-  talloc_free (name);
+  struct record_call *call = start_call (g);
+  char *name = group_object_name (call, g->service);
+  platform_get (g->daemon->platform, name, on_read_done, call);
 }
 
 static void
@@ -113,9 +124,11 @@
 static void
 on_members_read (void *data, int64_t sent_at)
 {
-  struct group *g = data;
-  failover_on_members_read (g->failover, sent_at, clock_now ());
-  primary_pump (g);
+  struct record_call *call = data;
+  if (sent_at > 0)
+    failover_on_members_read (call->group->failover, sent_at, clock_now ());
+  primary_pump (call->group);
+  talloc_free (call);
 }
 
 static void
@@ -170,7 +183,7 @@
       endpoint_poll (e);
       break;
     case FAILOVER_READ_MEMBERS:
-      peers_read_members (g->daemon, on_members_read, g);
+      peers_read_members (g->daemon, on_members_read, start_call (g));
       break;
     }
 }
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -59,7 +59,6 @@
   if (t->endpoint != NULL)
     {
       admission_limit_end (t->endpoint->limit, 0, false, now);
-      t->group->running--;
     }
   talloc_free (t);
 }
@@ -191,7 +190,6 @@
       return;
     }
   t->endpoint = e;
-  t->group->running++;
   t->opening = true;
   pgsql_acquire (e->pool, on_open_connection, t);
 }
@@ -201,6 +199,7 @@
 {
   struct daemon *d = o->group->daemon;
   struct transaction *t = talloc_zero (o->group, struct transaction);
+  group_use (t, o->group);
   t->group = o->group;
   t->organisation = o->organisation;
   t->http = o->http;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -7,6 +7,8 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 /* The users' bound for a change of primary. */
 #define FAILOVER_BOUND_MS 19000
@@ -474,6 +476,39 @@
   talloc_free (f);
 }
 
+/* Guards against a request that is never answered, and a daemon that
+   crashes, when a newer configuration replaces the group that the request
+   waits for: a transaction is opened while there is no primary. */
+static void
+waiting_request_outlives_its_group (void)
+{
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  pid_t child = -1;
+  int status = 0;
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 0, "cut=1"));
+  REQUIRE (fleet_fault (f, 1, "cut=1"));
+  REQUIRE (fleet_fault (f, 2, "cut=1"));
+  fleet_pause (1500);
+  child = fork ();
+  if (child == 0)
+    {
+      struct fleet_answer a
+          = fleet_post (f, 0, NULL, "/v1/transactions", f->key, NULL,
+                        "{\"service\":\"lending\"}");
+      _exit (strcmp (fleet_text (&a, "outcome"), "not_run") == 0 ? 0 : 1);
+    }
+  fleet_pause (500);
+  REQUIRE (fleet_put_config (f, "lease_ms = 1100", NULL));
+  fleet_pause (1000);
+  REQUIRE (fleet_put_config (f, "lease_ms = 1200", NULL));
+  REQUIRE (waitpid (child, &status, 0) == child);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  CU_ASSERT_EQUAL (process_wait (f->daemons[0], 0), -1);
+done:
+  talloc_free (f);
+}
+
 /* Guards against a limit of rows that has no effect, and against a write
    that is called not_run because its answer is too long. */
 static void
@@ -601,6 +636,7 @@
   { "configuration_reaches_every_daemon", configuration_reaches_every_daemon },
   { "leaving_endpoint_gets_no_new_reads", leaving_endpoint_gets_no_new_reads },
   { "leaving_primary_is_replaced", leaving_primary_is_replaced },
+  { "waiting_request_outlives_its_group", waiting_request_outlives_its_group },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
   { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
