pgsql, group: run the next request when a connection becomes free

Cause: found by reading. Queued requests were run by new arrivals and by the group's timer of 20 ms; nothing ran them when a connection came back from its reset, although that is what they wait for. Ruled out: a shorter timer, which costs processor time in every idle group. Change: pgsql_pool_options.room reports it; the group dispatches from the loop. Test room_is_reported.

--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -369,6 +369,12 @@
   pgsql_acquire (primary->control_pool, on_schema_connection, cmd);
 }
 
+static void
+on_room (void *data)
+{
+  group_wake (data);
+}
+
 void
 endpoint_create (struct group *g, int index,
                  const struct settings_service *service, int share)
@@ -388,9 +394,12 @@
     .user = service->user,
     .limit = share,
     .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+    .room = on_room,
+    .data = g,
   };
   e->pool = pgsql_pool_create (g, &options);
   options.limit = CONTROL_CONNECTIONS;
+  options.room = NULL;
   e->control_pool = pgsql_pool_create (g, &options);
   e->limit = admission_limit_create (g, share);
 }
--- a/daemon/group.c
+++ b/daemon/group.c
@@ -19,6 +19,24 @@
       endpoint_poll (&g->endpoints[i]);
 }
 
+static void
+on_wake (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+  (void)ev, (void)im;
+  struct group *g = data;
+  g->waking = false;
+  call_dispatch (g);
+}
+
+void
+group_wake (struct group *g)
+{
+  if (g->waking)
+    return;
+  g->waking = true;
+  tevent_schedule_immediate (g->wake, g->daemon->ev, on_wake, g);
+}
+
 struct endpoint *
 group_writable (struct group *g, int64_t now)
 {
@@ -118,6 +136,7 @@
   struct group *g = talloc_zero (d, struct group);
   int64_t now = clock_now ();
   g->daemon = d;
+  g->wake = tevent_create_immediate (g);
   g->service = talloc_strdup (g, service->name);
   g->values = service->values;
   g->endpoint_count = service->endpoint_count;
--- a/daemon/group.h
+++ b/daemon/group.h
@@ -44,6 +44,8 @@
   struct call *held;      /**< Writes that wait for confirmation. */
   struct call *resolving; /**< Calls that wait for a lookup of their key. */
   bool dispatching;
+  struct tevent_immediate *wake;
+  bool waking;
   int users;    /**< Calls, transactions and platform calls that use it. */
   bool retired; /**< Replaced by a newer configuration. */
   bool schema_ready; /**< The idempotency table exists. */
@@ -66,6 +68,9 @@
 /** @return the endpoint that writes may go to now, NULL if there is none. */
 struct endpoint *group_writable (struct group *g, int64_t now);
 
+/** Run queued requests from the loop, because a slot became free. */
+void group_wake (struct group *g);
+
 /** Poll replicas again soon, because a write waits for confirmation. */
 void group_hurry (struct group *g);
 
--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -42,6 +42,8 @@
   int open;
   int connect_timeout_ms;
   struct pgsql_connection *idle;
+  void (*room) (void *data);
+  void *data;
 };
 
 struct pgsql_connection
@@ -64,6 +66,13 @@
 
 static void close_connection (struct pgsql_connection *c);
 
+static void
+report_room (const struct pgsql_pool *pool)
+{
+  if (pool->room != NULL)
+    pool->room (pool->data);
+}
+
 const char *
 pgsql_status_sql (const char *tag)
 {
@@ -209,6 +218,7 @@
   c->state = CONNECTION_IDLE;
   c->next = c->pool->idle;
   c->pool->idle = c;
+  report_room (c->pool);
 }
 
 static bool
@@ -426,6 +436,7 @@
       }
   pool->open--;
   talloc_free (c);
+  report_room (pool);
 }
 
 struct pgsql_pool *
@@ -435,6 +446,8 @@
   pool->ev = options->ev;
   pool->limit = options->limit;
   pool->connect_timeout_ms = options->connect_timeout_ms;
+  pool->room = options->room;
+  pool->data = options->data;
   pool->conninfo = talloc_asprintf (
       pool,
       "hostaddr=%s port=%d dbname=%s user=%s application_name=azurewind "
--- a/net/pgsql.h
+++ b/net/pgsql.h
@@ -25,6 +25,10 @@
   const char *user;
   int limit; /**< Connections open at most. */
   int connect_timeout_ms;
+  /** A connection became idle or was closed, so that pgsql_acquire may
+   * succeed again; NULL if nobody waits for it.  Must not call this pool. */
+  void (*room) (void *data);
+  void *data;
 };
 
 #define PGSQL_MAX_STATEMENTS 40
--- a/tests/test_pgsql.c
+++ b/tests/test_pgsql.c
@@ -33,6 +33,15 @@
   char value[64]; /* First value of the last result. */
 };
 
+static int room_reports;
+
+static void
+on_room (void *data)
+{
+  (void)data;
+  room_reports++;
+}
+
 static struct pgsql_pool *
 make_pool (struct fixture *f, const char *user, int limit)
 {
@@ -42,7 +51,8 @@
                                         .database = "d",
                                         .user = user,
                                         .limit = limit,
-                                        .connect_timeout_ms = 2000 };
+                                        .connect_timeout_ms = 2000,
+                                        .room = on_room };
   return pgsql_pool_create (f, &options);
 }
 
@@ -268,6 +278,33 @@
   fixture_free (f);
 }
 
+static bool
+has_reported (const void *data)
+{
+  return room_reports > *(const int *)data;
+}
+
+/* Guards against a request that waits for a timer although the connection
+   it needs is free: the end of the reset and a close are both reported. */
+static void
+room_is_reported (void)
+{
+  struct fixture *f = fixture_create (1);
+  struct pgsql_connection *c = acquire (f, f->pool);
+  int before = room_reports;
+  CU_ASSERT_FALSE (pgsql_pool_has_room (f->pool));
+  pgsql_release (c);
+  CU_ASSERT_EQUAL (room_reports, before);
+  CU_ASSERT (loop_run (f->ev, LOOP_MS, has_reported, &before));
+  CU_ASSERT (pgsql_pool_has_room (f->pool));
+  c = acquire (f, f->pool);
+  before = room_reports;
+  pgsql_abort (c);
+  CU_ASSERT_EQUAL (room_reports, before + 1);
+  CU_ASSERT (pgsql_pool_has_room (f->pool));
+  fixture_free (f);
+}
+
 /* Guards against a connection that is unusable after a caller's mistake, and
    results of an aborted pipeline that are taken for others. */
 static void
@@ -500,6 +537,7 @@
     connections_are_reused_only_when_reset },
   { "failed_transaction_is_reset_by_two_syncs",
     failed_transaction_is_reset_by_two_syncs },
+  { "room_is_reported", room_is_reported },
   { "connection_closed_while_idle_is_dropped",
     connection_closed_while_idle_is_dropped },
   { "statement_errors_leave_a_usable_connection",
