call: report the end of service to the queue; one way into the queue

Cause: found by reading. admission_done was never called, so that the queue knew no service time and refused nothing early: a caller with a hopeless deadline waited for all of it. The first and the repeated entry into the queue were two copies, and the second called a hopeless deadline a full queue. A refund flag was never set; section comments were broken by the formatter. Change: end_service where a request leaves the endpoint or its wait; enqueue for both entries; the flag is gone. Test: hopeless_request_is_refused_early, red 3 of 3 times before, green 3 of 3 after. The code of a repeated request whose deadline cannot be met is now "deadline" and no longer "overloaded".

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -22,8 +22,6 @@
    that turns "unknown" into an outcome. */
 #define LOOKUP_GRACE_US (2 * USEC_PER_SEC)
 
-/* A lookup that found no primary is tried again by the group's tick. */
-
 /* Ties a connection that is being opened to its call; the call may end
    first. */
 struct acquisition
@@ -36,8 +34,7 @@
 static void take_step (struct call *c, enum request_step step);
 static void run_lookup (struct call *c);
 
-/* ---- replies --------------------------------------------------------------
- */
+/* ---- replies ---- */
 
 struct code_status
 {
@@ -101,6 +98,23 @@
   c->next = NULL;
 }
 
+static struct admission *
+queue_of (const struct call *c)
+{
+  return c->is_read ? c->group->reads : c->group->writes;
+}
+
+/* It has left the endpoint or its wait for one.
+   @param service_us time at the endpoint, negative if it was not served. */
+static void
+end_service (struct call *c, int64_t service_us)
+{
+  if (!c->popped)
+    return;
+  c->popped = false;
+  admission_done (queue_of (c), &c->entry, service_us, clock_now ());
+}
+
 static void
 drop_connection (struct call *c, bool reusable, bool failed)
 {
@@ -121,6 +135,7 @@
     {
       int64_t now = clock_now ();
       admission_limit_end (c->endpoint->limit, now - c->sent_at, failed, now);
+      end_service (c, failed ? -1 : now - c->sent_at);
       c->endpoint = NULL;
     }
 }
@@ -134,6 +149,7 @@
   leave_list (&g->held, c);
   leave_list (&g->resolving, c);
   drop_connection (c, false, outcome == OUTCOME_UNKNOWN);
+  end_service (c, -1);
   (*c->organisation->outcomes[outcome])++;
   histogram_add (c->organisation->latency[c->entry.class_],
                  (uint64_t)(now - c->started));
@@ -152,8 +168,6 @@
       reply_error (c->http, status_of (code, outcome), c->request_id, outcome,
                    code, c->message, c->retry_us);
     }
-  if (outcome == OUTCOME_NOT_RUN && c->refund_on_not_run)
-    budget_refund (g->daemon->budget, c->organisation->budget_name, now);
   talloc_free (c);
 }
 
@@ -179,8 +193,7 @@
   handle (c, REQUEST_REFUSED);
 }
 
-/* ---- results ---------------------------------------------------------------
- */
+/* ---- results ---- */
 
 /* Type numbers of PostgreSQL's catalogue pg_type. */
 enum type_oid
@@ -292,8 +305,7 @@
          && !after.in_recovery;
 }
 
-/* ---- confirmation
- * ----------------------------------------------------------- */
+/* ---- confirmation ---- */
 
 static void
 decide (struct call *c)
@@ -338,8 +350,7 @@
   decide (c);
 }
 
-/* ---- sending
- * ----------------------------------------------------------------- */
+/* ---- sending ---- */
 
 static const struct pgsql_statement begin_write = { "BEGIN", NULL, 0 };
 static const struct pgsql_statement begin_read
@@ -353,19 +364,26 @@
 }
 
 static void
-requeue (struct call *c)
+enqueue (struct call *c)
 {
   int64_t retry_us = 0;
-  c->queued = true;
-  if (admission_push (c->is_read ? c->group->reads : c->group->writes,
-                      &c->entry, clock_now (), &retry_us)
-      == ADMISSION_QUEUED)
+  end_service (c, -1);
+  switch (admission_push (queue_of (c), &c->entry, clock_now (), &retry_us))
     {
+    case ADMISSION_QUEUED:
+      c->queued = true;
+      handle (c, REQUEST_QUEUED);
       call_dispatch (c->group);
-      return;
+      break;
+    case ADMISSION_FULL:
+      call_refuse (c, "overloaded", "the organisation's queue is full",
+                   retry_us);
+      break;
+    case ADMISSION_TOO_LATE:
+      call_refuse (c, "deadline", "the queue is too long for the deadline",
+                   retry_us);
+      break;
     }
-  c->queued = false;
-  call_refuse (c, "overloaded", "the queue is full", retry_us);
 }
 
 /* 57P0x, 08xxx: the server stops, the fate of a commit is open. */
@@ -478,7 +496,7 @@
              struct timeval now, void *data)
 {
   (void)ev, (void)te, (void)now;
-  requeue (data);
+  enqueue (data);
 }
 
 static void
@@ -538,9 +556,9 @@
   pgsql_run_last (c->connection, all, n, on_read_done, c);
 }
 
-/* ---- lookup of an idempotency key
- * --------------------------------------------- */
+/* ---- lookup of an idempotency key ---- */
 
+/* The group's tick tries again. */
 static void
 wait_for_lookup (struct call *c)
 {
@@ -621,8 +639,7 @@
                   on_lookup_done, c);
 }
 
-/* ---- connections
- * ----------------------------------------------------------------- */
+/* ---- connections ---- */
 
 static void
 on_connection (void *data, struct pgsql_connection *connection,
@@ -698,8 +715,7 @@
     acquire (c, e, true);
 }
 
-/* ---- queues
- * ------------------------------------------------------------------------ */
+/* ---- queues ---- */
 
 static void
 update_loads (struct group *g)
@@ -783,6 +799,7 @@
     {
       struct call *c = entry->request;
       c->queued = false;
+      c->popped = true;
       admission_limit_start (e->limit);
       acquire (c, e, false);
     }
@@ -797,6 +814,7 @@
     {
       struct call *c = entry->request;
       c->queued = false;
+      c->popped = true;
       route_read (c);
     }
 }
@@ -861,7 +879,7 @@
   c->deadline_timer = NULL;
   if (c->queued)
     {
-      admission_remove (c->is_read ? g->reads : g->writes, &c->entry);
+      admission_remove (queue_of (c), &c->entry);
       c->queued = false;
     }
   leave_list (&g->held, c);
@@ -882,7 +900,7 @@
     case REQUEST_STEP_NONE:
       break;
     case REQUEST_STEP_SEND:
-      requeue (c);
+      enqueue (c);
       break;
     case REQUEST_STEP_CONFIRM:
       if (c->is_read)
@@ -901,8 +919,7 @@
     }
 }
 
-/* ---- creation
- * ------------------------------------------------------------------------ */
+/* ---- creation ---- */
 
 static int
 call_destructor (struct call *c)
@@ -994,28 +1011,10 @@
 void
 call_start (struct call *c)
 {
-  int64_t retry_us = 0;
-  int64_t now = clock_now ();
   start_deadline (c);
   if (c->key != NULL)
     set_digest (c);
-  switch (admission_push (c->is_read ? c->group->reads : c->group->writes,
-                          &c->entry, now, &retry_us))
-    {
-    case ADMISSION_QUEUED:
-      c->queued = true;
-      handle (c, REQUEST_QUEUED);
-      call_dispatch (c->group);
-      break;
-    case ADMISSION_FULL:
-      call_refuse (c, "overloaded", "the organisation's queue is full",
-                   retry_us);
-      break;
-    case ADMISSION_TOO_LATE:
-      call_refuse (c, "deadline", "the queue is too long for the deadline",
-                   retry_us);
-      break;
-    }
+  enqueue (c);
 }
 
 void
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -29,7 +29,7 @@
   bool is_read;
   bool only_lookup; /**< Asks for the outcome of an earlier request. */
   bool queued;
-  bool refund_on_not_run;
+  bool popped; /**< From its queue, and admission_done is owed. */
   struct pgsql_statement statements[CALL_MAX_STATEMENTS];
   int statement_count;
   struct token token;
--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -20,7 +20,7 @@
 /* Key of the advisory lock; any number that applications do not use. */
 #define COMMAND_LOCK 1635414647
 
-/* ---- commands to one endpoint ------------------------------------------ */
+/* ---- commands to one endpoint ---- */
 
 #define COMMAND_MAX 5
 /* A reset takes a round trip; this covers a slow one. */
@@ -176,7 +176,7 @@
   pgsql_acquire (e->control_pool, on_command_connection, cmd);
 }
 
-/* ---- polls -------------------------------------------------------------- */
+/* ---- polls ---- */
 
 void
 endpoint_on_failure (struct endpoint *e)
@@ -315,7 +315,7 @@
     daemon_after (g->daemon, g, HURRY_US, on_hurry, e);
 }
 
-/* ---- the idempotency table ---------------------------------------------- */
+/* ---- the idempotency table ---- */
 
 static void
 on_schema_done (void *data, const struct pgsql_reply *reply)
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -196,7 +196,6 @@
   for (int i = 0; i < q->statement_count; i++)
     call_add_statement (c, q->statements[i].sql, q->statements[i].params,
                         q->statements[i].param_count);
-  c->refund_on_not_run = false;
   call_start (c);
 }
 
--- a/daemon/peers.c
+++ b/daemon/peers.c
@@ -52,8 +52,7 @@
     send_to_address (d, to->address, m);
 }
 
-/* ---- heartbeats
- * -------------------------------------------------------------- */
+/* ---- heartbeats ---- */
 
 static void
 add_views (struct daemon *d, struct message *m)
@@ -135,8 +134,7 @@
                    m->keys_version);
 }
 
-/* ---- membership
- * ----------------------------------------------------------------- */
+/* ---- membership ---- */
 
 static void
 on_object_read (void *data, const struct error *err,
@@ -354,8 +352,7 @@
   peers_pump (data);
 }
 
-/* ---- change of primary
- * ------------------------------------------------------------ */
+/* ---- change of primary ---- */
 
 static void
 send_to_members (struct daemon *d, struct message *m)
@@ -423,8 +420,7 @@
   platform_get (d->platform, d->peers->object_name, on_members_read, r);
 }
 
-/* ---- objects from peers
- * -------------------------------------------------------------- */
+/* ---- objects from peers ---- */
 
 static void
 on_fetch (struct daemon *d, const struct message *m)
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -122,8 +122,7 @@
   t->http = http;
 }
 
-/* ---- opening ---------------------------------------------------------------
- */
+/* ---- opening ---- */
 
 static void
 on_begin_done (void *data, const struct pgsql_reply *reply)
@@ -215,8 +214,7 @@
   try_open (t);
 }
 
-/* ---- statements
- * -------------------------------------------------------------- */
+/* ---- statements ---- */
 
 static void
 on_query_done (void *data, const struct pgsql_reply *reply)
@@ -298,8 +296,7 @@
   end_transaction (t, true);
 }
 
-/* ---- binding
- * ------------------------------------------------------------------ */
+/* ---- binding ---- */
 
 struct transaction *
 transaction_find (struct daemon *d, struct bstr id)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -509,6 +509,45 @@
   talloc_free (f);
 }
 
+/* Guards against a caller that waits for its whole deadline although the
+   queue shows at once that it cannot be met: one connection, and each write
+   takes half a second, which the daemon learns from ten of them. */
+static void
+hopeless_request_is_refused_early (void)
+{
+  static const char insert[]
+      = "INSERT INTO bookings VALUES (hex(randomblob(8)), 1)";
+  struct fleet *f
+      = fleet_start (NULL, &(struct fleet_options){ 1, "connections = 3" });
+  pid_t child = -1;
+  REQUIRE (f != NULL);
+  REQUIRE (fleet_fault (f, 0, "statement_delay_ms=100"));
+  for (int i = 0; i < 10; i++)
+    REQUIRE (
+        run_is (f, 0, "write", NULL, ",\"deadline_ms\":9000", insert, "ran"));
+  child = fork ();
+  if (child == 0)
+    _exit (run_is (f, 0, "write", NULL, ",\"deadline_ms\":9000", insert, "ran")
+               ? 0
+               : 1);
+  fleet_pause (50);
+  int64_t sent = fleet_now_ms ();
+  struct fleet_answer a
+      = fleet_sql (f, 0, "write", NULL, ",\"deadline_ms\":250", insert);
+  CU_ASSERT (fleet_now_ms () - sent < 150);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "code"), "deadline");
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "not_run");
+  json_decref (a.json);
+done:
+  if (child > 0)
+    {
+      int status = 0;
+      CU_ASSERT_EQUAL (waitpid (child, &status, 0), child);
+      CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+    }
+  talloc_free (f);
+}
+
 /* Guards against a limit of rows that has no effect, and against a write
    that is called not_run because its answer is too long. */
 static void
@@ -637,6 +676,7 @@
   { "leaving_endpoint_gets_no_new_reads", leaving_endpoint_gets_no_new_reads },
   { "leaving_primary_is_replaced", leaving_primary_is_replaced },
   { "waiting_request_outlives_its_group", waiting_request_outlives_its_group },
+  { "hopeless_request_is_refused_early", hopeless_request_is_refused_early },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
   { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
