routing: derive busy endpoints from their load

Cause: the daemon told routing twice per read which endpoints have no slot, as a load and as a mask. Change: routing derives the mask from the load; read_request.busy is gone. The test sets the load instead and keeps its assertions.

--- a/core/routing.c
+++ b/core/routing.c
@@ -272,6 +272,18 @@
   return least;
 }
 
+/* Bit per endpoint without a free slot. */
+static unsigned
+busy_endpoints (const struct routing *r)
+{
+  unsigned busy = 0;
+  for (int i = 0; i < r->options.endpoint_count; i++)
+    if (r->endpoints[i].slots > 0
+        && r->endpoints[i].running >= r->endpoints[i].slots)
+      busy |= 1U << i;
+  return busy;
+}
+
 static int
 pick_caught_up (const struct routing *r, const struct position *after,
                 unsigned excluded, int64_t now)
@@ -331,6 +343,7 @@
                 int64_t now)
 {
   struct position after = { 0, 0 };
+  unsigned busy = busy_endpoints (r);
   bool has_primary = r->primary != INDEX_NONE && is_usable (r, r->primary, now)
                      && (request->tried & (1U << r->primary)) == 0;
   bool replicas_allowed = !r->options.primary_only;
@@ -346,11 +359,10 @@
   int replica = INDEX_NONE;
   if (replicas_allowed)
     {
-      replica
-          = pick_caught_up (r, &after, request->tried | request->busy, now);
+      replica = pick_caught_up (r, &after, request->tried | busy, now);
       /* Reads wait for a replica's slot: the primary's slots are for
          writes. */
-      if (replica == INDEX_NONE && request->busy != 0
+      if (replica == INDEX_NONE && busy != 0
           && pick_caught_up (r, &after, request->tried, now) != INDEX_NONE)
         return route_busy ();
       int64_t wait = replica == INDEX_NONE
@@ -362,17 +374,16 @@
   if (replica != INDEX_NONE)
     return route_to (r, replica, after);
   if (has_primary)
-    return (request->busy & (1U << r->primary)) != 0
-               ? route_busy ()
-               : route_to (r, r->primary, after);
+    return (busy & (1U << r->primary)) != 0 ? route_busy ()
+                                            : route_to (r, r->primary, after);
   /* Without a primary a replica that may lag is better than none: the guard
      still decides. */
   if (replicas_allowed)
     {
-      replica = pick_replica (r, &after, request->tried | request->busy,
+      replica = pick_replica (r, &after, request->tried | busy,
                               REPLICA_PREDICTED, now);
       if (replica == INDEX_NONE)
-        replica = pick_replica (r, &after, request->tried | request->busy,
+        replica = pick_replica (r, &after, request->tried | busy,
                                 REPLICA_ANY_TERM, now);
       if (replica != INDEX_NONE)
         return route_to (r, replica, after);
--- a/core/routing.h
+++ b/core/routing.h
@@ -24,7 +24,6 @@
   struct position after;    /**< From the session token; lsn 0 if none. */
   int64_t max_staleness_us; /**< For FRESHNESS_BOUNDED. */
   unsigned tried;           /**< Bit per endpoint whose guard failed. */
-  unsigned busy;            /**< Bit per endpoint without a free slot. */
   int64_t waited_us;        /**< Spent waiting to catch up so far. */
 };
 
@@ -57,7 +56,8 @@
                           uint64_t branch_start);
 /** Leaving endpoints get no new work. */
 void routing_set_leaving (struct routing *r, int endpoint, bool leaving);
-/** Requests running at the endpoint, to spread load. */
+/** Requests running at the endpoint, to spread load.  With as many as slots
+ * it gets no request. */
 void routing_set_load (struct routing *r, int endpoint, int running,
                        int slots);
 struct route routing_choose (struct routing *r,
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -730,22 +730,11 @@
     }
 }
 
-static unsigned
-busy_endpoints (const struct group *g)
-{
-  unsigned busy = 0;
-  for (int i = 0; i < g->endpoint_count; i++)
-    if (!endpoint_free (&g->endpoints[i]))
-      busy |= 1U << i;
-  return busy;
-}
-
 static void
 route_read (struct call *c)
 {
   struct group *g = c->group;
   update_loads (g);
-  c->read.busy = busy_endpoints (g);
   c->route = routing_choose (g->routing, &c->read, clock_now ());
   switch (c->route.kind)
     {
--- a/tests/test_authority.c
+++ b/tests/test_authority.c
@@ -260,15 +260,15 @@
   for (int i = 0; i < 3; i++)
     poll (r, i, i == 0 ? primary_at (1, 100) : replica_at (1, 100, 0), 100,
           100 * MS);
-  read.busy = 1U << 1;
+  routing_set_load (r, 1, 4, 4);
   CU_ASSERT_EQUAL (routing_choose (r, &read, 100 * MS).endpoint, 2);
-  read.busy = 1U << 1 | 1U << 2;
+  routing_set_load (r, 2, 4, 4);
   CU_ASSERT_EQUAL (routing_choose (r, &read, 100 * MS).kind, ROUTE_BUSY);
   routing_failed (r, 1, 100 * MS);
   routing_failed (r, 2, 100 * MS);
   CU_ASSERT_FALSE (routing_has_replica (r, 100 * MS));
   CU_ASSERT_EQUAL (routing_choose (r, &read, 100 * MS).endpoint, 0);
-  read.busy = 7;
+  routing_set_load (r, 0, 4, 4);
   CU_ASSERT_EQUAL (routing_choose (r, &read, 100 * MS).kind, ROUTE_BUSY);
   talloc_free (r);
 }
