front, call: refuse requests whose key was revoked while they waited

Cause: found by reading. The key was checked at arrival only; a request that waited in a queue or for its rate ran for a revoked key until its deadline, up to 600 s. An open organisation was not checked for "enabled". Ruled out: searching the queues at each change of the key list; the check at the moment of use needs no list of who waits. Change: keys_is_active, asked when a request is taken from its queue, when the budget is asked again and for open transactions; one check of the organisation for requests with and without a key. Test: queued_request_of_a_revoked_key_is_refused, red before (the row was written), green after.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -49,7 +49,7 @@
     { "statement_failed", 422 },       { "read_only", 422 },
     { "idempotency_key_reused", 409 }, { "key_barred", 409 },
     { "forbidden_statement", 400 },    { "rate_limited", 429 },
-    { "invalid_request", 400 },
+    { "invalid_request", 400 },        { "key_revoked", 401 },
   };
   for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
     if (strcmp (statuses[i].code, code) == 0)
@@ -776,19 +776,33 @@
   return primary_free && !routing_has_replica (g->routing, clock_now ());
 }
 
+/* Take the next request from a queue.  The key may have been revoked while
+   the request waited. */
+static struct call *
+pop (struct admission *queue)
+{
+  struct admission_entry *entry;
+  while ((entry = admission_pop (queue, clock_now ())) != NULL)
+    {
+      struct call *c = entry->request;
+      c->queued = false;
+      c->popped = true;
+      if (keys_is_active (c->group->daemon->keys, c->key_id))
+        return c;
+      call_refuse (c, "key_revoked", "the key is revoked", 0);
+    }
+  return NULL;
+}
+
 static void
 dispatch_writes (struct group *g)
 {
-  struct admission_entry *entry;
+  struct call *c;
   struct endpoint *e = group_writable (g, clock_now ());
   if (e == NULL || !g->schema_ready)
     return;
-  while (endpoint_free (e)
-         && (entry = admission_pop (g->writes, clock_now ())) != NULL)
+  while (endpoint_free (e) && (c = pop (g->writes)) != NULL)
     {
-      struct call *c = entry->request;
-      c->queued = false;
-      c->popped = true;
       admission_limit_start (e->limit);
       acquire (c, e, false);
     }
@@ -797,15 +811,9 @@
 static void
 dispatch_reads (struct group *g)
 {
-  struct admission_entry *entry;
-  while (read_slot_free (g)
-         && (entry = admission_pop (g->reads, clock_now ())) != NULL)
-    {
-      struct call *c = entry->request;
-      c->queued = false;
-      c->popped = true;
-      route_read (c);
-    }
+  struct call *c;
+  while (read_slot_free (g) && (c = pop (g->reads)) != NULL)
+    route_read (c);
 }
 
 void
@@ -928,6 +936,7 @@
   c->organisation = o->organisation;
   c->http = o->http;
   c->request_id = talloc_strdup (c, o->request_id);
+  c->key_id = talloc_strdup (c, o->key_id);
   c->is_read = o->is_read;
   if (o->key.len > 0)
     c->key = bstr_to_text (c, o->key);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -24,6 +24,7 @@
   struct request *request;
   struct admission_entry entry;
   char *request_id;
+  char *key_id; /**< Of the caller's key, empty without one. */
   char *key;    /**< Idempotency key, NULL if none. */
   char *digest; /**< Of the statements, with a key. */
   bool is_read;
@@ -58,6 +59,7 @@
   struct organisation *organisation;
   struct http_request *http;
   const char *request_id;
+  const char *key_id; /**< Of the caller's key, empty without one. */
   struct bstr key;
   bool is_read;
   enum freshness_class freshness;
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -83,26 +83,18 @@
   return bstr_skip (value, strlen ("Bearer "));
 }
 
-/* Find out for which organisation the request runs.  Without a key that is
-   the service's open organisation, for reads only. */
-static bool
-authenticate (struct arrival *a, bool is_read)
+/* Check the caller's key.
+   @return the name of its organisation, NULL if the request was refused. */
+static const char *
+check_key (struct arrival *a, struct bstr key)
 {
   struct daemon *d = a->front->daemon;
-  struct bstr key = bearer (a->http);
-  if (key.len == 0 && is_read && a->group != NULL
-      && a->group->values.open_reads && a->group->open_organisation != NULL)
-    {
-      a->organisation = group_organisation (
-          a->group, bstr_from (a->group->open_organisation));
-      return a->organisation != NULL;
-    }
+  const struct key *found = NULL;
   if (key.len == 0)
     {
       refuse (a, 401, "unauthenticated", "no key was given", 0);
-      return false;
+      return NULL;
     }
-  const struct key *found = NULL;
   enum key_verdict verdict
       = d->keys != NULL ? keys_find (d->keys, key, &found) : KEY_UNKNOWN;
   if (verdict != KEY_VALID)
@@ -110,13 +102,28 @@
       bool revoked = verdict == KEY_REVOKED;
       refuse (a, 401, revoked ? "key_revoked" : "unauthenticated",
               revoked ? "the key is revoked" : "the key is unknown", 0);
-      return false;
+      return NULL;
     }
   memcpy (a->key_id, found->id, sizeof a->key_id);
+  return found->organisation;
+}
+
+/* Find out for which organisation the request runs.  Without a key that is
+   the service's open organisation, for reads only. */
+static bool
+authenticate (struct arrival *a, bool is_read)
+{
+  struct bstr key = bearer (a->http);
+  bool is_open = key.len == 0 && is_read && a->group != NULL
+                 && a->group->values.open_reads
+                 && a->group->open_organisation != NULL;
+  const char *name
+      = is_open ? a->group->open_organisation : check_key (a, key);
+  if (name == NULL)
+    return false;
   if (a->group == NULL)
     return true;
-  a->organisation
-      = group_organisation (a->group, bstr_from (found->organisation));
+  a->organisation = group_organisation (a->group, bstr_from (name));
   if (a->organisation == NULL || !a->organisation->values.enabled)
     {
       refuse (a, 403, "forbidden", "the organisation may not use this service",
@@ -179,6 +186,7 @@
     .organisation = a->organisation,
     .http = a->http,
     .request_id = a->request_id,
+    .key_id = a->key_id,
     .key = lookup ? bstr_from (a->lookup_key) : q->key,
     .is_read = !lookup && q->is_read,
     .freshness = lookup ? FRESHNESS_READ_YOUR_WRITES : q->freshness,
@@ -335,6 +343,11 @@
               "this daemon cannot reach a majority of its cell", USEC_PER_SEC);
       return;
     }
+  if (!keys_is_active (d->keys, a->key_id))
+    {
+      refuse (a, 401, "key_revoked", "the key is revoked", 0);
+      return;
+    }
   if (!a->asked)
     a->asked_at = now;
   struct budget_decision decision
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -272,6 +272,7 @@
     .organisation = t->organisation,
     .http = http,
     .request_id = request_id,
+    .key_id = t->key_id,
     .token = token,
     .deadline_us = t->organisation->values.deadline_ms * USEC_PER_MSEC,
   };
@@ -360,8 +361,7 @@
   for (struct transaction *t = d->transactions; t != NULL; t = next)
     {
       next = t->next;
-      const struct key *key = keys_find_id (d->keys, t->key_id);
-      if (key == NULL || key->revoked)
+      if (!keys_is_active (d->keys, t->key_id))
         abandon (t);
     }
 }
--- a/proto/key.c
+++ b/proto/key.c
@@ -188,3 +188,12 @@
   *found = key;
   return key->revoked ? KEY_REVOKED : KEY_VALID;
 }
+
+bool
+keys_is_active (const struct keys *keys, const char *id)
+{
+  if (id[0] == '\0')
+    return true;
+  const struct key *key = keys_find_id (keys, id);
+  return key != NULL && !key->revoked;
+}
--- a/proto/key.h
+++ b/proto/key.h
@@ -66,4 +66,8 @@
  * @return NULL if there is none. */
 const struct key *keys_find_id (const struct keys *keys, const char *id);
 
+/** @return whether requests of the key with this id may run; true for an
+ * empty id, which stands for a request without a key. */
+bool keys_is_active (const struct keys *keys, const char *id);
+
 #endif
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -402,6 +402,42 @@
   talloc_free (f);
 }
 
+/* Guards against a request that runs for a revoked key because it waited in
+   a queue meanwhile: no endpoint answers while the key is revoked. */
+static void
+queued_request_of_a_revoked_key_is_refused (void)
+{
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  pid_t child = -1;
+  int status = 0;
+  char *key = NULL;
+  REQUIRE (f != NULL);
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    REQUIRE (fleet_fault (f, i, "cut=1"));
+  fleet_pause (1500);
+  child = fork ();
+  if (child == 0)
+    {
+      struct fleet_answer a
+          = fleet_sql (f, 0, "write", NULL, ",\"deadline_ms\":15000",
+                       "INSERT INTO bookings VALUES ('revoked', 1)");
+      _exit (strcmp (fleet_text (&a, "code"), "key_revoked") == 0 ? 0 : 1);
+    }
+  fleet_pause (300);
+  REQUIRE (fleet_put_keys (f, true));
+  fleet_pause (500);
+  for (int i = 0; i < FLEET_ENDPOINTS; i++)
+    REQUIRE (fleet_fault (f, i, "cut=0"));
+  REQUIRE (waitpid (child, &status, 0) == child);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  key = f->key;
+  f->key = f->other_key;
+  CU_ASSERT_EQUAL (count_rows (f, 0, "revoked"), 0);
+  f->key = key;
+done:
+  talloc_free (f);
+}
+
 /* Guards against a configuration that takes longer than its bound to reach
    a daemon. */
 static void
@@ -672,6 +708,8 @@
   { "primary_killed_while_the_platform_is_stopped",
     primary_killed_while_the_platform_is_stopped },
   { "key_revoked_on_an_open_connection", key_revoked_on_an_open_connection },
+  { "queued_request_of_a_revoked_key_is_refused",
+    queued_request_of_a_revoked_key_is_refused },
   { "configuration_reaches_every_daemon", configuration_reaches_every_daemon },
   { "leaving_endpoint_gets_no_new_reads", leaving_endpoint_gets_no_new_reads },
   { "leaving_primary_is_replaced", leaving_primary_is_replaced },
