--- a/daemon/group.c
+++ b/daemon/group.c
@@ -7,6 +7,7 @@
 
 #include <stdio.h>
 
+#define PART "group"
 #define TICK_US (20 * USEC_PER_MSEC)
 /* A server that restarts refuses connections for less than this. */
 #define REFUSED_US (300 * USEC_PER_MSEC)
@@ -336,6 +337,9 @@
         }
       update_group (g, s);
     }
+  if (d->groups == NULL)
+    log_warn (PART, "no service of the configuration belongs to cell=%s",
+              d->options->cell);
   group_free_retired (d);
   group_on_members (d);
 }
