tests: rate over several daemons, no reversal, a leaving replica

Cause: no test with processes noticed an organisation that uses several daemons to get more than its rate, an older configuration that is applied, or new work at a replica that is leaving. Change: rate_holds_over_all_daemons, configuration_never_reverts, and reads after leaving_primary_is_replaced that would take seconds at the old primary. The key is checked again only for a request that has waited; checking it twice in a row hid a missing first check from key_revoked_on_an_open_connection.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -343,7 +343,7 @@
               "this daemon cannot reach a majority of its cell", USEC_PER_SEC);
       return;
     }
-  if (!keys_is_active (d->keys, a->key_id))
+  if (a->asked && !keys_is_active (d->keys, a->key_id))
     {
       refuse (a, 401, "key_revoked", "the key is revoked", 0);
       return;
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -45,11 +45,15 @@
 static char *
 tree (struct fleet *f, const char *defaults, const char *endpoint_extra)
 {
-  char *text = talloc_asprintf (
-      f,
-      "[defaults]\nrate = 5000\nburst = 1000\n%s\n[services.lending]\n"
-      "database = \"ledger\"\nuser = \"azurewind\"\n",
-      defaults != NULL ? defaults : "");
+  const char *extra = defaults != NULL ? defaults : "";
+  /* A test that sets the rate replaces the one that never refuses. */
+  const char *rate
+      = strstr (extra, "rate =") == NULL ? "rate = 5000\nburst = 1000\n" : "";
+  char *text = talloc_asprintf (f,
+                                "[defaults]\n%s%s\n[services.lending]\n"
+                                "database = \"ledger\"\n"
+                                "user = \"azurewind\"\n",
+                                rate, extra);
   for (int i = 0; i < FLEET_ENDPOINTS; i++)
     text = talloc_asprintf_append (
         text,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -468,6 +468,40 @@
   talloc_free (f);
 }
 
+/* Guards against a configuration that reverts: the platform comes back with
+   an older state, under versions that start again. */
+static void
+configuration_never_reverts (void)
+{
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  json_t *status = NULL;
+  json_int_t before = 0, after = 0;
+  REQUIRE (f != NULL);
+  for (int i = 0; i < 3; i++)
+    REQUIRE (fleet_put_config (f, "deadline_ms = 7777", NULL));
+  fleet_pause (CONFIG_BOUND_MS);
+  status = fleet_status (f, 0);
+  before = json_integer_value (json_object_get (status, "config_version"));
+  json_decref (status);
+  char *address
+      = talloc_asprintf (f, "127.0.0.1:%d", process_port (f->platform));
+  const char *args[] = { "--listen", address, NULL };
+  process_signal (f->platform, SIGKILL);
+  REQUIRE (process_wait (f->platform, 5000) >= 0);
+  f->platform = process_start (f, "standin-platform", args);
+  REQUIRE (f->platform != NULL);
+  REQUIRE (fleet_put_config (f, NULL, NULL));
+  /* Longer than the longest pause between two tries of the watch. */
+  fleet_pause (6000);
+  status = fleet_status (f, 0);
+  after = json_integer_value (json_object_get (status, "config_version"));
+  json_decref (status);
+  CU_ASSERT (before > 1);
+  CU_ASSERT_EQUAL (after, before);
+done:
+  talloc_free (f);
+}
+
 /* Guards against new work at an endpoint that is leaving. */
 static void
 leaving_endpoint_gets_no_new_reads (void)
@@ -508,6 +542,46 @@
     }
   CU_ASSERT (primary > 0);
   CU_ASSERT_EQUAL (count_rows (f, 1, "before"), 1);
+  /* It is a replica now; a read that went there would take seconds. */
+  REQUIRE (fleet_fault (f, 0, "statement_delay_ms=1500"));
+  for (int i = 0; i < 30; i++)
+    {
+      int64_t sent = fleet_now_ms ();
+      REQUIRE (run_is (f, i % 3, "read", NULL, ",\"freshness\":\"any\"",
+                       "SELECT 1", "ran"));
+      REQUIRE (fleet_now_ms () - sent < 1000);
+    }
+done:
+  talloc_free (f);
+}
+
+/* Guards against an organisation that gets more than its rate and burst by
+   using several daemons: requests go to three daemons in turn, as fast as
+   they answer. */
+static void
+rate_holds_over_all_daemons (void)
+{
+  enum
+  {
+    RATE = 30,
+    BURST = 30
+  };
+  struct fleet *f = fleet_start (
+      NULL, &(struct fleet_options){ 3, "rate = 30\nburst = 30" });
+  REQUIRE (f != NULL);
+  int64_t started = fleet_now_ms ();
+  int ran = 0, sent = 0;
+  for (; fleet_now_ms () - started < 4000; sent++)
+    {
+      struct fleet_answer a = fleet_sql (f, sent % 3, "read", NULL,
+                                         ",\"freshness\":\"any\"", "SELECT 1");
+      ran += strcmp (fleet_text (&a, "outcome"), "ran") == 0;
+      json_decref (a.json);
+    }
+  double seconds = (double)(fleet_now_ms () - started) / 1000;
+  CU_ASSERT (ran <= RATE * seconds + BURST);
+  CU_ASSERT (sent > ran);
+  CU_ASSERT (ran > BURST);
 done:
   talloc_free (f);
 }
@@ -715,6 +789,8 @@
   { "leaving_primary_is_replaced", leaving_primary_is_replaced },
   { "waiting_request_outlives_its_group", waiting_request_outlives_its_group },
   { "hopeless_request_is_refused_early", hopeless_request_is_refused_early },
+  { "rate_holds_over_all_daemons", rate_holds_over_all_daemons },
+  { "configuration_never_reverts", configuration_never_reverts },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
   { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
