--- a/daemon/front.c
+++ b/daemon/front.c
@@ -114,11 +114,12 @@
 authenticate (struct arrival *a, bool is_read)
 {
   struct bstr key = bearer (a->http);
-  bool is_open = key.len == 0 && is_read && a->group != NULL
-                 && a->group->values.open_reads
-                 && a->group->open_organisation != NULL;
-  const char *name
-      = is_open ? a->group->open_organisation : check_key (a, key);
+  const struct group *g = a->group;
+  const char *name = NULL;
+  if (key.len == 0 && is_read && g != NULL && g->values.open_reads)
+    name = g->open_organisation;
+  if (name == NULL)
+    name = check_key (a, key);
   if (name == NULL)
     return false;
   if (a->group == NULL)
