tests: organisations that may not use a service, tokens of others

Cause: no test with processes noticed a request that runs for the wrong organisation. Change: other_organisations_are_refused; the fixture has a third key.

--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -114,19 +114,21 @@
   json_t *keys = json_array ();
   json_array_append_new (keys, key_entry (f->key, "moshi", revoke_first));
   json_array_append_new (keys, key_entry (f->other_key, "arusha", false));
+  json_array_append_new (keys, key_entry (f->stranger_key, "stranger", false));
   return put_object (f, "azurewind/keys", json_pack ("{s:o}", "keys", keys));
 }
 
 static bool
 create_keys (struct fleet *f)
 {
-  char text[KEY_MAX_TEXT], id[KEY_ID_LENGTH + 1];
-  if (!key_create (text, id, NULL))
-    return false;
-  f->key = talloc_strdup (f, text);
-  if (!key_create (text, id, NULL))
-    return false;
-  f->other_key = talloc_strdup (f, text);
+  char **const keys[] = { &f->key, &f->other_key, &f->stranger_key };
+  for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
+    {
+      char text[KEY_MAX_TEXT], id[KEY_ID_LENGTH + 1];
+      if (!key_create (text, id, NULL))
+        return false;
+      *keys[i] = talloc_strdup (f, text);
+    }
   return fleet_put_keys (f, false);
 }
 
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -24,8 +24,9 @@
   char *admin_urls[FLEET_MAX_DAEMONS];
   int daemon_count;
   char *platform_url;
-  char *key;       /**< Of organisation "moshi". */
-  char *other_key; /**< Of organisation "arusha". */
+  char *key;          /**< Of organisation "moshi". */
+  char *other_key;    /**< Of organisation "arusha". */
+  char *stranger_key; /**< Of an organisation without a service. */
 };
 
 struct fleet_options
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -402,6 +402,31 @@
   talloc_free (f);
 }
 
+/* Guards against a request that runs for an organisation that may not use
+   the service, and against a token that another organisation can use. */
+static void
+other_organisations_are_refused (void)
+{
+  static const char body[] = "{\"service\":\"lending\",\"mode\":\"read\","
+                             "\"statements\":[{\"sql\":\"SELECT 1\"}]}";
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  REQUIRE (f != NULL);
+  struct fleet_answer a
+      = fleet_post (f, 0, NULL, "/v1/query", f->stranger_key, NULL, body);
+  CU_ASSERT_EQUAL (a.status, 403);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "outcome"), "not_run");
+  json_decref (a.json);
+  struct fleet_answer mine = fleet_sql (
+      f, 0, "write", NULL, "", "INSERT INTO bookings VALUES ('mine', 1)");
+  a = fleet_post (f, 0, NULL, "/v1/query", f->other_key,
+                  fleet_text (&mine, "session"), body);
+  CU_ASSERT_STRING_EQUAL (fleet_text (&a, "code"), "invalid_session");
+  json_decref (a.json);
+  json_decref (mine.json);
+done:
+  talloc_free (f);
+}
+
 /* Guards against a request that runs for a revoked key because it waited in
    a queue meanwhile: no endpoint answers while the key is revoked. */
 static void
@@ -782,6 +807,7 @@
   { "primary_killed_while_the_platform_is_stopped",
     primary_killed_while_the_platform_is_stopped },
   { "key_revoked_on_an_open_connection", key_revoked_on_an_open_connection },
+  { "other_organisations_are_refused", other_organisations_are_refused },
   { "queued_request_of_a_revoked_key_is_refused",
     queued_request_of_a_revoked_key_is_refused },
   { "configuration_reaches_every_daemon", configuration_reaches_every_daemon },
