--- a/Makefile
+++ b/Makefile
@@ -21,14 +21,15 @@
 LIBS += $(SANFLAGS)
 endif
 
-LIB_SRC = $(wildcard common/*.c core/*.c net/*.c proto/*.c)
+LIB_SRC = $(wildcard common/*.c core/*.c net/*.c proto/*.c platform/*.c) \
+  $(filter-out session/main.c,$(wildcard session/*.c))
 LIB_CXX = $(wildcard common/*.cc)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(LIB_CXX:%.cc=$(BUILD)/%.o)
 LIB = $(BUILD)/libazurewind.a
 
 # A program is a folder of sources (daemon, cli) or a set of files that
 # share a prefix (standins, tools).
-PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind \
+PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind $(BUILD)/azurewind-sessiond \
   $(BUILD)/standin-platform $(BUILD)/standin-postgres \
   $(BUILD)/azurewind-load $(BUILD)/azurewind-idle \
   $(BUILD)/azurewind-fault $(BUILD)/azurewind-core-slopes
@@ -60,6 +61,12 @@
 $(BUILD)/azurewind: $(patsubst %.c,$(BUILD)/%.o,$(wildcard cli/*.c)) $(LIB)
 	$(link)
 
+$(BUILD)/azurewind-sessiond: $(BUILD)/session/main.o $(LIB)
+	$(link)
+
+# What deploy/system.toml runs; everything goes below BUILD.
+deploy: $(BUILD)/azurewind-sessiond
+
 $(BUILD)/standin-platform: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/platform*.c standins/standin.c)) $(LIB)
 	$(link)
 
@@ -98,7 +105,7 @@
 	$(MAKE) -j4 test
 
 FORMATTED := $(wildcard common/*.[ch] core/*.[ch] net/*.[ch] proto/*.[ch] \
-  daemon/*.[ch] cli/*.[ch] standins/*.[ch] tools/*.[ch] tests/*.[ch] \
+  daemon/*.[ch] session/*.[ch] platform/*.[ch] cli/*.[ch] standins/*.[ch] tools/*.[ch] tests/*.[ch] \
   tests/fuzz/*.[ch] common/*.cc)
 LINTED = $(filter-out tests/%,$(filter %.c,$(FORMATTED)))
 
@@ -153,5 +160,5 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deps test check fuzzers fuzz demo bench capacity results format lint clean
--include $(shell find build -name '*.d' 2>/dev/null)
+.PHONY: all programs deploy deps test check fuzzers fuzz demo bench capacity results format lint clean
+-include $(shell find build target -name '*.d' 2>/dev/null)
--- a/core/budget.c
+++ b/core/budget.c
@@ -37,6 +37,8 @@
 
 /* Interval at which a request that waits for a peer is asked about again if
    no grant arrives before. */
+/* Told to a caller whom no rate or no lease allows to run. */
+#define REFUSED_RETRY_US 1000000
 #define RETRY_WAIT_US 5000
 
 /* A peer is asked again for waiting requests after this time at the earliest.
@@ -567,34 +569,98 @@
   return part * s->rate * fmax (0, until - (double)return_at) / 1e6;
 }
 
+static struct budget_decision
+wait_for (double us)
+{
+  return (struct budget_decision){ .verdict = BUDGET_WAIT,
+                                   .wait_us = (int64_t)ceil (us) };
+}
+
+static struct budget_decision
+refuse (int64_t retry_us)
+{
+  return (struct budget_decision){ .verdict = BUDGET_REFUSE,
+                                   .retry_us = retry_us };
+}
+
+/* A member that was just added has no lease yet. */
+static bool
+awaits_first_lease (const struct budget *b, int64_t waited_us, int64_t now)
+{
+  return b->member && b->lease_seen != b->version
+         && now - b->frozen_at < FIRST_LEASE_US
+         && waited_us < b->options.silent_wait_us;
+}
+
+/* Ask peers for what is missing.
+ * @param coming tokens that refill will bring meanwhile.
+ * @param asked set to the tokens that answers may bring.
+ * @return whether an answer is awaited that nothing is known about. */
+static bool
+ask_for_missing (struct budget *b, struct share *s, double missing,
+                 double coming, double *asked, int64_t now)
+{
+  bool awaited = ask_unknown (b, s, missing, now);
+  *asked = tokens_asked (b, s, now);
+  if (missing > *asked)
+    ask_urgent (b, s, missing - *asked, now);
+  *asked = tokens_asked (b, s, now);
+  if (missing > coming + *asked)
+    *asked = fmax (*asked, tokens_behind_needs (b, s, now));
+  return awaited;
+}
+
+/* Decide about a request for which there is no token. */
+static struct budget_decision
+wait_or_refuse (struct budget *b, struct share *s, int64_t waited_us,
+                int64_t now)
+{
+  double own_rate = s->fraction * s->rate;
+  double missing = s->waiting + 1 - s->level;
+  double due_us = own_rate > 0 && capacity (s) >= 1 ? missing / own_rate * 1e6
+                                                    : INFINITY;
+  /* What was waited for the first lease or the allotment does not count. */
+  int64_t ready_us = now - b->ready_at;
+  double left_us = (double)(b->options.max_wait_us
+                            - (waited_us < ready_us ? waited_us : ready_us));
+  /* Wait if refill and answers will cover the requests before this one. */
+  double coming
+      = left_us > 0 && capacity (s) >= 1 ? own_rate * left_us / 1e6 : 0;
+  double asked = 0;
+  bool awaited = false;
+  s->waiting++;
+  s->waiting_at = now;
+  if (left_us > 0 && can_move (b))
+    awaited = ask_for_missing (b, s, missing, coming, &asked, now);
+  if (awaited || (left_us > 0 && missing <= coming + asked + TOKENS_MIN))
+    return wait_for (
+        fmin (due_us, awaited || asked > 0 ? RETRY_WAIT_US : left_us));
+  double silent_left_us = (double)(b->options.silent_wait_us - waited_us);
+  if (missing <= tokens_expected (b, s, silent_left_us, now))
+    return wait_for (fmin (due_us, SILENT_RETRY_US));
+  s->waiting--;
+  return refuse ((int64_t)ceil (1e6 * fmax (1, missing) / s->rate));
+}
+
 struct budget_decision
 budget_admit (struct budget *b, const char *organisation, bool lease_valid,
               int64_t waited_us, int64_t now)
 {
-  struct budget_decision d = { .verdict = BUDGET_REFUSE };
   struct share *s = share_find (b, organisation);
   if (lease_valid && b->lease_seen != b->version)
     {
       b->lease_seen = b->version;
       b->ready_at = now;
     }
-  /* A member that was just added has no lease yet. */
-  bool first_lease = b->member && b->lease_seen != b->version
-                     && now - b->frozen_at < FIRST_LEASE_US
-                     && waited_us < b->options.silent_wait_us;
-  if (s != NULL && s->rate > 0 && !lease_valid && first_lease)
+  if (s != NULL && s->rate > 0 && !lease_valid
+      && awaits_first_lease (b, waited_us, now))
     {
       if (waited_us == 0)
         count_demand (s, now);
-      d.verdict = BUDGET_WAIT;
-      d.wait_us = RETRY_WAIT_US;
-      return d;
+      return wait_for (RETRY_WAIT_US);
     }
   if (s == NULL || s->rate <= 0 || !lease_valid)
-    {
-      d.retry_us = 1000000;
-      return d;
-    }
+    return refuse (REFUSED_RETRY_US);
   refill (s, now);
   s->waiting = waiting_now (s, now);
   if (waited_us == 0)
@@ -604,57 +670,12 @@
       s->waiting--;
       b->dirty = s->dirty = true;
     }
-  if (s->level >= 1)
-    {
-      s->level -= 1;
-      if (can_move (b))
-        ask_ahead (b, s, now);
-      d.verdict = BUDGET_ADMIT;
-      return d;
-    }
-  double own_rate = s->fraction * s->rate;
-  double missing = s->waiting + 1 - s->level;
-  double due_us = own_rate > 0 && capacity (s) >= 1 ? missing / own_rate * 1e6
-                                                    : INFINITY;
-  /* What was waited for the first lease or the allotment does not count. */
-  int64_t ready_us = now - b->ready_at;
-  double left_us = (double)(b->options.max_wait_us
-                            - (waited_us < ready_us ? waited_us : ready_us));
-  /* Wait if refill and answers will cover the requests before this one. */
-  double coming
-      = left_us > 0 && capacity (s) >= 1 ? own_rate * left_us / 1e6 : 0;
-  double asked = 0;
-  bool awaited = false;
-  s->waiting++;
-  s->waiting_at = now;
-  if (left_us > 0 && can_move (b))
-    {
-      awaited = ask_unknown (b, s, missing, now);
-      asked = tokens_asked (b, s, now);
-      if (missing > asked)
-        ask_urgent (b, s, missing - asked, now);
-      asked = tokens_asked (b, s, now);
-    }
-  if (left_us > 0 && can_move (b) && missing > coming + asked)
-    asked = fmax (asked, tokens_behind_needs (b, s, now));
-  if (awaited || (left_us > 0 && missing <= coming + asked + TOKENS_MIN))
-    {
-      bool answers = awaited || asked > 0;
-      d.verdict = BUDGET_WAIT;
-      d.wait_us
-          = (int64_t)ceil (fmin (due_us, answers ? RETRY_WAIT_US : left_us));
-      return d;
-    }
-  double silent_left_us = (double)(b->options.silent_wait_us - waited_us);
-  if (missing <= tokens_expected (b, s, silent_left_us, now))
-    {
-      d.verdict = BUDGET_WAIT;
-      d.wait_us = (int64_t)ceil (fmin (due_us, SILENT_RETRY_US));
-      return d;
-    }
-  s->waiting--;
-  d.retry_us = (int64_t)ceil (1e6 * fmax (1, missing) / s->rate);
-  return d;
+  if (s->level < 1)
+    return wait_or_refuse (b, s, waited_us, now);
+  s->level -= 1;
+  if (can_move (b))
+    ask_ahead (b, s, now);
+  return (struct budget_decision){ .verdict = BUDGET_ADMIT };
 }
 
 void
--- /dev/null
+++ b/core/lease.c
@@ -0,0 +1,307 @@
+#include "core/lease.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* Margin in percent that a granting member adds, for clocks that run at
+   slightly different rates. */
+#define CLOCK_MARGIN_PERCENT 2
+
+struct peer
+{
+  uint64_t id;
+  uint64_t incarnation;
+  int64_t stamp;      /**< Newest of its stamps. */
+  int64_t heard;      /**< Own clock. */
+  int64_t echo;       /**< Newest stamp of ours that it has. */
+  bool is_member;
+  struct lease_grant grants[LEASE_MAX_SERVICES];
+  int grant_count;
+};
+
+struct service_lease
+{
+  uint64_t service;
+  bool claimed;
+  int64_t claimed_at;
+  uint64_t granted_to; /**< 0: nobody. */
+  uint64_t granted_incarnation;
+  int64_t granted_until;
+};
+
+struct lease_table
+{
+  struct lease_options options;
+  struct peer *peers;
+  int peer_count;
+  int member_count; /**< This member included. */
+  struct service_lease services[LEASE_MAX_SERVICES];
+  int service_count;
+};
+
+struct lease_table *
+lease_create (void *parent, const struct lease_options *options)
+{
+  struct lease_table *t = talloc_zero (parent, struct lease_table);
+  t->options = *options;
+  t->member_count = 1;
+  return t;
+}
+
+static struct peer *
+find_peer (const struct lease_table *t, uint64_t id)
+{
+  for (int i = 0; i < t->peer_count; i++)
+    if (t->peers[i].id == id)
+      return &t->peers[i];
+  return NULL;
+}
+
+static struct peer *
+add_peer (struct lease_table *t, uint64_t id)
+{
+  struct peer *p = find_peer (t, id);
+  if (p != NULL)
+    return p;
+  t->peers
+      = talloc_realloc (t, t->peers, struct peer, (size_t)t->peer_count + 1);
+  p = &t->peers[t->peer_count++];
+  memset (p, 0, sizeof *p);
+  p->id = id;
+  return p;
+}
+
+void
+lease_set_members (struct lease_table *t, const uint64_t *members, int count)
+{
+  for (int i = 0; i < t->peer_count; i++)
+    t->peers[i].is_member = false;
+  t->member_count = 1;
+  for (int i = 0; i < count && i < LEASE_MAX_MEMBERS; i++)
+    {
+      if (members[i] == t->options.self)
+        continue;
+      add_peer (t, members[i])->is_member = true;
+      t->member_count++;
+    }
+}
+
+static struct service_lease *
+find_service (const struct lease_table *t, uint64_t service)
+{
+  for (int i = 0; i < t->service_count; i++)
+    if (t->services[i].service == service)
+      return (struct service_lease *)&t->services[i];
+  return NULL;
+}
+
+static struct service_lease *
+add_service (struct lease_table *t, uint64_t service)
+{
+  struct service_lease *s = find_service (t, service);
+  if (s != NULL || t->service_count == LEASE_MAX_SERVICES)
+    return s;
+  s = &t->services[t->service_count++];
+  memset (s, 0, sizeof *s);
+  s->service = service;
+  return s;
+}
+
+/* A member that has just started does not know what it granted before. */
+static bool
+may_grant (const struct lease_table *t, int64_t now)
+{
+  int64_t margin = t->options.term_us * CLOCK_MARGIN_PERCENT / 100;
+  return now >= t->options.now + t->options.term_us + margin;
+}
+
+static bool
+try_grant (struct lease_table *t, struct service_lease *s, uint64_t member,
+           uint64_t incarnation, int64_t now)
+{
+  bool is_holder
+      = s->granted_to == member && s->granted_incarnation == incarnation;
+  if (!may_grant (t, now))
+    return false;
+  if (!is_holder && s->granted_to != 0 && now < s->granted_until)
+    return false;
+  s->granted_to = member;
+  s->granted_incarnation = incarnation;
+  s->granted_until = now + t->options.term_us
+                     + t->options.term_us * CLOCK_MARGIN_PERCENT / 100;
+  return !is_holder;
+}
+
+static void
+withdraw_grant (struct service_lease *s)
+{
+  s->granted_to = 0;
+  s->granted_until = 0;
+}
+
+void
+lease_claim (struct lease_table *t, uint64_t service, bool wanted,
+             int64_t now)
+{
+  struct service_lease *s = add_service (t, service);
+  if (s == NULL)
+    return;
+  if (wanted && !s->claimed)
+    s->claimed_at = now;
+  s->claimed = wanted;
+  if (!wanted && s->granted_to == t->options.self)
+    withdraw_grant (s);
+}
+
+static bool
+is_claimed_by (const struct lease_heartbeat *h, uint64_t service)
+{
+  for (int i = 0; i < h->claim_count; i++)
+    if (h->claims[i] == service)
+      return true;
+  return false;
+}
+
+bool
+lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
+             int64_t now)
+{
+  struct peer *p = add_peer (t, h->member);
+  bool changed = false;
+  if (p->incarnation == h->incarnation && h->stamp <= p->stamp)
+    return false;
+  p->incarnation = h->incarnation;
+  p->stamp = h->stamp;
+  p->heard = now;
+  p->echo = h->echo;
+  p->grant_count = h->grant_count < LEASE_MAX_SERVICES ? h->grant_count
+                                                       : LEASE_MAX_SERVICES;
+  memcpy (p->grants, h->grants,
+          sizeof p->grants[0] * (size_t)p->grant_count);
+  for (int i = 0; i < t->service_count; i++)
+    {
+      struct service_lease *s = &t->services[i];
+      if (s->granted_to == h->member
+          && s->granted_incarnation == h->incarnation
+          && !is_claimed_by (h, s->service))
+        {
+          withdraw_grant (s);
+          changed = true;
+        }
+    }
+  for (int i = 0; i < h->claim_count; i++)
+    {
+      struct service_lease *s = add_service (t, h->claims[i]);
+      if (s != NULL)
+        changed |= try_grant (t, s, h->member, h->incarnation, now);
+    }
+  return changed;
+}
+
+static bool
+grants_to_self (const struct lease_table *t, const struct peer *p,
+                uint64_t service)
+{
+  for (int i = 0; i < p->grant_count; i++)
+    if (p->grants[i].service == service
+        && p->grants[i].member == t->options.self
+        && p->grants[i].incarnation == t->options.incarnation)
+      return true;
+  return false;
+}
+
+static int
+compare_descending (const void *a, const void *b)
+{
+  int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+  return x < y ? 1 : x > y ? -1 : 0;
+}
+
+int64_t
+lease_valid_until (const struct lease_table *t, uint64_t service)
+{
+  int64_t proofs[LEASE_MAX_MEMBERS];
+  int count = 0;
+  int needed = t->member_count / 2; /* Others, beside this member. */
+  const struct service_lease *s = find_service (t, service);
+  if (s == NULL || !s->claimed || s->granted_to != t->options.self
+      || s->granted_incarnation != t->options.incarnation)
+    return 0;
+  for (int i = 0; i < t->peer_count && count < LEASE_MAX_MEMBERS; i++)
+    {
+      const struct peer *p = &t->peers[i];
+      /* A grant counts only if it answers a heartbeat with this claim. */
+      if (p->is_member && p->echo >= s->claimed_at
+          && grants_to_self (t, p, service))
+        proofs[count++] = p->echo;
+    }
+  if (count < needed)
+    return 0;
+  if (needed == 0)
+    return s->granted_until;
+  qsort (proofs, (size_t)count, sizeof proofs[0], compare_descending);
+  int64_t until = proofs[needed - 1] + t->options.term_us;
+  return until < s->granted_until ? until : s->granted_until;
+}
+
+uint64_t
+lease_owner (const struct lease_table *t, uint64_t service, int64_t now)
+{
+  const struct service_lease *s = find_service (t, service);
+  return s != NULL && now < s->granted_until ? s->granted_to : 0;
+}
+
+bool
+lease_in_quorum (const struct lease_table *t, int64_t now)
+{
+  int heard = 1;
+  for (int i = 0; i < t->peer_count; i++)
+    if (t->peers[i].is_member && t->peers[i].heard > 0
+        && now - t->peers[i].heard <= t->options.term_us)
+      heard++;
+  return heard > t->member_count / 2;
+}
+
+int64_t
+lease_last_heard (const struct lease_table *t, uint64_t member)
+{
+  const struct peer *p = find_peer (t, member);
+  return p != NULL ? p->heard : 0;
+}
+
+int
+lease_claims (const struct lease_table *t, uint64_t *services)
+{
+  int count = 0;
+  for (int i = 0; i < t->service_count; i++)
+    if (t->services[i].claimed)
+      services[count++] = t->services[i].service;
+  return count;
+}
+
+/* Own claims are granted here, by the same rules as those of others. */
+int
+lease_grants (struct lease_table *t, struct lease_grant *grants, int64_t now)
+{
+  int count = 0;
+  for (int i = 0; i < t->service_count; i++)
+    {
+      struct service_lease *s = &t->services[i];
+      if (s->claimed)
+        try_grant (t, s, t->options.self, t->options.incarnation, now);
+      if (s->granted_to != 0 && now < s->granted_until)
+        grants[count++]
+            = (struct lease_grant){ .service = s->service,
+                                    .member = s->granted_to,
+                                    .incarnation = s->granted_incarnation };
+    }
+  return count;
+}
+
+int64_t
+lease_echo (const struct lease_table *t, uint64_t member)
+{
+  const struct peer *p = find_peer (t, member);
+  return p != NULL ? p->stamp : 0;
+}
--- /dev/null
+++ b/core/limits.h
@@ -0,0 +1,47 @@
+/** @file
+ * Rate limits of organisations, counted over all daemons.  Each daemon that
+ * owns services spends a share of an organisation's rate and burst; the
+ * shares follow the demand that the daemons last told each other, so that
+ * all of them compute shares that sum to at most one.
+ */
+#ifndef CORE_LIMITS_H
+#define CORE_LIMITS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LIMITS_MAX_OWNERS 64
+
+struct limits;
+
+/** Demand of one organisation at one daemon. */
+struct limits_demand
+{
+  uint64_t organisation;
+  double per_s; /**< Requests that were asked for, refused ones included. */
+};
+
+struct limits *limits_create (void *parent);
+/** Add an organisation or change its limit; its bucket starts empty. */
+void limits_configure (struct limits *l, uint64_t organisation, double rate,
+                       double burst, int64_t now);
+/** Drop organisations that were not configured since the last call. */
+void limits_forget_others (struct limits *l);
+/** Take one request's token.
+ * @param retry_ms when a token is likely, set on refusal. */
+bool limits_take (struct limits *l, uint64_t organisation, int64_t now,
+                  int *retry_ms);
+/** Close a period of measurement: fold the requests since the last call
+ * into the demand that is reported.
+ * @return the number of entries written to @p out. */
+int limits_report (struct limits *l, struct limits_demand *out, int most,
+                   int64_t now);
+/** Another daemon's report.  @p now is when it arrived. */
+void limits_heard (struct limits *l, uint64_t daemon,
+                   const struct limits_demand *demand, int count, int64_t now);
+/** Recompute all shares from the reports that are at most @p max_age_us
+ * old.  @p owns: this daemon owns services and may spend. */
+void limits_share (struct limits *l, bool owns, int64_t max_age_us,
+                   int64_t now);
+
+#endif
--- /dev/null
+++ b/session/directory.c
@@ -0,0 +1,514 @@
+#include "session/directory.h"
+
+#include "common/json_text.h"
+#include "common/log.h"
+#include "platform/store.h"
+#include "session/fleet.h"
+
+#include <inttypes.h>
+
+#define PART "directory"
+
+/* Longest wait of one watch.  Other daemons tell of changes that a silent
+   watch has missed, so it may be long; each return is a paid call. */
+#define WATCH_WAIT_MS 12000
+#define CALL_TIMEOUT_MS 1500
+/* Pause after a failed call, plus a random part of the same length. */
+#define RETRY_US (250 * USEC_PER_MSEC)
+#define RETRY_MAX_US (1000 * USEC_PER_MSEC)
+/* Pause between attempts to register this daemon. */
+#define REGISTER_RETRY_US (500 * USEC_PER_MSEC)
+/* Another daemon's newer copy is fetched if ours has not caught up by
+   then. */
+#define FETCH_AFTER_US (150 * USEC_PER_MSEC)
+
+struct collection
+{
+  struct directory *directory;
+  enum object_kind kind;
+  json_t *items;     /**< By name. */
+  json_t *building;  /**< Pages of a list that is being read. */
+  uint64_t revision; /**< The items are complete up to it. */
+  uint64_t digest;
+  int64_t retry_us;
+  int64_t behind_since; /**< Another daemon has a newer copy; 0: none. */
+  bool known;
+};
+
+struct directory
+{
+  struct relay *relay;
+  struct collection collections[OBJECT_KIND_COUNT];
+  struct endpoint_entry *endpoints;
+  int endpoint_count;
+  struct member_entry *members;
+  int member_count;
+  void *endpoint_memory;
+  void *member_memory;
+  const struct config *config;
+  bool store_answers;
+  bool registering;
+  int64_t registered_at; /**< Start of the last attempt. */
+};
+
+static void watch (struct collection *c);
+static void list (struct collection *c, const char *after);
+
+static void
+set_store_answers (struct directory *d, bool answers, const char *reason)
+{
+  if (d->store_answers == answers)
+    return;
+  d->store_answers = answers;
+  if (answers)
+    log_info (PART, "event=store_regained");
+  else
+    log_warn (PART, "event=store_lost reason=\"%s\"", reason);
+}
+
+/* Over what is used of the entries only: copies that differ in a counter are
+   equal. */
+static uint64_t
+digest_of_endpoints (const struct directory *d)
+{
+  uint64_t digest = 1;
+  for (int i = 0; i < d->endpoint_count; i++)
+    {
+      const struct endpoint_entry *e = &d->endpoints[i];
+      char *text = talloc_asprintf (
+          NULL, "%s %s %s %" PRId64 " %d %d %d", e->id.start,
+          e->service.start, e->address.start, e->born_ms, e->slots,
+          e->is_draining, e->is_primary);
+      digest ^= model_id (bstr_from (text));
+      talloc_free (text);
+    }
+  return digest;
+}
+
+static uint64_t
+digest_of_members (const struct directory *d)
+{
+  uint64_t digest = 1;
+  for (int i = 0; i < d->member_count; i++)
+    digest ^= model_rank (d->members[i].id,
+                          model_id (d->members[i].address));
+  return digest;
+}
+
+static void
+decode_config (struct directory *d, const json_t *items)
+{
+  struct error err = { 0 };
+  const json_t *object = json_object_get (items, objects_config_name ());
+  if (object == NULL)
+    return;
+  struct config *config = objects_decode_config (d, object, &err);
+  if (config == NULL)
+    {
+      log_error (PART, "event=config_rejected reason=\"%s\"", err.text);
+      return;
+    }
+  if (d->config != NULL && config->version <= d->config->version)
+    {
+      talloc_free (config);
+      return;
+    }
+  const struct config *old = d->config;
+  d->config = config;
+  log_info (PART, "event=config version=%" PRIu64 " routes=%d organisations=%d",
+            config->version, config->route_count, config->organisation_count);
+  relay_config_changed (d->relay, config);
+  talloc_free ((void *)old);
+}
+
+static void
+decode_endpoints (struct directory *d, const json_t *items)
+{
+  const char *name;
+  json_t *object;
+  void *memory = talloc_new (d);
+  struct endpoint_entry *entries = talloc_zero_array (
+      memory, struct endpoint_entry, json_object_size (items) + 1);
+  int count = 0;
+  json_object_foreach ((json_t *)items, name, object)
+  {
+    struct error err = { 0 };
+    if (objects_decode_endpoint (memory, object, &entries[count], &err))
+      count++;
+    else
+      log_warn (PART, "event=endpoint_ignored name=\"%.40s\" reason=\"%s\"",
+                name, err.text);
+  }
+  talloc_free (d->endpoint_memory);
+  d->endpoint_memory = memory;
+  d->endpoints = entries;
+  d->endpoint_count = count;
+  relay_endpoints_changed (d->relay);
+}
+
+static void
+on_registered (void *data, const struct error *err, const json_t *body)
+{
+  (void)body;
+  struct directory *d = data;
+  d->registering = false;
+  if (err->code != ERROR_NONE)
+    log_warn (PART, "event=register_failed code=%s reason=\"%s\"",
+              error_name (err->code), err->text);
+}
+
+static void
+register_self (struct directory *d, const json_t *present)
+{
+  const struct relay_options *o = d->relay->options;
+  struct error err = { 0 };
+  struct member_entry entry;
+  int64_t now = clock_now ();
+  void *scratch = talloc_new (NULL);
+  bool same = present != NULL
+              && objects_decode_member (scratch, present, &entry, &err)
+              && bstr_equals_text (entry.address, o->bus);
+  talloc_free (scratch);
+  if (same || d->registering || d->relay->leaving_since != 0
+      || (d->registered_at != 0 && now - d->registered_at < REGISTER_RETRY_US))
+    return;
+  d->registering = true;
+  d->registered_at = now;
+  store_put (d->relay->store, objects_kind_name (OBJECT_MEMBERS), o->name,
+             present != NULL ? objects_revision (present) : 0,
+             objects_encode_member (o->bus, o->zone), CALL_TIMEOUT_MS,
+             on_registered, d);
+}
+
+static void
+decode_members (struct directory *d, const json_t *items)
+{
+  const char *name;
+  json_t *object;
+  void *memory = talloc_new (d);
+  struct member_entry *entries = talloc_zero_array (
+      memory, struct member_entry, json_object_size (items) + 1);
+  int count = 0;
+  json_object_foreach ((json_t *)items, name, object)
+  {
+    struct error err = { 0 };
+    if (objects_decode_member (memory, object, &entries[count], &err))
+      count++;
+    else
+      log_warn (PART, "event=member_ignored name=\"%.40s\" reason=\"%s\"",
+                name, err.text);
+  }
+  talloc_free (d->member_memory);
+  d->member_memory = memory;
+  d->members = entries;
+  d->member_count = count;
+  register_self (d, json_object_get (items, d->relay->options->name));
+  relay_members_changed (d->relay);
+}
+
+static void
+items_changed (struct collection *c)
+{
+  struct directory *d = c->directory;
+  c->known = true;
+  c->behind_since = 0;
+  if (c->kind == OBJECT_CONFIG)
+    decode_config (d, c->items);
+  else if (c->kind == OBJECT_ENDPOINTS)
+    {
+      decode_endpoints (d, c->items);
+      c->digest = digest_of_endpoints (d);
+    }
+  else
+    {
+      decode_members (d, c->items);
+      c->digest = digest_of_members (d);
+    }
+}
+
+static void
+on_retry (struct tevent_context *ev, struct tevent_timer *timer,
+          struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct collection *c = data;
+  if (c->known && c->revision > 0)
+    watch (c);
+  else
+    list (c, NULL);
+}
+
+static void
+retry_later (struct collection *c, const struct error *err)
+{
+  set_store_answers (c->directory, false, err->text);
+  if (c->retry_us < RETRY_US)
+    c->retry_us = RETRY_US;
+  relay_after (c->directory->relay, c->directory,
+               c->retry_us + relay_random ((uint32_t)c->retry_us), on_retry,
+               c);
+  c->retry_us *= 2;
+  if (c->retry_us > RETRY_MAX_US)
+    c->retry_us = RETRY_MAX_US;
+}
+
+static void
+on_list (void *data, const struct error *err, const json_t *body)
+{
+  struct collection *c = data;
+  const json_t *object;
+  size_t i;
+  struct bstr last = { NULL, 0 };
+  if (err->code != ERROR_NONE)
+    {
+      retry_later (c, err);
+      return;
+    }
+  c->retry_us = 0;
+  set_store_answers (c->directory, true, "");
+  json_array_foreach (store_items (body), i, object)
+  {
+    last = objects_name (object);
+    if (last.start != NULL)
+      json_object_set (c->building, last.start, (json_t *)object);
+  }
+  if (store_has_more (body) && last.start != NULL)
+    {
+      char *after = bstr_to_text (c->directory, last);
+      list (c, after);
+      talloc_free (after);
+      return;
+    }
+  uint64_t revision = store_revision (body);
+  if (revision > c->revision || !c->known)
+    {
+      json_decref (c->items);
+      c->items = json_incref (c->building);
+      c->revision = revision;
+      items_changed (c);
+    }
+  watch (c);
+}
+
+static void
+list (struct collection *c, const char *after)
+{
+  if (after == NULL)
+    {
+      json_decref (c->building);
+      c->building = json_object ();
+    }
+  store_list (c->directory->relay->store, objects_kind_name (c->kind), after,
+              CALL_TIMEOUT_MS, on_list, c);
+}
+
+/* A copy from another daemon may be newer than some of the events. */
+static bool
+apply_event (struct collection *c, const json_t *event)
+{
+  bool deleted;
+  const json_t *object = store_event_object (event, &deleted);
+  struct bstr name = objects_name (object);
+  if (name.start == NULL)
+    return false;
+  const json_t *present = json_object_get (c->items, name.start);
+  if (present != NULL
+      && objects_revision (object) < objects_revision (present))
+    return false;
+  if (deleted)
+    return json_object_del (c->items, name.start) == 0;
+  if (json_equal (present, object))
+    return false;
+  json_object_set (c->items, name.start, (json_t *)object);
+  return true;
+}
+
+static void
+on_watch (void *data, const struct error *err, const json_t *body)
+{
+  struct collection *c = data;
+  const json_t *event;
+  size_t i;
+  bool changed = false;
+  if (err->code == ERROR_REFUSED)
+    {
+      log_info (PART, "event=history_gone kind=%s revision=%" PRIu64,
+                objects_kind_name (c->kind), c->revision);
+      list (c, NULL);
+      return;
+    }
+  if (err->code != ERROR_NONE)
+    {
+      retry_later (c, err);
+      return;
+    }
+  c->retry_us = 0;
+  set_store_answers (c->directory, true, "");
+  if (store_revision (body) > c->revision)
+    {
+      json_array_foreach (store_events (body), i, event) changed
+          |= apply_event (c, event);
+      c->revision = store_revision (body);
+    }
+  if (changed)
+    items_changed (c);
+  else if (c->kind == OBJECT_MEMBERS)
+    register_self (c->directory,
+                   json_object_get (c->items,
+                                    c->directory->relay->options->name));
+  watch (c);
+}
+
+static void
+watch (struct collection *c)
+{
+  store_watch (c->directory->relay->store, objects_kind_name (c->kind),
+               c->revision, WATCH_WAIT_MS, on_watch, c);
+}
+
+struct directory *
+directory_create (struct relay *r)
+{
+  struct directory *d = talloc_zero (r, struct directory);
+  d->relay = r;
+  d->store_answers = true;
+  for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
+    {
+      struct collection *c = &d->collections[kind];
+      c->directory = d;
+      c->kind = (enum object_kind)kind;
+      c->items = json_object ();
+      list (c, NULL);
+    }
+  return d;
+}
+
+const struct endpoint_entry *
+directory_endpoints (const struct directory *d, int *count)
+{
+  *count = d->endpoint_count;
+  return d->endpoints;
+}
+
+const struct member_entry *
+directory_members (const struct directory *d, int *count)
+{
+  *count = d->member_count;
+  return d->members;
+}
+
+bool
+directory_has (const struct directory *d, enum object_kind kind)
+{
+  return d->collections[kind].known;
+}
+
+bool
+directory_store_answers (const struct directory *d)
+{
+  return d->store_answers;
+}
+
+uint64_t
+directory_revision (const struct directory *d, enum object_kind kind)
+{
+  return d->collections[kind].revision;
+}
+
+uint64_t
+directory_digest (const struct directory *d, enum object_kind kind)
+{
+  return d->collections[kind].digest;
+}
+
+static bool
+is_newer (const struct directory *d, enum object_kind kind,
+          const struct message_heartbeat *h)
+{
+  const struct collection *c = &d->collections[kind];
+  if (kind == OBJECT_CONFIG)
+    return h->config_version > (d->config != NULL ? d->config->version : 0);
+  return h->revision[kind] > c->revision && h->digest[kind] != c->digest
+         && h->digest[kind] != 0;
+}
+
+void
+directory_compare (struct directory *d, uint64_t member,
+                   const struct message_heartbeat *h)
+{
+  int64_t now = clock_now ();
+  for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
+    {
+      struct collection *c = &d->collections[kind];
+      if (!is_newer (d, (enum object_kind)kind, h))
+        continue;
+      if (c->behind_since == 0)
+        c->behind_since = now;
+      if (now - c->behind_since < FETCH_AFTER_US && c->known)
+        continue;
+      c->behind_since = now;
+      struct message m = { .kind = MESSAGE_FETCH };
+      m.copy.kind = (enum object_kind)kind;
+      fleet_send (d->relay->fleet, member, &m);
+    }
+}
+
+void
+directory_send_copy (struct directory *d, uint64_t member,
+                     enum object_kind kind)
+{
+  const struct collection *c = &d->collections[kind];
+  if (!c->known)
+    return;
+  struct message m = { .kind = MESSAGE_COPY };
+  m.copy.kind = kind;
+  m.copy.revision = c->revision;
+  m.copy.items
+      = json_text_take (d, json_incref (c->items), JSON_COMPACT);
+  fleet_send (d->relay->fleet, member, &m);
+  talloc_free ((char *)m.copy.items.start);
+}
+
+void
+directory_adopt (struct directory *d, const struct message_copy *copy)
+{
+  struct collection *c = &d->collections[copy->kind];
+  if (copy->revision <= c->revision && c->known)
+    return;
+  json_t *items = json_loadb (copy->items.start, copy->items.len, 0, NULL);
+  if (!json_is_object (items))
+    {
+      log_warn (PART, "event=copy_rejected kind=%s",
+                objects_kind_name (copy->kind));
+      json_decref (items);
+      return;
+    }
+  log_info (PART, "event=copy_adopted kind=%s revision=%" PRIu64
+                  " old_revision=%" PRIu64,
+            objects_kind_name (copy->kind), copy->revision, c->revision);
+  json_decref (c->items);
+  c->items = items;
+  c->revision = copy->revision;
+  items_changed (c);
+}
+
+static void
+on_removed (void *data, const struct error *err, const json_t *body)
+{
+  (void)data, (void)body;
+  if (err->code != ERROR_NONE)
+    log_warn (PART, "event=member_removal_failed code=%s reason=\"%s\"",
+              error_name (err->code), err->text);
+}
+
+void
+directory_remove_member (struct directory *d, struct bstr name)
+{
+  const json_t *items = d->collections[OBJECT_MEMBERS].items;
+  char *text = bstr_to_text (d, name);
+  const json_t *object = json_object_get (items, text);
+  if (object != NULL)
+    store_remove (d->relay->store, objects_kind_name (OBJECT_MEMBERS), text,
+                  objects_revision (object), CALL_TIMEOUT_MS, on_removed, d);
+  talloc_free (text);
+}
--- /dev/null
+++ b/session/directory.h
@@ -0,0 +1,38 @@
+/** @file
+ * What the platform's store holds, kept up to date by watches and, when the
+ * store cannot be reached, by copies from other daemons.
+ */
+#ifndef SESSION_DIRECTORY_H
+#define SESSION_DIRECTORY_H
+
+#include "session/relay.h"
+
+struct directory;
+
+struct directory *directory_create (struct relay *r);
+
+/** Entries that may be used, valid until the next change. */
+const struct endpoint_entry *directory_endpoints (const struct directory *d,
+                                                  int *count);
+const struct member_entry *directory_members (const struct directory *d,
+                                              int *count);
+/** @return whether the collection was read once. */
+bool directory_has (const struct directory *d, enum object_kind kind);
+/** @return whether the last call to the store succeeded. */
+bool directory_store_answers (const struct directory *d);
+uint64_t directory_revision (const struct directory *d, enum object_kind kind);
+/** @return equal for equal contents. */
+uint64_t directory_digest (const struct directory *d, enum object_kind kind);
+
+/** A heartbeat of another daemon: ask it for a copy of what is newer. */
+void directory_compare (struct directory *d, uint64_t member,
+                        const struct message_heartbeat *h);
+/** Answer a request for a copy. */
+void directory_send_copy (struct directory *d, uint64_t member,
+                          enum object_kind kind);
+void directory_adopt (struct directory *d, const struct message_copy *copy);
+
+/** Remove a member that has been silent for long. */
+void directory_remove_member (struct directory *d, struct bstr name);
+
+#endif
--- /dev/null
+++ b/session/fleet.c
@@ -0,0 +1,670 @@
+#include "session/fleet.h"
+
+#include "common/log.h"
+#include "core/lease.h"
+#include "net/bus.h"
+#include "session/directory.h"
+#include "session/front.h"
+#include "session/owner.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+
+#define PART "fleet"
+
+/* Length of a lease on a service.  A failed owner is replaced after it; it
+   leaves room for four lost heartbeats. */
+#define LEASE_US (1000 * USEC_PER_MSEC)
+#define HEARTBEAT_US (200 * USEC_PER_MSEC)
+#define TICK_US (50 * USEC_PER_MSEC)
+/* A daemon that was silent for longer gets no new statements. */
+#define SILENT_US (650 * USEC_PER_MSEC)
+/* A claim without a majority is withdrawn after this and repeated after a
+   pause, so that two claims do not block each other. */
+#define CLAIM_US (300 * USEC_PER_MSEC)
+/* Only the best candidate claims a service at first, the others later. */
+#define OTHERS_CLAIM_US (400 * USEC_PER_MSEC)
+/* A named successor is the only one to claim for this time. */
+#define SUCCESSOR_US (400 * USEC_PER_MSEC)
+/* A member that a majority has not heard for this time is removed. */
+#define REMOVE_US (7 * USEC_PER_SEC)
+#define REMOVE_CHECK_US (1 * USEC_PER_SEC)
+/* Statements that took longer on their way are dropped by the receiver. */
+#define MAX_AGE_US (600 * USEC_PER_MSEC)
+
+struct peer
+{
+  struct peer *next;
+  uint64_t id;
+  char *name;
+  char *address;
+  char *zone;
+  bool is_member;
+  bool leaving;
+  bool ready;
+  uint64_t incarnation;
+  int64_t heard;       /**< 0: never. */
+  int64_t clock_delta; /**< Smallest own clock less stamp seen. */
+  uint64_t claims[LEASE_MAX_SERVICES];
+  int claim_count;
+};
+
+/** What this daemon knows of a service's ownership. */
+struct tenure
+{
+  uint64_t service;
+  int64_t unowned_since;  /**< 0: it has an owner. */
+  int64_t claimed_at;     /**< 0: not claimed by this daemon. */
+  int64_t pause_until;    /**< No claim before. */
+  uint64_t successor;
+  int64_t successor_until;
+  uint64_t release_to;    /**< Successor to tell in heartbeats. */
+  int64_t release_until;
+  uint64_t logged_owner;
+};
+
+struct fleet
+{
+  struct relay *relay;
+  struct bus *bus;
+  struct lease_table *leases;
+  struct peer *peers;
+  struct tenure tenures[LEASE_MAX_SERVICES];
+  int tenure_count;
+  int64_t last_heartbeat;
+  int64_t started;
+  bool urgent; /**< Send heartbeats at the next turn of the loop. */
+  struct tevent_immediate *soon;
+};
+
+static void send_heartbeats (struct fleet *f);
+
+static struct peer *
+find_peer (const struct fleet *f, uint64_t id)
+{
+  struct peer *p = f->peers;
+  while (p != NULL && p->id != id)
+    p = p->next;
+  return p;
+}
+
+static struct peer *
+add_peer (struct fleet *f, uint64_t id)
+{
+  struct peer *p = find_peer (f, id);
+  if (p != NULL)
+    return p;
+  p = talloc_zero (f, struct peer);
+  p->id = id;
+  p->next = f->peers;
+  f->peers = p;
+  return p;
+}
+
+static void
+set_text (struct peer *p, char **text, struct bstr value)
+{
+  if (*text != NULL && bstr_equals_text (value, *text))
+    return;
+  talloc_free (*text);
+  *text = bstr_to_text (p, value);
+}
+
+static bool
+is_alive (const struct peer *p, int64_t now)
+{
+  return p->heard > 0 && now - p->heard <= SILENT_US;
+}
+
+static struct tenure *
+find_tenure (struct fleet *f, uint64_t service)
+{
+  for (int i = 0; i < f->tenure_count; i++)
+    if (f->tenures[i].service == service)
+      return &f->tenures[i];
+  if (f->tenure_count == LEASE_MAX_SERVICES)
+    return NULL;
+  struct tenure *t = &f->tenures[f->tenure_count++];
+  *t = (struct tenure){ .service = service, .unowned_since = clock_now () };
+  return t;
+}
+
+static void
+on_soon (struct tevent_context *ev, struct tevent_immediate *im, void *data)
+{
+  (void)ev, (void)im;
+  struct fleet *f = data;
+  if (f->urgent)
+    send_heartbeats (f);
+}
+
+static void
+heartbeat_soon (struct fleet *f)
+{
+  if (f->urgent)
+    return;
+  f->urgent = true;
+  tevent_schedule_immediate (f->soon, f->relay->ev, on_soon, f);
+}
+
+/** A message to this daemon itself, on its way through the loop. */
+struct local_delivery
+{
+  struct fleet *fleet;
+  struct bstr bytes;
+};
+
+static void received (void *data, struct bstr bytes);
+
+static void
+deliver_local (struct tevent_context *ev, struct tevent_immediate *im,
+               void *data)
+{
+  (void)ev, (void)im;
+  struct local_delivery *local = data;
+  received (local->fleet, local->bytes);
+  talloc_free (local);
+}
+
+static bool
+send_to (struct fleet *f, struct peer *p, struct message *message)
+{
+  message->sender = (struct message_sender){
+    .member = f->relay->self,
+    .incarnation = f->relay->incarnation,
+    .receiver_incarnation
+    = message->kind == MESSAGE_HEARTBEAT ? 0 : p->incarnation,
+    .stamp = clock_now (),
+  };
+  if (p->address == NULL)
+    return false;
+  struct bstr bytes = message_encode (f, message);
+  bool sent = bus_send (f->bus, p->address, bytes);
+  talloc_free ((char *)bytes.start);
+  return sent;
+}
+
+bool
+fleet_send (struct fleet *f, uint64_t member, struct message *message)
+{
+  if (member == f->relay->self)
+    {
+      struct local_delivery *local = talloc_zero (f, struct local_delivery);
+      struct tevent_immediate *im = tevent_create_immediate (local);
+      message->sender = (struct message_sender){
+        .member = member,
+        .incarnation = f->relay->incarnation,
+        .stamp = clock_now (),
+      };
+      local->fleet = f;
+      local->bytes = message_encode (local, message);
+      tevent_schedule_immediate (im, f->relay->ev, deliver_local, local);
+      return true;
+    }
+  struct peer *p = find_peer (f, member);
+  return p != NULL && send_to (f, p, message);
+}
+
+void
+fleet_broadcast (struct fleet *f, struct message *message)
+{
+  int64_t now = clock_now ();
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    if (is_alive (p, now))
+      send_to (f, p, message);
+}
+
+static bool
+is_ready (const struct fleet *f)
+{
+  return f->relay->config != NULL && f->relay->leaving_since == 0
+         && directory_has (f->relay->directory, OBJECT_ENDPOINTS);
+}
+
+static void
+send_heartbeats (struct fleet *f)
+{
+  struct relay *r = f->relay;
+  int64_t now = clock_now ();
+  struct message *m = talloc_zero (f, struct message);
+  struct message_heartbeat *h = &m->heartbeat;
+  f->last_heartbeat = now;
+  f->urgent = false;
+  m->kind = MESSAGE_HEARTBEAT;
+  h->name = bstr_from (r->options->name);
+  h->address = bstr_from (r->options->bus);
+  h->zone = bstr_from (r->options->zone);
+  h->leaving = r->leaving_since != 0;
+  h->ready = is_ready (f);
+  h->config_version = r->config != NULL ? r->config->version : 0;
+  for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
+    {
+      h->revision[kind]
+          = directory_revision (r->directory, (enum object_kind)kind);
+      h->digest[kind]
+          = directory_digest (r->directory, (enum object_kind)kind);
+    }
+  h->claim_count = lease_claims (f->leases, h->claims);
+  h->grant_count = lease_grants (f->leases, h->grants, now);
+  for (int i = 0; i < f->tenure_count; i++)
+    if (now < f->tenures[i].release_until)
+      h->successors[h->successor_count++] = (struct message_successor){
+        f->tenures[i].service, f->tenures[i].release_to
+      };
+  if (h->claim_count > 0)
+    h->demand_count = limits_report (r->limits, h->demand,
+                                     MESSAGE_MAX_DEMAND, now);
+  limits_share (r->limits, h->claim_count > 0, LEASE_US, now);
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    {
+      if (!p->is_member && !is_alive (p, now))
+        continue;
+      h->echo = lease_echo (f->leases, p->id);
+      send_to (f, p, m);
+    }
+  talloc_free (m);
+}
+
+static void
+on_heartbeat (struct fleet *f, const struct message *m)
+{
+  const struct message_heartbeat *h = &m->heartbeat;
+  int64_t now = clock_now ();
+  struct peer *p = add_peer (f, m->sender.member);
+  bool was_alive = is_alive (p, now);
+  bool is_new = p->incarnation != m->sender.incarnation;
+  int64_t delta = now - m->sender.stamp;
+  set_text (p, &p->name, h->name);
+  set_text (p, &p->address, h->address);
+  set_text (p, &p->zone, h->zone);
+  if (is_new || delta < p->clock_delta)
+    p->clock_delta = delta;
+  p->incarnation = m->sender.incarnation;
+  p->heard = now;
+  p->leaving = h->leaving;
+  p->ready = h->ready;
+  p->claim_count = h->claim_count;
+  memcpy (p->claims, h->claims, sizeof p->claims[0] * (size_t)h->claim_count);
+  if (!was_alive || is_new)
+    log_info (PART, "event=daemon_heard name=%s restarted=%d", p->name,
+              is_new);
+  for (int i = 0; i < h->successor_count; i++)
+    {
+      struct tenure *t = find_tenure (f, h->successors[i].service);
+      if (t == NULL)
+        continue;
+      t->successor = h->successors[i].member;
+      t->successor_until = now + SUCCESSOR_US;
+    }
+  if (h->claim_count > 0)
+    limits_heard (f->relay->limits, p->id, h->demand, h->demand_count, now);
+  struct lease_heartbeat lease = {
+    .member = m->sender.member,
+    .incarnation = m->sender.incarnation,
+    .stamp = m->sender.stamp,
+    .echo = h->echo,
+    .claims = h->claims,
+    .claim_count = h->claim_count,
+    .grants = h->grants,
+    .grant_count = h->grant_count,
+  };
+  if (lease_heard (f->leases, &lease, now))
+    heartbeat_soon (f);
+  directory_compare (f->relay->directory, p->id, h);
+  owner_check (f->relay->owner);
+  front_owners_changed (f->relay->front);
+}
+
+/* The clocks of two daemons are not comparable; the fastest heartbeat shows
+   how far they are apart. */
+static bool
+is_too_old (const struct fleet *f, const struct message *m)
+{
+  const struct peer *p = find_peer (f, m->sender.member);
+  if (p == NULL || p->heard == 0 || p->incarnation != m->sender.incarnation)
+    return false;
+  return clock_now () - m->sender.stamp - p->clock_delta > MAX_AGE_US;
+}
+
+static void
+received (void *data, struct bstr bytes)
+{
+  struct fleet *f = data;
+  struct message *m = talloc_zero (f, struct message);
+  if (!message_decode (m, bytes, m))
+    {
+      log_warn (PART, "event=message_rejected bytes=%zu", bytes.len);
+      goto done;
+    }
+  if (m->sender.receiver_incarnation != 0
+      && m->sender.receiver_incarnation != f->relay->incarnation)
+    goto done;
+  switch (m->kind)
+    {
+    case MESSAGE_HEARTBEAT:
+      if (m->sender.member != f->relay->self)
+        on_heartbeat (f, m);
+      break;
+    case MESSAGE_STATEMENT:
+      if (is_too_old (f, m))
+        log_warn (PART, "event=statement_dropped id=%.*s reason=too_old",
+                  BSTR_ARG (m->statement.id));
+      else
+        {
+          owner_statement (f->relay->owner, m);
+          m = NULL;
+        }
+      break;
+    case MESSAGE_RESULT:
+      front_result (f->relay->front, m);
+      break;
+    case MESSAGE_ABANDON:
+      owner_abandon (f->relay->owner, m);
+      break;
+    case MESSAGE_FETCH:
+      directory_send_copy (f->relay->directory, m->sender.member,
+                           m->copy.kind);
+      break;
+    case MESSAGE_COPY:
+      directory_adopt (f->relay->directory, &m->copy);
+      break;
+    case MESSAGE_PROBE:
+      owner_probe (f->relay->owner, m);
+      break;
+    default:
+      owner_probed (f->relay->owner, m);
+      break;
+    }
+done:
+  talloc_free (m);
+}
+
+/** A member that may own services. */
+struct candidate
+{
+  uint64_t id;
+  const char *zone;
+  int owned;
+};
+
+static int
+list_candidates (const struct fleet *f, struct candidate *out, int64_t now)
+{
+  uint64_t own[LEASE_MAX_SERVICES];
+  int count = 0;
+  if (is_ready (f) && lease_in_quorum (f->leases, now))
+    out[count++] = (struct candidate){ f->relay->self,
+                                       f->relay->options->zone,
+                                       lease_claims (f->leases, own) };
+  for (const struct peer *p = f->peers;
+       p != NULL && count < LEASE_MAX_MEMBERS; p = p->next)
+    if (is_alive (p, now) && p->is_member && p->ready && !p->leaving)
+      out[count++] = (struct candidate){ p->id, p->zone, p->claim_count };
+  return count;
+}
+
+static bool
+is_better (const struct candidate *a, const struct candidate *b,
+           const char *zone, uint64_t service)
+{
+  if (a->owned != b->owned)
+    return a->owned < b->owned;
+  bool a_near = zone != NULL && strcmp (a->zone, zone) == 0;
+  bool b_near = zone != NULL && strcmp (b->zone, zone) == 0;
+  if (a_near != b_near)
+    return a_near;
+  return model_rank (service, a->id) > model_rank (service, b->id);
+}
+
+/* The daemons that own least come first, then those in the failure domain of
+   the service's primary. */
+static struct candidate *
+best_candidate (const struct fleet *f, struct candidate *list, int count,
+                uint64_t service)
+{
+  struct candidate *best = NULL;
+  const char *zone = owner_primary_zone (f->relay->owner, service);
+  for (int i = 0; i < count; i++)
+    if (best == NULL || is_better (&list[i], best, zone, service))
+      best = &list[i];
+  return best;
+}
+
+static void
+set_claim (struct fleet *f, struct tenure *t, bool wanted, int64_t now)
+{
+  t->claimed_at = wanted ? now : 0;
+  lease_claim (f->leases, t->service, wanted, now);
+  heartbeat_soon (f);
+}
+
+static void
+log_owner (struct fleet *f, struct tenure *t, uint64_t owner)
+{
+  if (owner == t->logged_owner)
+    return;
+  const struct peer *p = find_peer (f, owner);
+  t->logged_owner = owner;
+  log_info (PART, "event=owner service=%" PRIx64 " owner=%s", t->service,
+            owner == 0                ? "none"
+            : owner == f->relay->self ? f->relay->options->name
+            : p != NULL               ? p->name
+                                      : "unknown");
+}
+
+static void
+update_tenure (struct fleet *f, struct tenure *t, struct candidate *list,
+               int count, int64_t now)
+{
+  uint64_t owner = lease_owner (f->leases, t->service, now);
+  log_owner (f, t, owner);
+  if (t->claimed_at != 0)
+    {
+      if (lease_valid_until (f->leases, t->service) > now)
+        t->claimed_at = now;
+      else if (now - t->claimed_at > CLAIM_US)
+        {
+          set_claim (f, t, false, now);
+          t->pause_until = now + relay_random ((uint32_t)CLAIM_US);
+        }
+      return;
+    }
+  if (owner != 0)
+    {
+      t->unowned_since = 0;
+      return;
+    }
+  if (t->unowned_since == 0)
+    t->unowned_since = now;
+  bool named = now < t->successor_until && t->successor != 0;
+  struct candidate *best
+      = named ? NULL : best_candidate (f, list, count, t->service);
+  bool self = named ? t->successor == f->relay->self
+                    : best != NULL
+                          && (best->id == f->relay->self
+                              || now - t->unowned_since > OTHERS_CLAIM_US);
+  if (best != NULL)
+    best->owned++;
+  if (self && is_ready (f) && lease_in_quorum (f->leases, now)
+      && now >= t->pause_until)
+    set_claim (f, t, true, now);
+}
+
+static int
+compare_tenures (const void *a, const void *b)
+{
+  uint64_t x = ((const struct tenure *)a)->service;
+  uint64_t y = ((const struct tenure *)b)->service;
+  return (x > y) - (x < y);
+}
+
+static void
+update_tenures (struct fleet *f, int64_t now)
+{
+  struct candidate list[LEASE_MAX_MEMBERS];
+  const struct config *config = f->relay->config;
+  if (config == NULL)
+    return;
+  for (int i = 0; i < config->service_count; i++)
+    find_tenure (f, config->services[i].id);
+  /* All daemons go through the services in the same order, so that they
+     come to the same distribution. */
+  qsort (f->tenures, (size_t)f->tenure_count, sizeof f->tenures[0],
+         compare_tenures);
+  int count = list_candidates (f, list, now);
+  for (int i = 0; i < f->tenure_count; i++)
+    update_tenure (f, &f->tenures[i], list, count, now);
+}
+
+/* The daemon with the smallest id among those that are heard removes
+   members that are gone, and only as part of a majority. */
+static void
+remove_silent_members (void *data)
+{
+  struct fleet *f = data;
+  int64_t now = clock_now ();
+  int count;
+  const struct member_entry *members
+      = directory_members (f->relay->directory, &count);
+  if (now - f->started < REMOVE_US || !lease_in_quorum (f->leases, now)
+      || !directory_store_answers (f->relay->directory))
+    return;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (is_alive (p, now) && p->is_member && p->id < f->relay->self)
+      return;
+  for (int i = 0; i < count; i++)
+    {
+      const struct peer *p = find_peer (f, members[i].id);
+      int64_t heard = p != NULL && p->heard > 0 ? p->heard : f->started;
+      if (members[i].id == f->relay->self || now - heard < REMOVE_US)
+        continue;
+      log_info (PART, "event=member_removed name=%s silent_ms=%" PRId64,
+                members[i].name.start, (now - heard) / USEC_PER_MSEC);
+      directory_remove_member (f->relay->directory, members[i].name);
+      return;
+    }
+}
+
+static void
+on_tick (void *data)
+{
+  struct fleet *f = data;
+  int64_t now = clock_now ();
+  update_tenures (f, now);
+  if (now - f->last_heartbeat >= HEARTBEAT_US - TICK_US / 2)
+    send_heartbeats (f);
+  owner_check (f->relay->owner);
+}
+
+struct fleet *
+fleet_create (struct relay *r, struct error *err)
+{
+  struct fleet *f = talloc_zero (r, struct fleet);
+  f->relay = r;
+  f->started = clock_now ();
+  f->soon = tevent_create_immediate (f);
+  f->leases = lease_create (
+      f, &(struct lease_options){ .self = r->self,
+                                  .incarnation = r->incarnation,
+                                  .term_us = LEASE_US,
+                                  .now = f->started });
+  f->bus = bus_create (
+      f,
+      &(struct bus_options){ .ev = r->ev,
+                             .address = r->options->bus,
+                             .max_message = MESSAGE_MAX_BYTES,
+                             .received = received,
+                             .data = f },
+      err);
+  if (f->bus == NULL)
+    {
+      talloc_free (f);
+      return NULL;
+    }
+  relay_every (r, f, TICK_US, on_tick, f);
+  relay_every (r, f, REMOVE_CHECK_US, remove_silent_members, f);
+  return f;
+}
+
+void
+fleet_members_changed (struct fleet *f)
+{
+  int count;
+  const struct member_entry *members
+      = directory_members (f->relay->directory, &count);
+  uint64_t ids[LEASE_MAX_MEMBERS];
+  const char *addresses[LEASE_MAX_MEMBERS];
+  int id_count = 0;
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    p->is_member = false;
+  for (int i = 0; i < count && id_count < LEASE_MAX_MEMBERS; i++)
+    {
+      ids[id_count] = members[i].id;
+      addresses[id_count++] = members[i].address.start;
+      if (members[i].id == f->relay->self)
+        continue;
+      struct peer *p = add_peer (f, members[i].id);
+      p->is_member = true;
+      set_text (p, &p->name, members[i].name);
+      set_text (p, &p->address, members[i].address);
+      set_text (p, &p->zone, members[i].zone);
+    }
+  bus_keep_only (f->bus, addresses, id_count);
+  lease_set_members (f->leases, ids, id_count);
+  log_info (PART, "event=members count=%d", id_count);
+  heartbeat_soon (f);
+}
+
+uint64_t
+fleet_owner (const struct fleet *f, uint64_t service)
+{
+  return lease_owner (f->leases, service, clock_now ());
+}
+
+uint64_t
+fleet_alive (const struct fleet *f, uint64_t member)
+{
+  if (member == f->relay->self)
+    return f->relay->incarnation;
+  const struct peer *p = find_peer (f, member);
+  return p != NULL && is_alive (p, clock_now ()) ? p->incarnation : 0;
+}
+
+int64_t
+fleet_owns_until (const struct fleet *f, uint64_t service)
+{
+  return lease_valid_until (f->leases, service);
+}
+
+bool
+fleet_in_quorum (const struct fleet *f)
+{
+  return lease_in_quorum (f->leases, clock_now ());
+}
+
+void
+fleet_release (struct fleet *f, uint64_t service, uint64_t successor)
+{
+  struct tenure *t = find_tenure (f, service);
+  int64_t now = clock_now ();
+  if (t == NULL)
+    return;
+  t->release_to = successor;
+  t->release_until = now + SUCCESSOR_US;
+  t->successor = successor;
+  t->successor_until = now + SUCCESSOR_US;
+  t->pause_until = now + SUCCESSOR_US;
+  set_claim (f, t, false, now);
+}
+
+uint64_t
+fleet_messages (const struct fleet *f)
+{
+  return bus_messages (f->bus);
+}
+
+uint64_t
+fleet_bytes (const struct fleet *f)
+{
+  return bus_bytes (f->bus);
+}
--- /dev/null
+++ b/session/fleet.h
@@ -0,0 +1,35 @@
+/** @file
+ * The other daemons: heartbeats, leases on services, and messages.
+ */
+#ifndef SESSION_FLEET_H
+#define SESSION_FLEET_H
+
+#include "session/relay.h"
+
+struct fleet;
+
+struct fleet *fleet_create (struct relay *r, struct error *err);
+/** Fill in the sender and send.  To this daemon itself it is delivered from
+ * the loop.
+ * @return false if it was dropped. */
+bool fleet_send (struct fleet *f, uint64_t member, struct message *message);
+void fleet_members_changed (struct fleet *f);
+
+/** @return the daemon that owns @p service as far as known, 0 if none. */
+uint64_t fleet_owner (const struct fleet *f, uint64_t service);
+/** @return the incarnation of a daemon that was heard lately, 0 if it is
+ * silent. */
+uint64_t fleet_alive (const struct fleet *f, uint64_t member);
+/** @return until when this daemon owns @p service, 0: it does not. */
+int64_t fleet_owns_until (const struct fleet *f, uint64_t service);
+/** @return whether this daemon hears a majority of the members. */
+bool fleet_in_quorum (const struct fleet *f);
+/** Give a service up. @param successor 0: whoever ranks first. */
+void fleet_release (struct fleet *f, uint64_t service, uint64_t successor);
+/** Send to all daemons that are heard, this one excluded. */
+void fleet_broadcast (struct fleet *f, struct message *message);
+/** @return messages and bytes so far. */
+uint64_t fleet_messages (const struct fleet *f);
+uint64_t fleet_bytes (const struct fleet *f);
+
+#endif
--- /dev/null
+++ b/session/front.c
@@ -0,0 +1,717 @@
+#include "session/front.h"
+
+#include "common/log.h"
+#include "core/session.h"
+#include "net/stream.h"
+#include "platform/wire.h"
+#include "session/fleet.h"
+
+#include <inttypes.h>
+
+#define PART "front"
+
+/* A caller's connection with unacknowledged bytes or silence ends. */
+#define DEAD_MS 15000
+/* A statement waits this long for a service to get an owner. */
+#define HOLD_US (300 * USEC_PER_MSEC)
+/* What a caller is told when no owner is known: about one lease. */
+#define NO_OWNER_RETRY_MS 700
+/* The owner keeps the time-out; this is for its answer's way back. */
+#define TIMEOUT_MARGIN_US (120 * USEC_PER_MSEC)
+#define TICK_US (50 * USEC_PER_MSEC)
+/* Statements sent before their predecessors were answered. */
+#define MAX_QUEUED_LINES 64
+/* A session number holds its slot in the low bits, so that a number is
+   never used again. */
+#define SLOT_BITS 20
+#define SLOT_MASK ((UINT64_C (1) << SLOT_BITS) - 1)
+
+/** A statement at the owner, or on its way there. */
+struct forward
+{
+  struct forward *next;
+  struct caller *caller;
+  struct message message;
+  struct statement statement; /**< As the caller sent it. */
+  uint64_t member;            /**< 0: waits for an owner. */
+  uint64_t incarnation;
+  int64_t arrived;
+  bool is_begin; /**< The caller has its answer already. */
+};
+
+struct queued_line
+{
+  struct queued_line *next;
+  struct bstr line;
+};
+
+struct caller
+{
+  struct front *front;
+  struct stream *stream;
+  uint64_t number;
+  uint64_t sequence;
+  struct session *session;
+  bool started;
+  struct bstr host;
+  struct bstr key;
+  struct route route;               /**< Copy, for an open transaction. */
+  struct bstr organisation;
+  uint64_t organisation_id;
+  struct forward *forwards;         /**< In the order of arrival. */
+  struct queued_line *lines;
+  uint64_t transaction_member;
+  uint64_t transaction_incarnation;
+  enum outcome begin_outcome;       /**< Why BEGIN failed at the owner. */
+  int begin_retry_ms;
+  char *begin_text;
+};
+
+struct front
+{
+  struct relay *relay;
+  struct stream_server *server;
+  struct caller **slots;
+  uint64_t *generations;
+  unsigned slot_count;
+  int sessions;
+};
+
+static void take_line (struct caller *c, struct bstr line);
+
+static struct caller *
+find_caller (const struct front *f, uint64_t number)
+{
+  uint64_t slot = number & SLOT_MASK;
+  struct caller *c = slot < f->slot_count ? f->slots[slot] : NULL;
+  return c != NULL && c->number == number ? c : NULL;
+}
+
+static void
+count_result (struct caller *c, const struct forward *w, enum outcome outcome)
+{
+  struct stats *stats = c->front->relay->stats;
+  char labels[160];
+  snprintf (labels, sizeof labels,
+            "organisation=\"%.*s\",database=\"%.*s\",outcome=\"%s\"",
+            BSTR_ARG (bstr_cut (c->organisation, OPTION_MAX_NAME)),
+            BSTR_ARG (bstr_cut (c->host, OPTION_MAX_NAME)),
+            wire_outcome_name (outcome));
+  ++*stats_counter (stats, "azurewind_statements_total", labels);
+  snprintf (labels, sizeof labels, "database=\"%.*s\"",
+            BSTR_ARG (bstr_cut (c->host, OPTION_MAX_NAME)));
+  histogram_add (stats_histogram (stats, "azurewind_statement_us", labels),
+                 (uint64_t)(clock_now () - w->arrived));
+}
+
+/* Answers to the caller. */
+
+static void
+send_text (struct caller *c, char *out)
+{
+  stream_send (c->stream, (struct bstr){ out, strlen (out) });
+  talloc_free (out);
+}
+
+static void
+answer_complete (struct caller *c)
+{
+  char *out = wire_add_complete (talloc_strdup (c, ""), bstr_from ("-"));
+  send_text (c, wire_add_ready (out, c->session->state,
+                                (struct position){ 0, 0 }));
+}
+
+static void
+answer_error (struct caller *c, enum outcome outcome, const char *text,
+              int retry_ms)
+{
+  char *reason
+      = retry_ms > 0
+            ? talloc_asprintf (c, "%s; retry-after-ms=%d", text, retry_ms)
+            : talloc_strdup (c, text);
+  char *out = wire_add_error (talloc_strdup (c, ""), outcome, reason);
+  talloc_free (reason);
+  send_text (c, wire_add_ready (out, c->session->state,
+                                (struct position){ 0, 0 }));
+}
+
+static void
+answer_result (struct caller *c, const struct message_result *r)
+{
+  char *out = talloc_strdup (c, "");
+  for (int i = 0; i < r->row_count; i++)
+    out = wire_add_row (out, r->rows[i]);
+  out = wire_add_complete (out, r->signature);
+  send_text (c, wire_add_ready (out, c->session->state, r->position));
+}
+
+/* Statements on their way. */
+
+static void
+remove_forward (struct forward *w)
+{
+  struct forward **at = &w->caller->forwards;
+  while (*at != w)
+    at = &(*at)->next;
+  *at = w->next;
+  talloc_free (w);
+}
+
+static bool
+is_waiting (const struct caller *c)
+{
+  for (const struct forward *w = c->forwards; w != NULL; w = w->next)
+    if (!w->is_begin)
+      return true;
+  return false;
+}
+
+static void
+take_queued_lines (struct caller *c)
+{
+  struct front *f = c->front;
+  uint64_t number = c->number;
+  while (c->lines != NULL && !is_waiting (c))
+    {
+      struct queued_line *q = c->lines;
+      c->lines = q->next;
+      take_line (c, q->line);
+      if (find_caller (f, number) != c)
+        return;
+      talloc_free (q);
+    }
+}
+
+/* Answer a statement that has no result. */
+static void
+fail_forward (struct forward *w, enum outcome outcome, const char *text,
+              int retry_ms)
+{
+  struct caller *c = w->caller;
+  relay_trace (PART,
+               "event=refused id=%.*s database=%.*s outcome=%s waited_us=%"
+               PRId64 " sent=%d retry_ms=%d reason=\"%s\"",
+               BSTR_ARG (w->message.statement.id), BSTR_ARG (c->host),
+               wire_outcome_name (outcome), clock_now () - w->arrived,
+               w->member != 0, retry_ms, text);
+  if (w->is_begin)
+    {
+      c->begin_outcome = outcome;
+      c->begin_retry_ms = retry_ms;
+      talloc_free (c->begin_text);
+      c->begin_text = talloc_strdup (c, text);
+      remove_forward (w);
+      /* The statement behind it cannot run either. */
+      if (c->forwards != NULL)
+        fail_forward (c->forwards, outcome, c->begin_text, retry_ms);
+      return;
+    }
+  count_result (c, w, outcome);
+  session_result (c->session, &w->statement, outcome,
+                  (struct position){ 0, 0 });
+  remove_forward (w);
+  answer_error (c, outcome, text, retry_ms);
+  take_queued_lines (c);
+}
+
+static bool
+try_send (struct forward *w)
+{
+  struct caller *c = w->caller;
+  struct fleet *fleet = c->front->relay->fleet;
+  uint64_t member = w->message.statement.in_transaction
+                        ? c->transaction_member
+                        : fleet_owner (fleet, model_id (c->route.service));
+  uint64_t incarnation = member != 0 ? fleet_alive (fleet, member) : 0;
+  if (incarnation == 0)
+    return false;
+  w->message.statement.sequence = ++c->sequence;
+  if (!fleet_send (fleet, member, &w->message))
+    return false;
+  w->member = member;
+  w->incarnation = incarnation;
+  if (w->is_begin)
+    {
+      c->transaction_member = member;
+      c->transaction_incarnation = incarnation;
+    }
+  return true;
+}
+
+static bool
+is_commit_of_writes (const struct forward *w)
+{
+  return w->statement.verb == VERB_COMMIT && w->caller->session->has_written;
+}
+
+/* The owner will not answer any more. */
+static void
+lose_forward (struct forward *w, const char *reason, bool may_resend)
+{
+  const struct message_statement *s = &w->message.statement;
+  bool is_read = s->is_read && !s->in_transaction;
+  if (may_resend && (is_read || (w->is_begin && w->next == NULL)))
+    w->member = 0;
+  else if (s->in_transaction || w->is_begin)
+    fail_forward (w,
+                  is_commit_of_writes (w) ? OUTCOME_UNKNOWN : OUTCOME_ABORTED,
+                  reason, 0);
+  else
+    fail_forward (w, is_read ? OUTCOME_FAILED : OUTCOME_UNKNOWN, reason, 0);
+}
+
+static void
+check_forward (struct forward *w, int64_t now)
+{
+  struct caller *c = w->caller;
+  struct fleet *fleet = c->front->relay->fleet;
+  int64_t limit = w->message.statement.timeout_ms * USEC_PER_MSEC;
+  if (w->member != 0)
+    {
+      if (fleet_alive (fleet, w->member) != w->incarnation)
+        lose_forward (w, "the owner of the service is gone", true);
+      else if (now - w->arrived > limit + TIMEOUT_MARGIN_US)
+        lose_forward (w, "no answer from the owner of the service", false);
+      return;
+    }
+  if (!try_send (w) && now - w->arrived > HOLD_US)
+    fail_forward (w, OUTCOME_BUSY, "the service has no owner",
+                  NO_OWNER_RETRY_MS);
+}
+
+void
+front_owners_changed (struct front *f)
+{
+  int64_t now = clock_now ();
+  for (unsigned i = 0; i < f->slot_count; i++)
+    {
+      struct caller *c = f->slots[i];
+      /* A failed statement may end others of the session. */
+      if (c != NULL && c->forwards != NULL)
+        {
+          struct forward *second = c->forwards->next;
+          check_forward (c->forwards, now);
+          if (f->slots[i] == c && second != NULL && c->forwards == second)
+            check_forward (second, now);
+        }
+    }
+}
+
+static void
+forward (struct caller *c, const struct statement *statement, struct bstr id,
+         const struct session_step *step)
+{
+  struct forward *w = talloc_zero (c, struct forward);
+  struct forward **at = &c->forwards;
+  const struct config *config = c->front->relay->config;
+  w->caller = c;
+  w->arrived = clock_now ();
+  w->is_begin = step->action == SESSION_OPEN;
+  w->statement = *statement;
+  w->message.kind = MESSAGE_STATEMENT;
+  w->message.statement = (struct message_statement){
+    .session = c->number,
+    .service = c->route.service,
+    .organisation = c->organisation,
+    .organisation_id = c->organisation_id,
+    .kind = c->route.kind,
+    .timeout_ms = c->route.timeout_ms,
+    .target_ms = c->route.target_ms,
+    .priority = c->route.priority,
+    .stale_ms = c->route.stale_ms,
+    .idle_transaction_ms = config != NULL ? config->idle_transaction_ms : 0,
+    .verb = statement->verb,
+    .is_read = step->is_read,
+    .in_transaction
+    = c->session->state == SESSION_IN_TRANSACTION && !w->is_begin,
+    .id = bstr_copy (w, id),
+    .text = bstr_copy (w, statement->text),
+    .shape = { "", 0 },
+    .arguments = { "", 0 },
+    .own = c->session->own,
+  };
+  struct message_statement *s = &w->message.statement;
+  if (step->prepared != NULL)
+    {
+      s->shape = bstr_copy (w, step->prepared->shape);
+      s->arguments = bstr_copy (w, statement->rest);
+      s->text = (struct bstr){ "", 0 };
+    }
+  if (!s->in_transaction || c->session->values_changed)
+    {
+      s->has_values = true;
+      s->values = c->session->values;
+      s->value_count = c->session->value_count;
+      c->session->values_changed = false;
+    }
+  while (*at != NULL)
+    at = &(*at)->next;
+  *at = w;
+  /* Behind a BEGIN that waits for an owner. */
+  if (c->forwards != w && c->forwards->member == 0)
+    return;
+  try_send (w);
+}
+
+/* Requests of the caller. */
+
+/* @return OUTCOME_OK or why the caller may not use its database now. */
+static enum outcome
+admit (struct caller *c)
+{
+  const struct config *config = c->front->relay->config;
+  const struct route *route
+      = config != NULL ? config_find_route (config, c->host) : NULL;
+  const struct organisation *organisation
+      = config != NULL ? config_find_key (config, c->key) : NULL;
+  if (config == NULL)
+    return OUTCOME_BUSY;
+  if (route == NULL)
+    return OUTCOME_NO_ROUTE;
+  if (organisation == NULL && !route->is_public)
+    return OUTCOME_NO_KEY;
+  struct bstr name
+      = organisation != NULL ? organisation->name : bstr_from ("public");
+  if (!bstr_equals (name, c->organisation))
+    c->organisation = bstr_copy (c, name);
+  c->organisation_id = organisation != NULL ? organisation->id : 0;
+  struct bstr service = c->route.service;
+  if (!bstr_equals (route->service, service))
+    service = bstr_copy (c, route->service);
+  c->route = *route;
+  c->route.service = service;
+  c->route.host = c->host;
+  return OUTCOME_OK;
+}
+
+static const char *
+admit_text (enum outcome outcome)
+{
+  switch (outcome)
+    {
+    case OUTCOME_NO_ROUTE:
+      return "no such database";
+    case OUTCOME_NO_KEY:
+      return "unknown key";
+    default:
+      return "no configuration yet";
+    }
+}
+
+static void
+end_caller (struct caller *c)
+{
+  struct front *f = c->front;
+  if (c->session != NULL && c->session->state == SESSION_IN_TRANSACTION
+      && c->transaction_member != 0)
+    {
+      struct message m = { .kind = MESSAGE_ABANDON, .session = c->number };
+      fleet_send (f->relay->fleet, c->transaction_member, &m);
+    }
+  f->slots[c->number & SLOT_MASK] = NULL;
+  f->sessions--;
+  if (c->stream != NULL)
+    stream_close (c->stream);
+  talloc_free (c);
+}
+
+static void
+start_session (struct caller *c, const struct wire_request *request)
+{
+  c->host = bstr_copy (c, request->database);
+  c->key = bstr_copy (c, request->key);
+  enum outcome outcome = admit (c);
+  if (outcome != OUTCOME_OK)
+    {
+      relay_trace (PART, "event=session_refused database=%.*s outcome=%s",
+                   BSTR_ARG (bstr_cut (c->host, OPTION_MAX_NAME)),
+                   wire_outcome_name (outcome));
+      send_text (c, wire_add_error (talloc_strdup (c, ""), outcome,
+                                    admit_text (outcome)));
+      end_caller (c);
+      return;
+    }
+  c->started = true;
+  send_text (c, wire_add_ready (talloc_strdup (c, ""), SESSION_IDLE,
+                                (struct position){ 0, 0 }));
+}
+
+/* BEGIN was answered here and has failed at the owner since. */
+static void
+answer_failed_begin (struct caller *c, const struct statement *statement)
+{
+  enum outcome outcome = c->begin_outcome;
+  c->begin_outcome = OUTCOME_OK;
+  session_result (c->session, statement,
+                  statement->verb == VERB_ROLLBACK ? OUTCOME_OK : outcome,
+                  (struct position){ 0, 0 });
+  if (statement->verb == VERB_ROLLBACK)
+    answer_complete (c);
+  else
+    answer_error (c, outcome, c->begin_text, c->begin_retry_ms);
+}
+
+static bool
+is_local (enum statement_verb verb)
+{
+  return verb == VERB_SET || verb == VERB_PREPARE || verb == VERB_DEALLOCATE;
+}
+
+static void
+take_statement (struct caller *c, const struct wire_request *request)
+{
+  const struct statement *statement = &request->statement;
+  bool starts = c->session->state == SESSION_IDLE
+                && !is_local (statement->verb);
+  if (starts)
+    {
+      enum outcome outcome = admit (c);
+      if (outcome != OUTCOME_OK)
+        {
+          relay_trace (PART, "event=refused id=%.*s database=%.*s outcome=%s",
+                       BSTR_ARG (request->id), BSTR_ARG (c->host),
+                       wire_outcome_name (outcome));
+          answer_error (c, outcome, admit_text (outcome), 0);
+          return;
+        }
+      c->begin_outcome = OUTCOME_OK;
+    }
+  if (c->session->state == SESSION_IN_TRANSACTION
+      && c->begin_outcome != OUTCOME_OK && !is_local (statement->verb))
+    {
+      answer_failed_begin (c, statement);
+      return;
+    }
+  struct session_step step = session_take (c->session, statement);
+  switch (step.action)
+    {
+    case SESSION_ANSWER:
+      answer_complete (c);
+      break;
+    case SESSION_REFUSE:
+      answer_error (c, step.outcome, "not possible in this state", 0);
+      break;
+    case SESSION_OPEN:
+      c->transaction_member = 0;
+      forward (c, statement, request->id, &step);
+      answer_complete (c);
+      break;
+    default:
+      forward (c, statement, request->id, &step);
+      break;
+    }
+}
+
+static void
+take_line (struct caller *c, struct bstr line)
+{
+  struct wire_request request = wire_parse_request (line);
+  if (request.kind == WIRE_RELEASE)
+    end_caller (c);
+  else if (request.kind == WIRE_START && !c->started)
+    start_session (c, &request);
+  else if (request.kind == WIRE_QUERY && c->started)
+    take_statement (c, &request);
+  else if (c->started)
+    answer_error (c, OUTCOME_MALFORMED, "not understood", 0);
+  else
+    {
+      send_text (c, wire_add_error (talloc_strdup (c, ""), OUTCOME_MALFORMED,
+                                    "not understood"));
+      end_caller (c);
+    }
+}
+
+static void
+on_line (void *data, struct bstr line)
+{
+  struct caller *c = data;
+  if (!is_waiting (c))
+    {
+      take_line (c, line);
+      return;
+    }
+  struct queued_line **at = &c->lines;
+  int count = 0;
+  for (; *at != NULL; at = &(*at)->next)
+    count++;
+  if (count >= MAX_QUEUED_LINES)
+    {
+      end_caller (c);
+      return;
+    }
+  struct queued_line *q = talloc_zero (c, struct queued_line);
+  q->line = bstr_copy (q, line);
+  *at = q;
+}
+
+static void
+on_closed (void *data, const char *reason)
+{
+  (void)reason;
+  struct caller *c = data;
+  c->stream = NULL;
+  end_caller (c);
+}
+
+static const struct stream_ops caller_ops
+    = { .line = on_line, .closed = on_closed };
+
+static unsigned
+free_slot (struct front *f)
+{
+  for (unsigned i = 0; i < f->slot_count; i++)
+    if (f->slots[i] == NULL)
+      return i;
+  unsigned count = f->slot_count == 0 ? 64 : f->slot_count * 2;
+  f->slots = talloc_realloc (f, f->slots, struct caller *, count);
+  f->generations = talloc_realloc (f, f->generations, uint64_t, count);
+  memset (f->slots + f->slot_count, 0,
+          sizeof f->slots[0] * (count - f->slot_count));
+  memset (f->generations + f->slot_count, 0,
+          sizeof f->generations[0] * (count - f->slot_count));
+  unsigned slot = f->slot_count;
+  f->slot_count = count;
+  return slot;
+}
+
+static void
+on_accepted (void *data, int fd)
+{
+  struct front *f = data;
+  unsigned slot = free_slot (f);
+  struct caller *c = talloc_zero (f, struct caller);
+  c->front = f;
+  c->session = session_create (c);
+  c->number = (++f->generations[slot] << SLOT_BITS) | slot;
+  c->stream
+      = stream_adopt (f, fd,
+                      &(struct stream_options){ .ev = f->relay->ev,
+                                                .ops = &caller_ops,
+                                                .data = c,
+                                                .dead_ms = DEAD_MS });
+  f->slots[slot] = c;
+  f->sessions++;
+  if (f->sessions > f->relay->options->max_sessions)
+    {
+      log_warn (PART, "event=session_refused reason=\"too many sessions\"");
+      end_caller (c);
+    }
+}
+
+static struct forward *
+find_forward (struct caller *c, uint64_t sequence)
+{
+  struct forward *w = c->forwards;
+  while (w != NULL
+         && (w->member == 0 || w->message.statement.sequence != sequence))
+    w = w->next;
+  return w;
+}
+
+/* The owner has given the service up before it ran the statement. */
+static void
+moved (struct forward *w)
+{
+  for (struct forward *f = w->is_begin ? w->caller->forwards : w; f != NULL;
+       f = f->next)
+    f->member = 0;
+  if (w->is_begin)
+    w->caller->transaction_member = 0;
+}
+
+void
+front_result (struct front *f, const struct message *m)
+{
+  const struct message_result *r = &m->result;
+  struct caller *c = find_caller (f, r->session);
+  struct forward *w = c != NULL ? find_forward (c, r->sequence) : NULL;
+  if (w == NULL || w->member != m->sender.member
+      || w->incarnation != m->sender.incarnation)
+    return;
+  if (r->moved)
+    {
+      moved (w);
+      return;
+    }
+  if (r->outcome != OUTCOME_OK)
+    {
+      char *text = bstr_to_text (NULL, r->text);
+      fail_forward (w, r->outcome, text, r->retry_ms);
+      talloc_free (text);
+      return;
+    }
+  if (w->is_begin)
+    {
+      remove_forward (w);
+      return;
+    }
+  count_result (c, w, OUTCOME_OK);
+  session_result (c->session, &w->statement, OUTCOME_OK, r->position);
+  remove_forward (w);
+  if (r->signature.len == 0)
+    answer_complete (c);
+  else
+    answer_result (c, r);
+  take_queued_lines (c);
+}
+
+static void
+on_tick (void *data)
+{
+  front_owners_changed (data);
+}
+
+struct front *
+front_create (struct relay *r, struct error *err)
+{
+  struct front *f = talloc_zero (r, struct front);
+  f->relay = r;
+  f->server = stream_server_create (
+      f,
+      &(struct stream_server_options){ .ev = r->ev,
+                                       .address = r->options->listen,
+                                       .accepted = on_accepted,
+                                       .data = f },
+      err);
+  if (f->server == NULL)
+    {
+      talloc_free (f);
+      return NULL;
+    }
+  relay_every (r, f, TICK_US, on_tick, f);
+  return f;
+}
+
+int
+front_sessions (const struct front *f)
+{
+  return f->sessions;
+}
+
+static bool
+is_idle (const struct caller *c)
+{
+  return c->forwards == NULL && c->lines == NULL
+         && c->session->state == SESSION_IDLE;
+}
+
+int
+front_busy (const struct front *f)
+{
+  int count = 0;
+  for (unsigned i = 0; i < f->slot_count; i++)
+    count += f->slots[i] != NULL && !is_idle (f->slots[i]);
+  return count;
+}
+
+void
+front_close_idle (struct front *f, int most)
+{
+  for (unsigned i = 0; i < f->slot_count && most > 0; i++)
+    if (f->slots[i] != NULL && is_idle (f->slots[i]))
+      {
+        end_caller (f->slots[i]);
+        most--;
+      }
+}
--- /dev/null
+++ b/session/link.c
@@ -0,0 +1,355 @@
+#include "session/link.h"
+
+#include "net/stream.h"
+#include "platform/wire.h"
+
+/* Unacknowledged bytes for this long end the connection. */
+#define DEAD_MS 2500
+/* Prepared statements kept on a connection before it is reset. */
+#define MAX_PREPARED 200
+#define MAX_EXPECTED 128
+
+/** An answer that is still to come. */
+struct expected
+{
+  enum link_task task;
+  enum outcome outcome;
+  struct bstr text;
+  struct bstr signature;
+  bool has_ended; /**< COMPLETE or an error was seen. */
+};
+
+struct link
+{
+  struct link_options options;
+  struct stream *stream;
+  struct bstr organisation;
+  bool started;
+  bool broken; /**< Values or prepared statements could not be set. */
+  struct session_value *values;
+  int value_count;
+  char **prepared;
+  int prepared_count;
+  struct expected expected[MAX_EXPECTED];
+  unsigned first, count;
+  struct bstr *rows; /**< Of the answer that is being read. */
+  int row_count;
+  void *answer_memory;
+  char *out;
+};
+
+static void
+expect (struct link *l, enum link_task task)
+{
+  struct expected *e = &l->expected[(l->first + l->count) % MAX_EXPECTED];
+  *e = (struct expected){ .task = task };
+  l->count++;
+}
+
+static void
+send_out (struct link *l)
+{
+  stream_send (l->stream, (struct bstr){ l->out, strlen (l->out) });
+  TALLOC_FREE (l->out);
+}
+
+static void
+begin_out (struct link *l)
+{
+  l->out = talloc_strdup (l, "");
+}
+
+static void
+lose (struct link *l, enum outcome outcome, bool was_connected,
+      const char *reason)
+{
+  struct link_loss loss = { outcome, was_connected, reason };
+  l->options.ops->lost (l->options.data, l, &loss);
+  talloc_free (l);
+}
+
+static void
+answer_ended (struct link *l, const struct wire_reply *ready)
+{
+  struct expected e = l->expected[l->first];
+  struct link_answer answer = {
+    .task = e.task,
+    .outcome = e.outcome,
+    .text = e.text,
+    .rows = l->rows,
+    .row_count = l->row_count,
+    .signature = e.signature,
+    .state = ready->state,
+    .position = ready->position,
+  };
+  void *memory = l->answer_memory;
+  l->first = (l->first + 1) % MAX_EXPECTED;
+  l->count--;
+  l->rows = NULL;
+  l->row_count = 0;
+  l->answer_memory = talloc_new (l);
+  bool is_setup = e.task == LINK_SET || e.task == LINK_PREPARE
+                  || e.task == LINK_RESET;
+  if (e.task == LINK_START)
+    l->started = true;
+  if (is_setup && e.outcome != OUTCOME_OK)
+    l->broken = true;
+  if (l->broken && !is_setup)
+    {
+      stream_close (l->stream);
+      lose (l, OUTCOME_OK, true, "session values could not be set");
+      return;
+    }
+  talloc_steal (l->options.relay, memory);
+  if (!is_setup)
+    l->options.ops->answered (l->options.data, l, &answer);
+  talloc_free (memory);
+}
+
+static void
+on_line (void *data, struct bstr line)
+{
+  struct link *l = data;
+  struct wire_reply reply = wire_parse_reply (line);
+  struct expected *e = &l->expected[l->first];
+  if (l->count == 0 || reply.kind == WIRE_UNKNOWN)
+    {
+      stream_close (l->stream);
+      lose (l, OUTCOME_OK, true, "unexpected line");
+      return;
+    }
+  switch (reply.kind)
+    {
+    case WIRE_ROW:
+      l->rows = talloc_realloc (l->answer_memory, l->rows, struct bstr,
+                                (size_t)l->row_count + 1);
+      l->rows[l->row_count++] = bstr_copy (l->answer_memory, reply.text);
+      break;
+    case WIRE_COMPLETE:
+      e->signature = bstr_copy (l->answer_memory, reply.text);
+      e->has_ended = true;
+      break;
+    case WIRE_ERROR:
+      e->outcome = reply.outcome;
+      e->text = bstr_copy (l->answer_memory, reply.text);
+      e->has_ended = true;
+      if (e->task == LINK_START)
+        {
+          stream_close (l->stream);
+          lose (l, reply.outcome, true, "start refused");
+        }
+      break;
+    default:
+      if (!e->has_ended && e->task != LINK_START)
+        {
+          stream_close (l->stream);
+          lose (l, OUTCOME_OK, true, "answer without its end");
+        }
+      else
+        answer_ended (l, &reply);
+      break;
+    }
+}
+
+static void
+on_closed (void *data, const char *reason)
+{
+  struct link *l = data;
+  bool connected = stream_was_connected (l->stream);
+  l->stream = NULL;
+  lose (l, OUTCOME_OK, connected, reason);
+}
+
+static const struct stream_ops stream_callbacks
+    = { .line = on_line, .closed = on_closed };
+
+struct link *
+link_open (void *parent, const struct link_options *options,
+           struct error *err)
+{
+  struct link *l = talloc_zero (parent, struct link);
+  l->options = *options;
+  l->organisation = bstr_copy (l, options->organisation);
+  l->answer_memory = talloc_new (l);
+  /* Owned by the relay: it may be freed while it calls this link. */
+  l->stream
+      = stream_connect (options->relay, options->address,
+                        &(struct stream_options){ .ev = options->relay->ev,
+                                                  .ops = &stream_callbacks,
+                                                  .data = l,
+                                                  .dead_ms = DEAD_MS },
+                        err);
+  if (l->stream == NULL)
+    {
+      talloc_free (l);
+      return NULL;
+    }
+  begin_out (l);
+  l->out = wire_add_start (l->out, options->service, l->organisation,
+                           options->endpoint);
+  expect (l, LINK_START);
+  send_out (l);
+  return l;
+}
+
+static const struct session_value *
+find_value (const struct session_value *values, int count, struct bstr name)
+{
+  for (int i = 0; i < count; i++)
+    if (bstr_equals (values[i].name, name))
+      return &values[i];
+  return NULL;
+}
+
+int
+link_distance (const struct link *l, const struct session_value *values,
+               int value_count)
+{
+  int distance = 0;
+  for (int i = 0; i < l->value_count; i++)
+    if (find_value (values, value_count, l->values[i].name) == NULL)
+      return -1;
+  for (int i = 0; i < value_count; i++)
+    {
+      const struct session_value *v
+          = find_value (l->values, l->value_count, values[i].name);
+      distance += v == NULL || !bstr_equals (v->value, values[i].value);
+    }
+  return distance;
+}
+
+static void
+reset (struct link *l)
+{
+  l->out = wire_add_reset (l->out);
+  expect (l, LINK_RESET);
+  TALLOC_FREE (l->values);
+  l->value_count = 0;
+  TALLOC_FREE (l->prepared);
+  l->prepared_count = 0;
+}
+
+static void
+set_value (struct link *l, const struct session_value *value)
+{
+  struct session_value *v = (struct session_value *)find_value (
+      l->values, l->value_count, value->name);
+  if (v != NULL && bstr_equals (v->value, value->value))
+    return;
+  l->out = wire_add_set (l->out, value->name, value->value);
+  expect (l, LINK_SET);
+  if (v == NULL)
+    {
+      l->values = talloc_realloc (l, l->values, struct session_value,
+                                  (size_t)l->value_count + 1);
+      v = &l->values[l->value_count++];
+      v->name = bstr_copy (l->values, value->name);
+    }
+  v->value = bstr_copy (l->values, value->value);
+}
+
+/* The same shape has the same name on every connection, so that sessions
+   share prepared statements. */
+static char *
+canonical_name (void *parent, const struct link_request *request)
+{
+  return talloc_asprintf (parent, "%c_%.*s", request->reads_only ? 'r' : 'w',
+                          BSTR_ARG (request->shape));
+}
+
+static void
+prepare (struct link *l, const char *name, const struct link_request *request)
+{
+  for (int i = 0; i < l->prepared_count; i++)
+    if (strcmp (l->prepared[i], name) == 0)
+      return;
+  l->out
+      = wire_add_prepare (l->out, name, request->reads_only, request->shape);
+  expect (l, LINK_PREPARE);
+  l->prepared = talloc_realloc (l, l->prepared, char *,
+                                (size_t)l->prepared_count + 1);
+  l->prepared[l->prepared_count++] = talloc_strdup (l->prepared, name);
+}
+
+static void
+add_statement (struct link *l, const struct link_request *request)
+{
+  char *name;
+  switch (request->verb)
+    {
+    case VERB_BEGIN:
+      l->out = wire_add_begin (l->out, request->after, request->reads_only);
+      break;
+    case VERB_ROLLBACK:
+      l->out = wire_add_rollback (l->out);
+      break;
+    case VERB_EXECUTE:
+      name = canonical_name (l, request);
+      prepare (l, name, request);
+      l->out = wire_add_execute (l->out, request->id, request->after, name,
+                                 request->arguments);
+      talloc_free (name);
+      break;
+    default:
+      l->out = wire_add_statement (l->out, request->id, request->after,
+                                   request->text);
+      break;
+    }
+  expect (l, LINK_STATEMENT);
+}
+
+void
+link_run (struct link *l, const struct link_request *request)
+{
+  begin_out (l);
+  if (link_distance (l, request->values, request->value_count) < 0
+      || (l->prepared_count >= MAX_PREPARED && !request->in_transaction))
+    reset (l);
+  for (int i = 0; i < request->value_count; i++)
+    set_value (l, &request->values[i]);
+  add_statement (l, request);
+  send_out (l);
+}
+
+void
+link_rollback (struct link *l)
+{
+  begin_out (l);
+  l->out = wire_add_rollback (l->out);
+  expect (l, LINK_ROLLBACK);
+  send_out (l);
+}
+
+void
+link_status (struct link *l)
+{
+  begin_out (l);
+  l->out = wire_add_status (l->out);
+  expect (l, LINK_STATUS);
+  send_out (l);
+}
+
+void
+link_close (struct link *l)
+{
+  stream_abort (l->stream);
+  talloc_free (l);
+}
+
+bool
+link_is_idle (const struct link *l)
+{
+  return l->count == 0;
+}
+
+bool
+link_is_started (const struct link *l)
+{
+  return l->started;
+}
+
+struct bstr
+link_organisation (const struct link *l)
+{
+  return l->organisation;
+}
--- /dev/null
+++ b/session/message.c
@@ -0,0 +1,348 @@
+#include "session/message.h"
+
+#include "proto/pack.h"
+
+/* Other versions are dropped. */
+#define MESSAGE_VERSION 1
+
+/* Bits of message_statement and message_result flags. */
+enum message_flag
+{
+  FLAG_IS_READ = 1,
+  FLAG_IN_TRANSACTION = 2,
+  FLAG_HAS_VALUES = 4
+};
+
+static void
+pack_position (struct pack *p, struct position position)
+{
+  pack_uint (p, position.term);
+  pack_uint (p, position.number);
+}
+
+static struct position
+unpack_position (struct unpack *u)
+{
+  struct position position;
+  position.term = unpack_uint (u);
+  position.number = unpack_uint (u);
+  return position;
+}
+
+static struct bstr
+unpack_copy (void *parent, struct unpack *u)
+{
+  return bstr_copy (parent, unpack_bstr (u));
+}
+
+static void
+pack_heartbeat (struct pack *p, const struct message_heartbeat *h)
+{
+  pack_array (p, 7 + 2 * OBJECT_KIND_COUNT + 4);
+  pack_bstr (p, h->name);
+  pack_bstr (p, h->address);
+  pack_bstr (p, h->zone);
+  pack_int (p, h->echo);
+  pack_bool (p, h->leaving);
+  pack_bool (p, h->ready);
+  pack_uint (p, h->config_version);
+  for (int i = 0; i < OBJECT_KIND_COUNT; i++)
+    {
+      pack_uint (p, h->revision[i]);
+      pack_uint (p, h->digest[i]);
+    }
+  pack_array (p, (unsigned)h->claim_count);
+  for (int i = 0; i < h->claim_count; i++)
+    pack_uint (p, h->claims[i]);
+  pack_array (p, (unsigned)h->grant_count * 3);
+  for (int i = 0; i < h->grant_count; i++)
+    {
+      pack_uint (p, h->grants[i].service);
+      pack_uint (p, h->grants[i].member);
+      pack_uint (p, h->grants[i].incarnation);
+    }
+  pack_array (p, (unsigned)h->successor_count * 2);
+  for (int i = 0; i < h->successor_count; i++)
+    {
+      pack_uint (p, h->successors[i].service);
+      pack_uint (p, h->successors[i].member);
+    }
+  pack_array (p, (unsigned)h->demand_count * 2);
+  for (int i = 0; i < h->demand_count; i++)
+    {
+      pack_uint (p, h->demand[i].organisation);
+      pack_float (p, (float)h->demand[i].per_s);
+    }
+}
+
+static void
+unpack_heartbeat (void *parent, struct unpack *u, struct message_heartbeat *h)
+{
+  unpack_array (u, 7 + 2 * OBJECT_KIND_COUNT + 4);
+  h->name = unpack_copy (parent, u);
+  h->address = unpack_copy (parent, u);
+  h->zone = unpack_copy (parent, u);
+  h->echo = unpack_int (u);
+  h->leaving = unpack_bool (u);
+  h->ready = unpack_bool (u);
+  h->config_version = unpack_uint (u);
+  for (int i = 0; i < OBJECT_KIND_COUNT; i++)
+    {
+      h->revision[i] = unpack_uint (u);
+      h->digest[i] = unpack_uint (u);
+    }
+  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES);
+  for (int i = 0; i < h->claim_count; i++)
+    h->claims[i] = unpack_uint (u);
+  h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
+  for (int i = 0; i < h->grant_count; i++)
+    {
+      h->grants[i].service = unpack_uint (u);
+      h->grants[i].member = unpack_uint (u);
+      h->grants[i].incarnation = unpack_uint (u);
+    }
+  h->successor_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
+  for (int i = 0; i < h->successor_count; i++)
+    {
+      h->successors[i].service = unpack_uint (u);
+      h->successors[i].member = unpack_uint (u);
+    }
+  h->demand_count = (int)unpack_array_any (u, MESSAGE_MAX_DEMAND * 2) / 2;
+  for (int i = 0; i < h->demand_count; i++)
+    {
+      h->demand[i].organisation = unpack_uint (u);
+      h->demand[i].per_s = unpack_double (u);
+    }
+}
+
+static void
+pack_statement (struct pack *p, const struct message_statement *s)
+{
+  unsigned flags = (s->is_read ? FLAG_IS_READ : 0)
+                   | (s->in_transaction ? FLAG_IN_TRANSACTION : 0)
+                   | (s->has_values ? FLAG_HAS_VALUES : 0);
+  pack_array (p, 20);
+  pack_uint (p, s->session);
+  pack_uint (p, s->sequence);
+  pack_bstr (p, s->service);
+  pack_bstr (p, s->organisation);
+  pack_uint (p, s->organisation_id);
+  pack_uint (p, s->kind);
+  pack_int (p, s->timeout_ms);
+  pack_int (p, s->target_ms);
+  pack_int (p, s->priority);
+  pack_int (p, s->stale_ms);
+  pack_int (p, s->idle_transaction_ms);
+  pack_uint (p, s->verb);
+  pack_uint (p, flags);
+  pack_bstr (p, s->id);
+  pack_bstr (p, s->text);
+  pack_bstr (p, s->shape);
+  pack_bstr (p, s->arguments);
+  pack_position (p, s->own);
+  pack_array (p, (unsigned)s->value_count * 2);
+  for (int i = 0; i < s->value_count; i++)
+    {
+      pack_bstr (p, s->values[i].name);
+      pack_bstr (p, s->values[i].value);
+    }
+}
+
+static bool
+unpack_statement (void *parent, struct unpack *u, struct message_statement *s)
+{
+  unpack_array (u, 20);
+  s->session = unpack_uint (u);
+  s->sequence = unpack_uint (u);
+  s->service = unpack_copy (parent, u);
+  s->organisation = unpack_copy (parent, u);
+  s->organisation_id = unpack_uint (u);
+  uint64_t kind = unpack_uint (u);
+  s->timeout_ms = (int)unpack_int (u);
+  s->target_ms = (int)unpack_int (u);
+  s->priority = (int)unpack_int (u);
+  s->stale_ms = (int)unpack_int (u);
+  s->idle_transaction_ms = (int)unpack_int (u);
+  uint64_t verb = unpack_uint (u);
+  uint64_t flags = unpack_uint (u);
+  s->id = unpack_copy (parent, u);
+  s->text = unpack_copy (parent, u);
+  s->shape = unpack_copy (parent, u);
+  s->arguments = unpack_copy (parent, u);
+  s->own = unpack_position (u);
+  s->value_count = (int)unpack_array_any (u, SESSION_MAX_VALUES * 2) / 2;
+  s->values = talloc_array (parent, struct session_value,
+                            (size_t)s->value_count + 1);
+  for (int i = 0; i < s->value_count; i++)
+    {
+      s->values[i].name = unpack_copy (parent, u);
+      s->values[i].value = unpack_copy (parent, u);
+    }
+  s->kind = (enum route_kind)kind;
+  s->verb = (enum statement_verb)verb;
+  s->is_read = (flags & FLAG_IS_READ) != 0;
+  s->in_transaction = (flags & FLAG_IN_TRANSACTION) != 0;
+  s->has_values = (flags & FLAG_HAS_VALUES) != 0;
+  return kind <= ROUTE_READ_YOUR_WRITES && verb < VERB_COUNT;
+}
+
+static void
+pack_result (struct pack *p, const struct message_result *r)
+{
+  pack_array (p, 11);
+  pack_uint (p, r->session);
+  pack_uint (p, r->sequence);
+  pack_bool (p, r->moved);
+  pack_uint (p, r->outcome);
+  pack_bstr (p, r->text);
+  pack_int (p, r->retry_ms);
+  pack_bstr (p, r->signature);
+  pack_position (p, r->position);
+  pack_bool (p, r->transaction_lost);
+  pack_array (p, (unsigned)r->row_count);
+  for (int i = 0; i < r->row_count; i++)
+    pack_bstr (p, r->rows[i]);
+}
+
+static bool
+unpack_result (void *parent, struct unpack *u, struct message_result *r)
+{
+  unpack_array (u, 11);
+  r->session = unpack_uint (u);
+  r->sequence = unpack_uint (u);
+  r->moved = unpack_bool (u);
+  uint64_t outcome = unpack_uint (u);
+  r->text = unpack_copy (parent, u);
+  r->retry_ms = (int)unpack_int (u);
+  r->signature = unpack_copy (parent, u);
+  r->position = unpack_position (u);
+  r->transaction_lost = unpack_bool (u);
+  r->row_count = (int)unpack_array_any (u, MESSAGE_MAX_ROWS);
+  r->rows = talloc_array (parent, struct bstr, (size_t)r->row_count + 1);
+  for (int i = 0; i < r->row_count; i++)
+    r->rows[i] = unpack_copy (parent, u);
+  r->outcome = (enum outcome)outcome;
+  return outcome < OUTCOME_COUNT;
+}
+
+static void
+pack_probe (struct pack *p, const struct message_probe *probe)
+{
+  pack_array (p, 5);
+  pack_bstr (p, probe->service);
+  pack_bstr (p, probe->endpoint);
+  pack_bstr (p, probe->address);
+  pack_bstr (p, probe->organisation);
+  pack_bool (p, probe->reached);
+}
+
+static void
+unpack_probe (void *parent, struct unpack *u, struct message_probe *probe)
+{
+  unpack_array (u, 5);
+  probe->service = unpack_copy (parent, u);
+  probe->endpoint = unpack_copy (parent, u);
+  probe->address = unpack_copy (parent, u);
+  probe->organisation = unpack_copy (parent, u);
+  probe->reached = unpack_bool (u);
+}
+
+struct bstr
+message_encode (void *parent, const struct message *message)
+{
+  struct pack p;
+  pack_begin (&p);
+  pack_array (&p, 7);
+  pack_uint (&p, MESSAGE_VERSION);
+  pack_uint (&p, message->kind);
+  pack_uint (&p, message->sender.member);
+  pack_uint (&p, message->sender.incarnation);
+  pack_uint (&p, message->sender.receiver_incarnation);
+  pack_int (&p, message->sender.stamp);
+  switch (message->kind)
+    {
+    case MESSAGE_HEARTBEAT:
+      pack_heartbeat (&p, &message->heartbeat);
+      break;
+    case MESSAGE_STATEMENT:
+      pack_statement (&p, &message->statement);
+      break;
+    case MESSAGE_RESULT:
+      pack_result (&p, &message->result);
+      break;
+    case MESSAGE_ABANDON:
+      pack_uint (&p, message->session);
+      break;
+    case MESSAGE_FETCH:
+      pack_uint (&p, message->copy.kind);
+      break;
+    case MESSAGE_COPY:
+      pack_array (&p, 3);
+      pack_uint (&p, message->copy.kind);
+      pack_uint (&p, message->copy.revision);
+      pack_bstr (&p, message->copy.items);
+      break;
+    default:
+      pack_probe (&p, &message->probe);
+      break;
+    }
+  struct bstr bytes = bstr_copy (parent, pack_bytes (&p));
+  pack_end (&p);
+  return bytes;
+}
+
+static bool
+unpack_body (void *parent, struct unpack *u, struct message *message)
+{
+  uint64_t kind;
+  switch (message->kind)
+    {
+    case MESSAGE_HEARTBEAT:
+      unpack_heartbeat (parent, u, &message->heartbeat);
+      return true;
+    case MESSAGE_STATEMENT:
+      return unpack_statement (parent, u, &message->statement);
+    case MESSAGE_RESULT:
+      return unpack_result (parent, u, &message->result);
+    case MESSAGE_ABANDON:
+      message->session = unpack_uint (u);
+      return true;
+    case MESSAGE_FETCH:
+      kind = unpack_uint (u);
+      message->copy.kind = (enum object_kind)kind;
+      return kind < OBJECT_KIND_COUNT;
+    case MESSAGE_COPY:
+      unpack_array (u, 3);
+      kind = unpack_uint (u);
+      message->copy.kind = (enum object_kind)kind;
+      message->copy.revision = unpack_uint (u);
+      message->copy.items = unpack_copy (parent, u);
+      return kind < OBJECT_KIND_COUNT;
+    default:
+      unpack_probe (parent, u, &message->probe);
+      return true;
+    }
+}
+
+bool
+message_decode (void *parent, struct bstr bytes, struct message *message)
+{
+  struct unpack u;
+  bool ok = false;
+  if (!unpack_begin (&u, bytes))
+    goto done;
+  unpack_array (&u, 7);
+  uint64_t version = unpack_uint (&u);
+  uint64_t kind = unpack_uint (&u);
+  if (u.failed || version != MESSAGE_VERSION || kind >= MESSAGE_KIND_COUNT)
+    goto done;
+  message->kind = (enum message_kind)kind;
+  message->sender.member = unpack_uint (&u);
+  message->sender.incarnation = unpack_uint (&u);
+  message->sender.receiver_incarnation = unpack_uint (&u);
+  message->sender.stamp = unpack_int (&u);
+  ok = unpack_body (parent, &u, message) && !u.failed;
+done:
+  unpack_end (&u);
+  return ok;
+}
--- /dev/null
+++ b/session/message.h
@@ -0,0 +1,147 @@
+/** @file
+ * Messages between session daemons: heartbeats, statements on their way to
+ * the owner of a service, results, and copies of the directory.
+ */
+#ifndef SESSION_MESSAGE_H
+#define SESSION_MESSAGE_H
+
+#include "core/lease.h"
+#include "core/limits.h"
+#include "core/session.h"
+#include "platform/objects.h"
+#include "session/model.h"
+
+#define MESSAGE_MAX_BYTES ((size_t)4 << 20)
+#define MESSAGE_MAX_DEMAND 256
+#define MESSAGE_MAX_ROWS 4096
+
+enum message_kind
+{
+  MESSAGE_HEARTBEAT,
+  MESSAGE_STATEMENT, /**< Entry daemon to owner. */
+  MESSAGE_RESULT,    /**< Owner to entry daemon. */
+  MESSAGE_ABANDON,   /**< The session of a transaction ended. */
+  MESSAGE_FETCH,     /**< Ask for a copy of a collection. */
+  MESSAGE_COPY,
+  MESSAGE_PROBE,     /**< Ask whether the receiver reaches an endpoint. */
+  MESSAGE_PROBED,
+  MESSAGE_KIND_COUNT
+};
+
+/** Sender of every message. */
+struct message_sender
+{
+  uint64_t member;
+  uint64_t incarnation;
+  uint64_t receiver_incarnation; /**< 0: any. */
+  int64_t stamp;                 /**< Sender's clock, microseconds. */
+};
+
+/** Who is to own a service that the sender gives up. */
+struct message_successor
+{
+  uint64_t service;
+  uint64_t member; /**< 0: whoever ranks first. */
+};
+
+struct message_heartbeat
+{
+  struct bstr name;
+  struct bstr address;
+  struct bstr zone;
+  int64_t echo;
+  bool leaving;
+  bool ready;            /**< Has what it needs to own a service. */
+  uint64_t config_version;
+  uint64_t revision[OBJECT_KIND_COUNT];
+  uint64_t digest[OBJECT_KIND_COUNT];
+  uint64_t claims[LEASE_MAX_SERVICES];
+  int claim_count;
+  struct lease_grant grants[LEASE_MAX_SERVICES];
+  int grant_count;
+  struct message_successor successors[LEASE_MAX_SERVICES];
+  int successor_count;
+  struct limits_demand demand[MESSAGE_MAX_DEMAND];
+  int demand_count;
+};
+
+/** One statement of a caller on its way to the owner. */
+struct message_statement
+{
+  uint64_t session;  /**< Unique at the entry daemon. */
+  uint64_t sequence; /**< Of the statement in the session. */
+  struct bstr service;
+  struct bstr organisation;
+  uint64_t organisation_id; /**< 0: the route is public. */
+  enum route_kind kind;
+  int timeout_ms;
+  int target_ms;
+  int priority;
+  int stale_ms;
+  int idle_transaction_ms;
+  enum statement_verb verb;
+  bool is_read;
+  bool in_transaction;
+  struct bstr id;
+  struct bstr text;
+  struct bstr shape; /**< Of the prepared statement that EXECUTE names. */
+  struct bstr arguments;
+  struct position own;
+  bool has_values; /**< The values have changed since the last one. */
+  struct session_value *values;
+  int value_count;
+};
+
+struct message_result
+{
+  uint64_t session;
+  uint64_t sequence;
+  bool moved; /**< Not run: the sender does not own the service. */
+  enum outcome outcome;
+  struct bstr text;
+  int retry_ms; /**< When to come back after a refusal; 0: unknown. */
+  struct bstr *rows;
+  int row_count;
+  struct bstr signature;
+  struct position position;
+  bool transaction_lost;
+};
+
+struct message_copy
+{
+  enum object_kind kind;
+  uint64_t revision;
+  struct bstr items; /**< JSON. */
+};
+
+struct message_probe
+{
+  struct bstr service;
+  struct bstr endpoint;
+  struct bstr address;
+  struct bstr organisation;
+  bool reached; /**< MESSAGE_PROBED only. */
+};
+
+struct message
+{
+  enum message_kind kind;
+  struct message_sender sender;
+  union
+  {
+    struct message_heartbeat heartbeat;
+    struct message_statement statement;
+    struct message_result result;
+    uint64_t session; /**< MESSAGE_ABANDON. */
+    struct message_copy copy; /**< MESSAGE_FETCH: kind only. */
+    struct message_probe probe;
+  };
+};
+
+/** @return bytes owned by @p parent. */
+struct bstr message_encode (void *parent, const struct message *message);
+/** Strings and arrays are owned by @p parent.
+ * @return false if the bytes are no message of this version. */
+bool message_decode (void *parent, struct bstr bytes, struct message *message);
+
+#endif
--- /dev/null
+++ b/session/model.c
@@ -0,0 +1,85 @@
+#include "session/model.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+
+/* Not a secret: ids only have to be the same in all daemons. */
+static const unsigned char id_key[crypto_shorthash_KEYBYTES]
+    = "azurewind ids";
+
+static uint64_t
+hash (const void *bytes, size_t len)
+{
+  unsigned char out[crypto_shorthash_BYTES];
+  uint64_t value;
+  crypto_shorthash (out, bytes, len, id_key);
+  memcpy (&value, out, sizeof value);
+  return value;
+}
+
+uint64_t
+model_id (struct bstr name)
+{
+  return hash (name.start, name.len);
+}
+
+uint64_t
+model_rank (uint64_t service, uint64_t member)
+{
+  uint64_t pair[2] = { service, member };
+  return hash (pair, sizeof pair);
+}
+
+static int
+compare_bstr (struct bstr a, struct bstr b)
+{
+  size_t len = a.len < b.len ? a.len : b.len;
+  int order = len > 0 ? memcmp (a.start, b.start, len) : 0;
+  return order != 0 ? order : (a.len > b.len) - (a.len < b.len);
+}
+
+static int
+compare_routes (const void *a, const void *b)
+{
+  return compare_bstr (((const struct route *)a)->host,
+                       ((const struct route *)b)->host);
+}
+
+void
+config_finish (struct config *config)
+{
+  if (config->route_count > 0)
+    qsort (config->routes, (size_t)config->route_count,
+           sizeof config->routes[0], compare_routes);
+}
+
+const struct route *
+config_find_route (const struct config *config, struct bstr host)
+{
+  struct route wanted = { .host = host };
+  if (config->route_count == 0)
+    return NULL;
+  return bsearch (&wanted, config->routes, (size_t)config->route_count,
+                  sizeof config->routes[0], compare_routes);
+}
+
+const struct service_config *
+config_find_service (const struct config *config, struct bstr name)
+{
+  for (int i = 0; i < config->service_count; i++)
+    if (bstr_equals (config->services[i].name, name))
+      return &config->services[i];
+  return NULL;
+}
+
+const struct organisation *
+config_find_key (const struct config *config, struct bstr key)
+{
+  if (key.len == 0)
+    return NULL;
+  for (int i = 0; i < config->organisation_count; i++)
+    for (int k = 0; k < config->organisations[i].key_count; k++)
+      if (bstr_equals (config->organisations[i].keys[k], key))
+        return &config->organisations[i];
+  return NULL;
+}
--- /dev/null
+++ b/session/owner.c
@@ -0,0 +1,309 @@
+#include "session/owner.h"
+
+#include "common/log.h"
+#include "session/directory.h"
+#include "session/fleet.h"
+#include "session/service.h"
+
+#include <inttypes.h>
+
+/* Resolution of time-outs. */
+#define TICK_US (20 * USEC_PER_MSEC)
+/* Another daemon waits for this long for the answer to its question. */
+#define PROBE_TIMEOUT_US (300 * USEC_PER_MSEC)
+
+struct owner
+{
+  struct relay *relay;
+  struct service *services;
+};
+
+static struct service *
+find_service (const struct owner *o, uint64_t id)
+{
+  struct service *s = o->services;
+  while (s != NULL && s->id != id)
+    s = s->next;
+  return s;
+}
+
+static struct service *
+add_service (struct owner *o, struct bstr name)
+{
+  struct service *s = find_service (o, model_id (name));
+  if (s != NULL)
+    return s;
+  s = talloc_zero (o, struct service);
+  s->owner = o;
+  s->relay = o->relay;
+  s->name = bstr_to_text (s, name);
+  s->id = model_id (name);
+  s->next = o->services;
+  o->services = s;
+  return s;
+}
+
+static struct endpoint *
+find_endpoint (const struct service *s, struct bstr id)
+{
+  struct endpoint *e = s->endpoints;
+  while (e != NULL && !bstr_equals_text (id, e->id))
+    e = e->next;
+  return e;
+}
+
+static void
+update_endpoint (struct service *s, const struct endpoint_entry *entry)
+{
+  struct endpoint *e = find_endpoint (s, entry->id);
+  bool is_new = e == NULL;
+  if (is_new)
+    {
+      e = talloc_zero (s, struct endpoint);
+      e->service = s;
+      e->id = bstr_to_text (e, entry->id);
+      e->next = s->endpoints;
+      s->endpoints = e;
+    }
+  bool restarted = !is_new
+                   && (e->born_ms != entry->born_ms
+                       || !bstr_equals_text (entry->address, e->address));
+  if (restarted)
+    {
+      log_info (PART, "event=endpoint_restarted service=%s endpoint=%s",
+                s->name, e->id);
+      service_drop_links (e, "the endpoint was restarted");
+      e->view.position = (struct position){ 0, 0 };
+      e->status_at = 0;
+    }
+  if (is_new || restarted)
+    {
+      talloc_free (e->address);
+      e->address = bstr_to_text (e, entry->address);
+      e->wrong = false;
+    }
+  if (!is_new && e->draining != entry->is_draining)
+    log_info (PART, "event=endpoint_state service=%s endpoint=%s draining=%d",
+              s->name, e->id, entry->is_draining);
+  talloc_free (e->zone);
+  e->zone = bstr_to_text (e, entry->zone);
+  e->born_ms = entry->born_ms;
+  e->listed = true;
+  e->missing_since = 0;
+  e->draining = entry->is_draining;
+  e->claims_primary = entry->is_primary;
+  e->view.slots = entry->slots;
+}
+
+static void
+update_endpoints (struct service *s)
+{
+  int count;
+  int64_t now = clock_now ();
+  const struct endpoint_entry *entries
+      = directory_endpoints (s->relay->directory, &count);
+  if (s->phase == SERVICE_FOREIGN)
+    return;
+  for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    e->listed = false;
+  for (int i = 0; i < count; i++)
+    if (bstr_equals_text (entries[i].service, s->name))
+      update_endpoint (s, &entries[i]);
+  for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    if (!e->listed && e->missing_since == 0)
+      {
+        log_info (PART, "event=endpoint_missing service=%s endpoint=%s",
+                  s->name, e->id);
+        e->missing_since = now;
+      }
+  service_dispatch (s);
+}
+
+void
+owner_endpoints_changed (struct owner *o)
+{
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    update_endpoints (s);
+}
+
+void
+owner_check (struct owner *o)
+{
+  const struct config *config = o->relay->config;
+  int64_t now = clock_now ();
+  if (config != NULL)
+    for (int i = 0; i < config->service_count; i++)
+      add_service (o, config->services[i].name);
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    {
+      bool owned = fleet_owns_until (o->relay->fleet, s->id) > now;
+      if (owned && s->phase == SERVICE_FOREIGN)
+        {
+          service_set_phase (s, SERVICE_TAKEOVER, "a majority granted it");
+          update_endpoints (s);
+          promotion_resume (s);
+          promotion_tick (s, now);
+        }
+      else if (!owned && s->phase != SERVICE_FOREIGN && !s->leaving)
+        service_stop (s, "the lease has ended");
+    }
+}
+
+void
+owner_statement (struct owner *o, struct message *m)
+{
+  struct service *s = find_service (o, model_id (m->statement.service));
+  if (s != NULL)
+    {
+      service_statement (s, m);
+      return;
+    }
+  struct message r = { .kind = MESSAGE_RESULT };
+  r.result.session = m->statement.session;
+  r.result.sequence = m->statement.sequence;
+  r.result.moved = true;
+  fleet_send (o->relay->fleet, m->sender.member, &r);
+  talloc_free (m);
+}
+
+void
+owner_abandon (struct owner *o, const struct message *m)
+{
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    service_abandon (s, m);
+}
+
+/* A question of another daemon. */
+
+struct question
+{
+  struct relay *relay;
+  struct link *link;
+  uint64_t member;
+  struct message_probe probe;
+};
+
+static void
+on_reached (void *data, struct link *link, const struct link_answer *answer)
+{
+  (void)link, (void)answer;
+  struct question *q = data;
+  struct message m = { .kind = MESSAGE_PROBED, .probe = q->probe };
+  m.probe.reached = true;
+  fleet_send (q->relay->fleet, q->member, &m);
+  link_close (q->link);
+  talloc_free (q);
+}
+
+static void
+on_unreached (void *data, struct link *link, const struct link_loss *loss)
+{
+  (void)link, (void)loss;
+  talloc_free (data);
+}
+
+static const struct link_ops question_ops
+    = { .answered = on_reached, .lost = on_unreached };
+
+static void
+on_question_timeout (struct tevent_context *ev, struct tevent_timer *timer,
+                     struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct question *q = data;
+  link_close (q->link);
+  talloc_free (q);
+}
+
+void
+owner_probe (struct owner *o, const struct message *m)
+{
+  struct question *q = talloc_zero (o, struct question);
+  struct error err = { 0 };
+  q->relay = o->relay;
+  q->member = m->sender.member;
+  q->probe.service = bstr_copy (q, m->probe.service);
+  q->probe.endpoint = bstr_copy (q, m->probe.endpoint);
+  q->probe.address = bstr_copy (q, m->probe.address);
+  q->probe.organisation = bstr_copy (q, m->probe.organisation);
+  q->link = link_open (
+      o->relay,
+      &(struct link_options){ .relay = o->relay,
+                              .service = q->probe.service.start,
+                              .organisation = q->probe.organisation,
+                              .endpoint = q->probe.endpoint.start,
+                              .address = q->probe.address.start,
+                              .ops = &question_ops,
+                              .data = q },
+      &err);
+  if (q->link == NULL)
+    {
+      log_warn (PART, "event=probe_failed endpoint=%s reason=\"%s\"",
+                q->probe.endpoint.start, err.text);
+      talloc_free (q);
+      return;
+    }
+  relay_after (o->relay, q, PROBE_TIMEOUT_US, on_question_timeout, q);
+}
+
+void
+owner_probed (struct owner *o, const struct message *m)
+{
+  struct service *s = find_service (o, model_id (m->probe.service));
+  struct endpoint *e
+      = s != NULL ? find_endpoint (s, m->probe.endpoint) : NULL;
+  if (e != NULL && m->probe.reached)
+    e->reached_by = m->sender.member;
+}
+
+void
+owner_leave (struct owner *o)
+{
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    service_leave (s);
+}
+
+const char *
+owner_primary_zone (const struct owner *o, uint64_t service)
+{
+  int count;
+  const struct endpoint_entry *entries
+      = directory_endpoints (o->relay->directory, &count);
+  for (int i = 0; i < count; i++)
+    if (entries[i].is_primary && model_id (entries[i].service) == service)
+      return entries[i].zone.start;
+  return NULL;
+}
+
+int
+owner_pending (const struct owner *o)
+{
+  int count = 0;
+  for (const struct service *s = o->services; s != NULL; s = s->next)
+    count += service_pending (s);
+  return count;
+}
+
+static void
+on_tick (void *data)
+{
+  struct owner *o = data;
+  int64_t now = clock_now ();
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    {
+      service_tick (s, now);
+      int64_t patience = o->relay->options->grace_ms * USEC_PER_MSEC / 2;
+      if (s->leaving
+          && (service_pending (s) == 0 || now - s->leaving_since > patience))
+        service_stop (s, "given up");
+    }
+}
+
+struct owner *
+owner_create (struct relay *r)
+{
+  struct owner *o = talloc_zero (r, struct owner);
+  o->relay = r;
+  relay_every (r, o, TICK_US, on_tick, o);
+  return o;
+}
--- /dev/null
+++ b/session/owner.h
@@ -0,0 +1,30 @@
+/** @file
+ * Runs the statements of the services that this daemon owns: limits, queue,
+ * choice of the endpoint, transactions, replacement of a failed primary.
+ */
+#ifndef SESSION_OWNER_H
+#define SESSION_OWNER_H
+
+#include "session/relay.h"
+
+struct owner;
+
+struct owner *owner_create (struct relay *r);
+/** Take note of leases that were won or lost. */
+void owner_check (struct owner *o);
+void owner_endpoints_changed (struct owner *o);
+/** Run a statement of a caller; takes over @p m. */
+void owner_statement (struct owner *o, struct message *m);
+/** A session with an open transaction ended. */
+void owner_abandon (struct owner *o, const struct message *m);
+/** Another daemon asks whether this one reaches an endpoint. */
+void owner_probe (struct owner *o, const struct message *m);
+void owner_probed (struct owner *o, const struct message *m);
+/** Give all services up; open transactions go on. */
+void owner_leave (struct owner *o);
+/** @return the failure domain of the service's primary, NULL if unknown. */
+const char *owner_primary_zone (const struct owner *o, uint64_t service);
+/** @return statements and transactions that are not finished. */
+int owner_pending (const struct owner *o);
+
+#endif
