--- a/session/service.c
+++ b/session/service.c
@@ -70,10 +70,12 @@
   int64_t now = clock_now ();
   if (result->outcome != OUTCOME_OK || result->moved)
     relay_trace (PART,
-                 "event=result id=%.*s service=%s outcome=%s moved=%d"
+                 "event=result id=%.*s service=%s organisation=%.*s"
+                 " outcome=%s moved=%d"
                  " waited_us=%" PRId64 " sent=%d attempts=%d retry_ms=%d"
                  " reason=\"%.*s\"",
                  BSTR_ARG (w->s->id), s->name,
+                 BSTR_ARG (w->s->organisation),
                  wire_outcome_name (result->outcome), result->moved, now - w->arrived,
                  w->sent_at != 0, w->attempts, result->retry_ms,
                  BSTR_ARG (result->text));
