session: reliable messages over silent connections, proof of an ended process

Change: a heartbeat that is not confirmed opens the connection anew, unconfirmed messages are repeated and dropped by number; a refused connection ends the leases of the process; two daemons end their watches after 1.5 s.

--- a/core/lease.c
+++ b/core/lease.c
@@ -163,6 +163,20 @@
   return false;
 }
 
+bool
+lease_ended (struct lease_table *t, uint64_t member, uint64_t incarnation)
+{
+  bool changed = false;
+  for (int i = 0; i < t->service_count; i++)
+    if (t->services[i].granted_to == member
+        && t->services[i].granted_incarnation == incarnation)
+      {
+        withdraw_grant (&t->services[i]);
+        changed = true;
+      }
+  return changed;
+}
+
 bool
 lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
              int64_t now)
@@ -171,6 +185,9 @@
   bool changed = false;
   if (p->incarnation == h->incarnation && h->stamp <= p->stamp)
     return false;
+  /* A new process at the same address shows that the old one has ended. */
+  if (p->incarnation != 0 && p->incarnation != h->incarnation)
+    changed = lease_ended (t, h->member, p->incarnation);
   p->incarnation = h->incarnation;
   p->stamp = h->stamp;
   p->heard = now;
--- a/core/lease.h
+++ b/core/lease.h
@@ -58,6 +58,11 @@
 /** @return whether the heartbeat changed a grant. */
 bool lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
                   int64_t now);
+/** The process with this incarnation has surely ended: what it was granted
+ * is free at once.
+ * @return whether a grant was withdrawn. */
+bool lease_ended (struct lease_table *t, uint64_t member,
+                  uint64_t incarnation);
 /** @return until when this member owns the service; 0: it does not. */
 int64_t lease_valid_until (const struct lease_table *t, uint64_t service);
 /** @return the member that this member has granted the service to, 0 if
--- a/net/bus.c
+++ b/net/bus.c
@@ -3,9 +3,8 @@
 #include <stdio.h>
 #include <zmq.h>
 
-/* Messages queued for a peer that does not answer; heartbeats older than a
-   few seconds are worthless. */
-#define SEND_QUEUE 64
+/* Messages queued for a peer that does not answer. */
+#define SEND_QUEUE 1024
 #define RECEIVE_QUEUE 4096
 
 struct peer_socket
@@ -170,6 +169,20 @@
   return true;
 }
 
+void
+bus_reset (struct bus *bus, const char *address)
+{
+  for (struct peer_socket **at = &bus->peers; *at != NULL; at = &(*at)->next)
+    if (strcmp ((*at)->address, address) == 0)
+      {
+        struct peer_socket *p = *at;
+        *at = p->next;
+        zmq_close (p->socket);
+        talloc_free (p);
+        return;
+      }
+}
+
 void
 bus_keep_only (struct bus *bus, const char *const *addresses, int count)
 {
--- a/net/bus.h
+++ b/net/bus.h
@@ -30,6 +30,9 @@
 /** Send to the daemon at tcp://IP:PORT.
  * @return false if it was dropped. */
 bool bus_send (struct bus *bus, const char *address, struct bstr bytes);
+/** Drop the connection to a peer and what is queued for it; the next message
+ * opens a new one. */
+void bus_reset (struct bus *bus, const char *address);
 /** Close connections to peers other than those in @p addresses. */
 void bus_keep_only (struct bus *bus, const char *const *addresses, int count);
 /** Bytes sent and received so far, without TCP and ZeroMQ framing. */
--- a/net/stream.c
+++ b/net/stream.c
@@ -28,6 +28,7 @@
   char *out; /**< Bytes that the socket has not taken. */
   size_t out_len;
   bool connecting;
+  bool refused;
   bool closing;   /**< stream_close was called. */
   bool in_handler; /**< The owner is being called; free later. */
   bool dead;
@@ -162,6 +163,7 @@
       getsockopt (s->fd, SOL_SOCKET, SO_ERROR, &error, &len);
       if (error != 0)
         {
+          s->refused = error == ECONNREFUSED;
           fail (s, strerror (error));
           return;
         }
@@ -265,6 +267,12 @@
   return !s->connecting;
 }
 
+bool
+stream_was_refused (const struct stream *s)
+{
+  return s->refused;
+}
+
 void
 stream_close (struct stream *s)
 {
--- a/net/stream.h
+++ b/net/stream.h
@@ -42,6 +42,8 @@
 void stream_send (struct stream *stream, struct bstr bytes);
 /** @return whether the peer ever accepted the connection. */
 bool stream_was_connected (const struct stream *stream);
+/** @return whether a machine that is up said that nobody listens. */
+bool stream_was_refused (const struct stream *stream);
 /** Send what is left and close; no callback follows. */
 void stream_close (struct stream *stream);
 /** Close and drop what was not sent. */
--- a/session/directory.c
+++ b/session/directory.c
@@ -9,9 +9,13 @@
 
 #define PART "directory"
 
-/* Longest wait of one watch.  Other daemons tell of changes that a silent
-   watch has missed, so it may be long; each return is a paid call. */
-#define WATCH_WAIT_MS 12000
+/* Waits of watches.  A watch may miss a change in silence; a few daemons end
+   theirs soon enough for the time in which a change must be in force, and
+   tell the others.  Each return is a paid call. */
+#define WATCH_WAIT_MS 20000
+#define WATCH_SHORT_MS 1500
+#define WATCH_SHORT_ENDPOINTS_MS 3000
+#define SHORT_WATCHERS 2
 #define CALL_TIMEOUT_MS 1500
 /* Pause after a failed call, plus a random part of the same length. */
 #define RETRY_US (250 * USEC_PER_MSEC)
@@ -359,11 +363,21 @@
   watch (c);
 }
 
+static int
+watch_wait (const struct collection *c)
+{
+  const struct relay *r = c->directory->relay;
+  if (c->kind == OBJECT_MEMBERS
+      || fleet_store_rank (r->fleet) >= SHORT_WATCHERS)
+    return WATCH_WAIT_MS;
+  return c->kind == OBJECT_CONFIG ? WATCH_SHORT_MS : WATCH_SHORT_ENDPOINTS_MS;
+}
+
 static void
 watch (struct collection *c)
 {
   store_watch (c->directory->relay->store, objects_kind_name (c->kind),
-               c->revision, WATCH_WAIT_MS, on_watch, c);
+               c->revision, watch_wait (c), on_watch, c);
 }
 
 struct directory *
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "core/lease.h"
 #include "net/bus.h"
+#include "net/stream.h"
 #include "session/directory.h"
 #include "session/front.h"
 #include "session/owner.h"
@@ -31,10 +32,29 @@
 #define REMOVE_CHECK_US (1 * USEC_PER_SEC)
 /* Statements that took longer on their way are dropped by the receiver. */
 #define MAX_AGE_US (600 * USEC_PER_MSEC)
+/* A heartbeat that another daemon has not confirmed after this time was
+   lost with its connection. */
+#define CONFIRM_US (100 * USEC_PER_MSEC)
+/* Pause between two resets of the connection to one daemon. */
+#define RESET_PAUSE_US (400 * USEC_PER_MSEC)
+/* Silence after which the connection is opened anew, and after which it is
+   checked whether the process still listens. */
+#define QUIET_US (420 * USEC_PER_MSEC)
+#define CHECK_US (280 * USEC_PER_MSEC)
+#define CHECK_PAUSE_US (150 * USEC_PER_MSEC)
+
+/** A message that the receiver has not confirmed. */
+struct unconfirmed
+{
+  struct unconfirmed *next;
+  int64_t stamp;
+  struct bstr bytes;
+};
 
 struct peer
 {
   struct peer *next;
+  struct fleet *fleet;
   uint64_t id;
   char *name;
   char *address;
@@ -47,6 +67,17 @@
   int64_t clock_delta; /**< Smallest own clock less stamp seen. */
   uint64_t claims[LEASE_MAX_SERVICES];
   int claim_count;
+  bool reaches_store;
+  bool ended;              /**< Its process is known to have ended. */
+  struct stream *check;    /**< Shows whether anybody listens. */
+  int64_t last_check;
+  /* Messages to it. */
+  uint64_t next_number;
+  struct unconfirmed *unconfirmed;
+  struct unconfirmed **unconfirmed_end;
+  int64_t last_reset;
+  /* Messages from it. */
+  uint64_t last_number;
 };
 
 /** What this daemon knows of a service's ownership. */
@@ -72,6 +103,7 @@
   struct tenure tenures[LEASE_MAX_SERVICES];
   int tenure_count;
   int64_t last_heartbeat;
+  int64_t previous_heartbeat;
   int64_t started;
   bool urgent; /**< Send heartbeats at the next turn of the loop. */
   struct tevent_immediate *soon;
@@ -95,7 +127,9 @@
   if (p != NULL)
     return p;
   p = talloc_zero (f, struct peer);
+  p->fleet = f;
   p->id = id;
+  p->unconfirmed_end = &p->unconfirmed;
   p->next = f->peers;
   f->peers = p;
   return p;
@@ -113,7 +147,7 @@
 static bool
 is_alive (const struct peer *p, int64_t now)
 {
-  return p->heard > 0 && now - p->heard <= SILENT_US;
+  return p->heard > 0 && !p->ended && now - p->heard <= SILENT_US;
 }
 
 static struct tenure *
@@ -178,10 +212,60 @@
   };
   if (p->address == NULL)
     return false;
-  struct bstr bytes = message_encode (f, message);
-  bool sent = bus_send (f->bus, p->address, bytes);
-  talloc_free ((char *)bytes.start);
-  return sent;
+  if (message->kind == MESSAGE_HEARTBEAT)
+    {
+      struct bstr bytes = message_encode (f, message);
+      bool sent = bus_send (f->bus, p->address, bytes);
+      talloc_free ((char *)bytes.start);
+      return sent;
+    }
+  message->sender.number = ++p->next_number;
+  struct unconfirmed *u = talloc_zero (p, struct unconfirmed);
+  u->stamp = message->sender.stamp;
+  u->bytes = message_encode (u, message);
+  *p->unconfirmed_end = u;
+  p->unconfirmed_end = &u->next;
+  bus_send (f->bus, p->address, u->bytes);
+  return true;
+}
+
+/* A connection delivers in order: what was sent before a heartbeat that has
+   arrived has arrived too. */
+static void
+confirm (struct peer *p, int64_t echo)
+{
+  while (p->unconfirmed != NULL && p->unconfirmed->stamp <= echo)
+    {
+      struct unconfirmed *u = p->unconfirmed;
+      p->unconfirmed = u->next;
+      talloc_free (u);
+    }
+  if (p->unconfirmed == NULL)
+    p->unconfirmed_end = &p->unconfirmed;
+}
+
+static void
+drop_unconfirmed (struct peer *p)
+{
+  confirm (p, INT64_MAX);
+}
+
+/* Connections may go silent without an error.  Send again on a new one what
+   was not confirmed; the receiver drops what it has. */
+static void
+reset_connection (struct peer *p, int64_t now, const char *reason)
+{
+  struct fleet *f = p->fleet;
+  int count = 0;
+  if (p->address == NULL || now - p->last_reset < RESET_PAUSE_US)
+    return;
+  p->last_reset = now;
+  bus_reset (f->bus, p->address);
+  heartbeat_soon (f);
+  for (struct unconfirmed *u = p->unconfirmed; u != NULL; u = u->next, count++)
+    bus_send (f->bus, p->address, u->bytes);
+  log_info (PART, "event=connection_reset name=%s repeated=%d reason=\"%s\"",
+            p->name != NULL ? p->name : "unknown", count, reason);
 }
 
 bool
@@ -228,6 +312,8 @@
   int64_t now = clock_now ();
   struct message *m = talloc_zero (f, struct message);
   struct message_heartbeat *h = &m->heartbeat;
+  if (now - f->last_heartbeat > CONFIRM_US)
+    f->previous_heartbeat = f->last_heartbeat;
   f->last_heartbeat = now;
   f->urgent = false;
   m->kind = MESSAGE_HEARTBEAT;
@@ -236,6 +322,7 @@
   h->zone = bstr_from (r->options->zone);
   h->leaving = r->leaving_since != 0;
   h->ready = is_ready (f);
+  h->reaches_store = directory_store_answers (r->directory);
   h->config_version = r->config != NULL ? r->config->version : 0;
   for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
     {
@@ -279,8 +366,21 @@
   set_text (p, &p->zone, h->zone);
   if (is_new || delta < p->clock_delta)
     p->clock_delta = delta;
+  if (is_new)
+    {
+      p->last_number = 0;
+      p->next_number = 0;
+      drop_unconfirmed (p);
+    }
   p->incarnation = m->sender.incarnation;
   p->heard = now;
+  p->ended = false;
+  confirm (p, h->echo);
+  if (!is_new && was_alive && h->echo != 0
+      && h->echo < f->previous_heartbeat
+      && now - f->last_heartbeat > CONFIRM_US)
+    reset_connection (p, now, "heartbeats do not arrive");
+  p->reaches_store = h->reaches_store;
   p->leaving = h->leaving;
   p->ready = h->ready;
   p->claim_count = h->claim_count;
@@ -326,6 +426,19 @@
   return clock_now () - m->sender.stamp - p->clock_delta > MAX_AGE_US;
 }
 
+static bool
+is_repeated (struct fleet *f, const struct message *m)
+{
+  struct peer *p = find_peer (f, m->sender.member);
+  if (m->sender.number == 0 || p == NULL
+      || p->incarnation != m->sender.incarnation)
+    return false;
+  if (m->sender.number <= p->last_number)
+    return true;
+  p->last_number = m->sender.number;
+  return false;
+}
+
 static void
 received (void *data, struct bstr bytes)
 {
@@ -339,6 +452,8 @@
   if (m->sender.receiver_incarnation != 0
       && m->sender.receiver_incarnation != f->relay->incarnation)
     goto done;
+  if (is_repeated (f, m))
+    goto done;
   switch (m->kind)
     {
     case MESSAGE_HEARTBEAT:
@@ -545,11 +660,85 @@
     }
 }
 
+static void
+process_ended (struct peer *p)
+{
+  struct fleet *f = p->fleet;
+  p->ended = true;
+  drop_unconfirmed (p);
+  log_warn (PART, "event=daemon_ended name=%s reason=\"nobody listens\"",
+            p->name);
+  if (lease_ended (f->leases, p->id, p->incarnation))
+    heartbeat_soon (f);
+  front_owners_changed (f->relay->front);
+}
+
+static void
+on_check_line (void *data, struct bstr line)
+{
+  (void)data, (void)line;
+}
+
+static void
+on_check_closed (void *data, const char *reason)
+{
+  (void)reason;
+  struct peer *p = data;
+  bool refused = stream_was_refused (p->check);
+  p->check = NULL;
+  if (refused && !p->ended)
+    process_ended (p);
+}
+
+static const struct stream_ops check_ops
+    = { .line = on_check_line, .closed = on_check_closed };
+
+static void
+check_listener (struct peer *p, int64_t now)
+{
+  struct error err = { 0 };
+  p->last_check = now;
+  if (p->check != NULL)
+    stream_abort (p->check);
+  p->check = stream_connect (
+      p->fleet, p->address + strlen ("tcp://"),
+      &(struct stream_options){
+          .ev = p->fleet->relay->ev, .ops = &check_ops, .data = p },
+      &err);
+  if (p->check == NULL)
+    log_warn (PART, "event=check_failed name=%s reason=\"%s\"", p->name,
+              err.text);
+}
+
+static void
+watch_peers (struct fleet *f, int64_t now)
+{
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    {
+      int64_t silent = now - p->heard;
+      if (p->heard == 0 || p->address == NULL)
+        continue;
+      if (silent > SILENT_US)
+        drop_unconfirmed (p);
+      if (silent > CHECK_US && !p->ended && silent < REMOVE_US
+          && now - p->last_check > CHECK_PAUSE_US)
+        check_listener (p, now);
+      else if (silent <= CHECK_US && p->check != NULL)
+        {
+          stream_abort (p->check);
+          p->check = NULL;
+        }
+      if (silent > QUIET_US && silent < REMOVE_US)
+        reset_connection (p, now, "silent");
+    }
+}
+
 static void
 on_tick (void *data)
 {
   struct fleet *f = data;
   int64_t now = clock_now ();
+  watch_peers (f, now);
   update_tenures (f, now);
   if (now - f->last_heartbeat >= HEARTBEAT_US - TICK_US / 2)
     send_heartbeats (f);
@@ -657,6 +846,17 @@
   set_claim (f, t, false, now);
 }
 
+int
+fleet_store_rank (const struct fleet *f)
+{
+  int64_t now = clock_now ();
+  int rank = 0;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    rank += is_alive (p, now) && p->reaches_store && !p->leaving
+            && p->id < f->relay->self;
+  return rank;
+}
+
 uint64_t
 fleet_messages (const struct fleet *f)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -28,6 +28,8 @@
 void fleet_release (struct fleet *f, uint64_t service, uint64_t successor);
 /** Send to all daemons that are heard, this one excluded. */
 void fleet_broadcast (struct fleet *f, struct message *message);
+/** @return how many daemons that reach the store come before this one. */
+int fleet_store_rank (const struct fleet *f);
 /** @return messages and bytes so far. */
 uint64_t fleet_messages (const struct fleet *f);
 uint64_t fleet_bytes (const struct fleet *f);
--- a/session/message.c
+++ b/session/message.c
@@ -38,13 +38,14 @@
 static void
 pack_heartbeat (struct pack *p, const struct message_heartbeat *h)
 {
-  pack_array (p, 7 + 2 * OBJECT_KIND_COUNT + 4);
+  pack_array (p, 8 + 2 * OBJECT_KIND_COUNT + 4);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
   pack_bstr (p, h->zone);
   pack_int (p, h->echo);
   pack_bool (p, h->leaving);
   pack_bool (p, h->ready);
+  pack_bool (p, h->reaches_store);
   pack_uint (p, h->config_version);
   for (int i = 0; i < OBJECT_KIND_COUNT; i++)
     {
@@ -78,13 +79,14 @@
 static void
 unpack_heartbeat (void *parent, struct unpack *u, struct message_heartbeat *h)
 {
-  unpack_array (u, 7 + 2 * OBJECT_KIND_COUNT + 4);
+  unpack_array (u, 8 + 2 * OBJECT_KIND_COUNT + 4);
   h->name = unpack_copy (parent, u);
   h->address = unpack_copy (parent, u);
   h->zone = unpack_copy (parent, u);
   h->echo = unpack_int (u);
   h->leaving = unpack_bool (u);
   h->ready = unpack_bool (u);
+  h->reaches_store = unpack_bool (u);
   h->config_version = unpack_uint (u);
   for (int i = 0; i < OBJECT_KIND_COUNT; i++)
     {
@@ -252,13 +254,14 @@
 {
   struct pack p;
   pack_begin (&p);
-  pack_array (&p, 7);
+  pack_array (&p, 8);
   pack_uint (&p, MESSAGE_VERSION);
   pack_uint (&p, message->kind);
   pack_uint (&p, message->sender.member);
   pack_uint (&p, message->sender.incarnation);
   pack_uint (&p, message->sender.receiver_incarnation);
   pack_int (&p, message->sender.stamp);
+  pack_uint (&p, message->sender.number);
   switch (message->kind)
     {
     case MESSAGE_HEARTBEAT:
@@ -331,7 +334,7 @@
   bool ok = false;
   if (!unpack_begin (&u, bytes))
     goto done;
-  unpack_array (&u, 7);
+  unpack_array (&u, 8);
   uint64_t version = unpack_uint (&u);
   uint64_t kind = unpack_uint (&u);
   if (u.failed || version != MESSAGE_VERSION || kind >= MESSAGE_KIND_COUNT)
@@ -341,6 +344,7 @@
   message->sender.incarnation = unpack_uint (&u);
   message->sender.receiver_incarnation = unpack_uint (&u);
   message->sender.stamp = unpack_int (&u);
+  message->sender.number = unpack_uint (&u);
   ok = unpack_body (parent, &u, message) && !u.failed;
 done:
   unpack_end (&u);
--- a/session/message.h
+++ b/session/message.h
@@ -35,6 +35,9 @@
   uint64_t incarnation;
   uint64_t receiver_incarnation; /**< 0: any. */
   int64_t stamp;                 /**< Sender's clock, microseconds. */
+  /** Of the messages to this receiver; a repeated one has the same.  0: not
+   * repeated. */
+  uint64_t number;
 };
 
 /** Who is to own a service that the sender gives up. */
@@ -52,6 +55,7 @@
   int64_t echo;
   bool leaving;
   bool ready;            /**< Has what it needs to own a service. */
+  bool reaches_store;
   uint64_t config_version;
   uint64_t revision[OBJECT_KIND_COUNT];
   uint64_t digest[OBJECT_KIND_COUNT];
--- a/session/service.c
+++ b/session/service.c
@@ -256,6 +256,9 @@
             && (!e->draining || (e == s->primary && !w->transaction));
       count++;
     }
+  /* What was acknowledged before is not known yet. */
+  if (s->history.newest.term == 0)
+    return NULL;
   if (replicas_choose_read (views, count, required,
                             w->s->kind == ROUTE_PRIMARY, now, &index)
       != REPLICAS_FOUND)
