lease: a casting vote for an even number of members

Change: the member with the smallest id has two votes if their number is even; a daemon without a majority sends idle callers away.

--- a/core/lease.c
+++ b/core/lease.c
@@ -12,9 +12,9 @@
 {
   uint64_t id;
   uint64_t incarnation;
-  int64_t stamp;      /**< Newest of its stamps. */
-  int64_t heard;      /**< Own clock. */
-  int64_t echo;       /**< Newest stamp of ours that it has. */
+  int64_t stamp; /**< Newest of its stamps. */
+  int64_t heard; /**< Own clock. */
+  int64_t echo;  /**< Newest stamp of ours that it has. */
   bool is_member;
   struct lease_grant grants[LEASE_MAX_SERVICES];
   int grant_count;
@@ -35,7 +35,8 @@
   struct lease_options options;
   struct peer *peers;
   int peer_count;
-  int member_count; /**< This member included. */
+  int member_count;  /**< This member included. */
+  uint64_t smallest; /**< Id of the member with the casting vote. */
   struct service_lease services[LEASE_MAX_SERVICES];
   int service_count;
 };
@@ -46,6 +47,7 @@
   struct lease_table *t = talloc_zero (parent, struct lease_table);
   t->options = *options;
   t->member_count = 1;
+  t->smallest = options->self;
   return t;
 }
 
@@ -78,8 +80,11 @@
   for (int i = 0; i < t->peer_count; i++)
     t->peers[i].is_member = false;
   t->member_count = 1;
+  t->smallest = t->options.self;
   for (int i = 0; i < count && i < LEASE_MAX_MEMBERS; i++)
     {
+      if (members[i] < t->smallest)
+        t->smallest = members[i];
       if (members[i] == t->options.self)
         continue;
       add_peer (t, members[i])->is_member = true;
@@ -141,8 +146,7 @@
 }
 
 void
-lease_claim (struct lease_table *t, uint64_t service, bool wanted,
-             int64_t now)
+lease_claim (struct lease_table *t, uint64_t service, bool wanted, int64_t now)
 {
   struct service_lease *s = add_service (t, service);
   if (s == NULL)
@@ -194,8 +198,7 @@
   p->echo = h->echo;
   p->grant_count = h->grant_count < LEASE_MAX_SERVICES ? h->grant_count
                                                        : LEASE_MAX_SERVICES;
-  memcpy (p->grants, h->grants,
-          sizeof p->grants[0] * (size_t)p->grant_count);
+  memcpy (p->grants, h->grants, sizeof p->grants[0] * (size_t)p->grant_count);
   for (int i = 0; i < t->service_count; i++)
     {
       struct service_lease *s = &t->services[i];
@@ -216,6 +219,21 @@
   return changed;
 }
 
+/* With an even number of members one of them has two votes, so that one half
+   of a fleet that is cut in two can go on. */
+static int
+votes_of (const struct lease_table *t, uint64_t member)
+{
+  return t->member_count % 2 == 0 && member == t->smallest ? 2 : 1;
+}
+
+static int
+votes_needed (const struct lease_table *t)
+{
+  int all = t->member_count + (t->member_count % 2 == 0);
+  return all / 2 + 1;
+}
+
 static bool
 grants_to_self (const struct lease_table *t, const struct peer *p,
                 uint64_t service)
@@ -228,19 +246,27 @@
   return false;
 }
 
+/** A grant by another member. */
+struct proof
+{
+  int64_t at; /**< Own clock: the grant was made later than this. */
+  int votes;
+};
+
 static int
-compare_descending (const void *a, const void *b)
+compare_proofs (const void *a, const void *b)
 {
-  int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+  int64_t x = ((const struct proof *)a)->at;
+  int64_t y = ((const struct proof *)b)->at;
   return x < y ? 1 : x > y ? -1 : 0;
 }
 
 int64_t
 lease_valid_until (const struct lease_table *t, uint64_t service)
 {
-  int64_t proofs[LEASE_MAX_MEMBERS];
+  struct proof proofs[LEASE_MAX_MEMBERS];
   int count = 0;
-  int needed = t->member_count / 2; /* Others, beside this member. */
+  int missing = votes_needed (t) - votes_of (t, t->options.self);
   const struct service_lease *s = find_service (t, service);
   if (s == NULL || !s->claimed || s->granted_to != t->options.self
       || s->granted_incarnation != t->options.incarnation)
@@ -251,15 +277,17 @@
       /* A grant counts only if it answers a heartbeat with this claim. */
       if (p->is_member && p->echo >= s->claimed_at
           && grants_to_self (t, p, service))
-        proofs[count++] = p->echo;
+        proofs[count++] = (struct proof){ p->echo, votes_of (t, p->id) };
     }
-  if (count < needed)
-    return 0;
-  if (needed == 0)
-    return s->granted_until;
-  qsort (proofs, (size_t)count, sizeof proofs[0], compare_descending);
-  int64_t until = proofs[needed - 1] + t->options.term_us;
-  return until < s->granted_until ? until : s->granted_until;
+  qsort (proofs, (size_t)count, sizeof proofs[0], compare_proofs);
+  int64_t until = s->granted_until;
+  for (int i = 0; i < count && missing > 0; i++)
+    {
+      missing -= proofs[i].votes;
+      if (proofs[i].at + t->options.term_us < until)
+        until = proofs[i].at + t->options.term_us;
+    }
+  return missing <= 0 ? until : 0;
 }
 
 uint64_t
@@ -272,12 +300,12 @@
 bool
 lease_in_quorum (const struct lease_table *t, int64_t now)
 {
-  int heard = 1;
+  int votes = votes_of (t, t->options.self);
   for (int i = 0; i < t->peer_count; i++)
     if (t->peers[i].is_member && t->peers[i].heard > 0
         && now - t->peers[i].heard <= t->options.term_us)
-      heard++;
-  return heard > t->member_count / 2;
+      votes += votes_of (t, t->peers[i].id);
+  return votes >= votes_needed (t);
 }
 
 int64_t
--- a/core/lease.h
+++ b/core/lease.h
@@ -39,8 +39,8 @@
 {
   uint64_t member;
   uint64_t incarnation;
-  int64_t stamp;     /**< Sender's clock when it was sent. */
-  int64_t echo;      /**< Newest stamp of ours that the sender has. */
+  int64_t stamp;          /**< Sender's clock when it was sent. */
+  int64_t echo;           /**< Newest stamp of ours that the sender has. */
   const uint64_t *claims; /**< Services that the sender owns or wants. */
   int claim_count;
   const struct lease_grant *grants;
--- a/core/limits.c
+++ b/core/limits.c
@@ -18,13 +18,13 @@
 struct bucket
 {
   uint64_t organisation;
-  double rate;      /**< Of the organisation, requests per second. */
+  double rate; /**< Of the organisation, requests per second. */
   double burst;
-  double share;     /**< Of this daemon, 0 to 1. */
+  double share; /**< Of this daemon, 0 to 1. */
   double tokens;
-  int64_t filled;   /**< When tokens was computed. */
-  unsigned asked;   /**< Since the last report. */
-  double demand;    /**< As reported last. */
+  int64_t filled; /**< When tokens was computed. */
+  unsigned asked; /**< Since the last report. */
+  double demand;  /**< As reported last. */
   bool configured;
 };
 
@@ -167,8 +167,8 @@
     }
   r->heard = now;
   r->count = count;
-  r->demand = talloc_realloc (l, r->demand, struct limits_demand,
-                              (size_t)count + 1);
+  r->demand
+      = talloc_realloc (l, r->demand, struct limits_demand, (size_t)count + 1);
   memcpy (r->demand, demand, sizeof demand[0] * (size_t)count);
 }
 
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -10,13 +10,13 @@
 /** What is known of one endpoint. */
 struct replica
 {
-  bool usable;     /**< Answers, takes new work, belongs to the group. */
+  bool usable; /**< Answers, takes new work, belongs to the group. */
   bool is_primary;
-  int slots;       /**< Statements that it runs at a time. */
-  int running;     /**< Statements sent and not answered. */
-  int64_t latency_us;        /**< Smoothed time of a statement. */
-  struct position position;  /**< Newest known position of its log. */
-  int64_t behind_at;         /**< When it last lacked a position; 0: never. */
+  int slots;                /**< Statements that it runs at a time. */
+  int running;              /**< Statements sent and not answered. */
+  int64_t latency_us;       /**< Smoothed time of a statement. */
+  struct position position; /**< Newest known position of its log. */
+  int64_t behind_at;        /**< When it last lacked a position; 0: never. */
 };
 
 enum replicas_choice
@@ -32,8 +32,7 @@
  * while no primary does.
  * @param index set if one was found. */
 enum replicas_choice replicas_choose_read (const struct replica *replicas,
-                                           int count,
-                                           struct position required,
+                                           int count, struct position required,
                                            bool prefer_primary, int64_t now,
                                            int *index);
 /** @return the index of the usable endpoint with the newest log, -1 if there
--- a/core/session.c
+++ b/core/session.c
@@ -9,8 +9,7 @@
 static struct session_step
 refuse (enum outcome outcome)
 {
-  return (struct session_step){ .action = SESSION_REFUSE,
-                                .outcome = outcome };
+  return (struct session_step){ .action = SESSION_REFUSE, .outcome = outcome };
 }
 
 static struct session_step
@@ -143,8 +142,8 @@
 session_result (struct session *s, const struct statement *statement,
                 enum outcome outcome, struct position position)
 {
-  bool ends = statement->verb == VERB_COMMIT
-              || statement->verb == VERB_ROLLBACK;
+  bool ends
+      = statement->verb == VERB_COMMIT || statement->verb == VERB_ROLLBACK;
   bool wrote = s->state == SESSION_IDLE || s->has_written;
   if (ends)
     s->state = SESSION_IDLE;
--- a/core/session.h
+++ b/core/session.h
@@ -19,7 +19,7 @@
 
 struct session_prepared
 {
-  struct bstr name;  /**< The caller's; names of callers collide. */
+  struct bstr name; /**< The caller's; names of callers collide. */
   struct bstr shape;
   bool reads_only;
 };
@@ -27,11 +27,11 @@
 struct session
 {
   enum session_state state;
-  bool has_written;         /**< In the open transaction. */
-  struct position own;      /**< Newest write of this session. */
+  bool has_written;    /**< In the open transaction. */
+  struct position own; /**< Newest write of this session. */
   struct session_value *values;
   int value_count;
-  bool values_changed;      /**< Since the last statement that was sent on. */
+  bool values_changed; /**< Since the last statement that was sent on. */
   struct session_prepared *prepared;
   int prepared_count;
 };
--- a/core/statement.h
+++ b/core/statement.h
@@ -47,15 +47,15 @@
   /* Promises that nothing of the attempt is kept. */
   OUTCOME_BUSY,
   OUTCOME_ABORTED,
-  OUTCOME_BEHIND,          /**< The endpoint's log lacks the position. */
+  OUTCOME_BEHIND, /**< The endpoint's log lacks the position. */
   OUTCOME_NOT_PRIMARY,
-  OUTCOME_WRONG_ENDPOINT,  /**< Another database than the expected one. */
-  OUTCOME_NO_CONNECTION,   /**< The endpoint has no connection left. */
+  OUTCOME_WRONG_ENDPOINT, /**< Another database than the expected one. */
+  OUTCOME_NO_CONNECTION,  /**< The endpoint has no connection left. */
   /* No promise. */
   OUTCOME_UNKNOWN,
   OUTCOME_TIMEOUT,
-  OUTCOME_FAILED,          /**< The statement ran and failed. */
-  OUTCOME_NOT_PREPARED,    /**< Not run: no such prepared statement. */
+  OUTCOME_FAILED,       /**< The statement ran and failed. */
+  OUTCOME_NOT_PREPARED, /**< Not run: no such prepared statement. */
   /* The caller's own mistake. */
   OUTCOME_NO_ROUTE,
   OUTCOME_NO_KEY,
--- a/net/stream.c
+++ b/net/stream.c
@@ -29,7 +29,7 @@
   size_t out_len;
   bool connecting;
   bool refused;
-  bool closing;   /**< stream_close was called. */
+  bool closing;    /**< stream_close was called. */
   bool in_handler; /**< The owner is being called; free later. */
   bool dead;
 };
@@ -82,8 +82,7 @@
   size_t done = 0;
   while (done < s->out_len)
     {
-      ssize_t n
-          = send (s->fd, s->out + done, s->out_len - done, MSG_NOSIGNAL);
+      ssize_t n = send (s->fd, s->out + done, s->out_len - done, MSG_NOSIGNAL);
       if (n < 0 && errno == EINTR)
         continue;
       if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
@@ -200,8 +199,7 @@
       set_int (fd, IPPROTO_TCP, TCP_KEEPINTVL, seconds > 0 ? seconds : 1);
       set_int (fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
     }
-  s->event
-      = tevent_add_fd (options->ev, s, fd, TEVENT_FD_READ, on_event, s);
+  s->event = tevent_add_fd (options->ev, s, fd, TEVENT_FD_READ, on_event, s);
   return s;
 }
 
--- a/session/directory.c
+++ b/session/directory.c
@@ -79,10 +79,10 @@
   for (int i = 0; i < d->endpoint_count; i++)
     {
       const struct endpoint_entry *e = &d->endpoints[i];
-      char *text = talloc_asprintf (
-          NULL, "%s %s %s %" PRId64 " %d %d %d", e->id.start,
-          e->service.start, e->address.start, e->born_ms, e->slots,
-          e->is_draining, e->is_primary);
+      char *text = talloc_asprintf (NULL, "%s %s %s %" PRId64 " %d %d %d",
+                                    e->id.start, e->service.start,
+                                    e->address.start, e->born_ms, e->slots,
+                                    e->is_draining, e->is_primary);
       digest ^= model_id (bstr_from (text));
       talloc_free (text);
     }
@@ -94,8 +94,7 @@
 {
   uint64_t digest = 1;
   for (int i = 0; i < d->member_count; i++)
-    digest ^= model_rank (d->members[i].id,
-                          model_id (d->members[i].address));
+    digest ^= model_rank (d->members[i].id, model_id (d->members[i].address));
   return digest;
 }
 
@@ -119,7 +118,8 @@
     }
   const struct config *old = d->config;
   d->config = config;
-  log_info (PART, "event=config version=%" PRIu64 " routes=%d organisations=%d",
+  log_info (PART,
+            "event=config version=%" PRIu64 " routes=%d organisations=%d",
             config->version, config->route_count, config->organisation_count);
   relay_config_changed (d->relay, config);
   talloc_free ((void *)old);
@@ -357,9 +357,9 @@
   if (changed)
     items_changed (c);
   else if (c->kind == OBJECT_MEMBERS)
-    register_self (c->directory,
-                   json_object_get (c->items,
-                                    c->directory->relay->options->name));
+    register_self (
+        c->directory,
+        json_object_get (c->items, c->directory->relay->options->name));
   watch (c);
 }
 
@@ -477,8 +477,7 @@
   struct message m = { .kind = MESSAGE_COPY };
   m.copy.kind = kind;
   m.copy.revision = c->revision;
-  m.copy.items
-      = json_text_take (d, json_incref (c->items), JSON_COMPACT);
+  m.copy.items = json_text_take (d, json_incref (c->items), JSON_COMPACT);
   fleet_send (d->relay->fleet, member, &m);
   talloc_free ((char *)m.copy.items.start);
 }
@@ -497,8 +496,9 @@
       json_decref (items);
       return;
     }
-  log_info (PART, "event=copy_adopted kind=%s revision=%" PRIu64
-                  " old_revision=%" PRIu64,
+  log_info (PART,
+            "event=copy_adopted kind=%s revision=%" PRIu64
+            " old_revision=%" PRIu64,
             objects_kind_name (copy->kind), copy->revision, c->revision);
   json_decref (c->items);
   c->items = items;
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -68,14 +68,15 @@
   uint64_t claims[LEASE_MAX_SERVICES];
   int claim_count;
   bool reaches_store;
-  bool ended;              /**< Its process is known to have ended. */
-  struct stream *check;    /**< Shows whether anybody listens. */
+  bool ended;           /**< Its process is known to have ended. */
+  struct stream *check; /**< Shows whether anybody listens. */
   int64_t last_check;
   /* Messages to it. */
   uint64_t next_number;
   struct unconfirmed *unconfirmed;
   struct unconfirmed **unconfirmed_end;
   int64_t last_reset;
+  int64_t last_reset_logged;
   /* Messages from it. */
   uint64_t last_number;
 };
@@ -84,12 +85,12 @@
 struct tenure
 {
   uint64_t service;
-  int64_t unowned_since;  /**< 0: it has an owner. */
-  int64_t claimed_at;     /**< 0: not claimed by this daemon. */
-  int64_t pause_until;    /**< No claim before. */
+  int64_t unowned_since; /**< 0: it has an owner. */
+  int64_t claimed_at;    /**< 0: not claimed by this daemon. */
+  int64_t pause_until;   /**< No claim before. */
   uint64_t successor;
   int64_t successor_until;
-  uint64_t release_to;    /**< Successor to tell in heartbeats. */
+  uint64_t release_to; /**< Successor to tell in heartbeats. */
   int64_t release_until;
   uint64_t logged_owner;
 };
@@ -264,8 +265,10 @@
   heartbeat_soon (f);
   for (struct unconfirmed *u = p->unconfirmed; u != NULL; u = u->next, count++)
     bus_send (f->bus, p->address, u->bytes);
-  log_info (PART, "event=connection_reset name=%s repeated=%d reason=\"%s\"",
-            p->name != NULL ? p->name : "unknown", count, reason);
+  if (p->last_reset_logged < p->heard)
+    log_info (PART, "event=connection_reset name=%s repeated=%d reason=\"%s\"",
+              p->name != NULL ? p->name : "unknown", count, reason);
+  p->last_reset_logged = now;
 }
 
 bool
@@ -335,12 +338,12 @@
   h->grant_count = lease_grants (f->leases, h->grants, now);
   for (int i = 0; i < f->tenure_count; i++)
     if (now < f->tenures[i].release_until)
-      h->successors[h->successor_count++] = (struct message_successor){
-        f->tenures[i].service, f->tenures[i].release_to
-      };
+      h->successors[h->successor_count++]
+          = (struct message_successor){ f->tenures[i].service,
+                                        f->tenures[i].release_to };
   if (h->claim_count > 0)
-    h->demand_count = limits_report (r->limits, h->demand,
-                                     MESSAGE_MAX_DEMAND, now);
+    h->demand_count
+        = limits_report (r->limits, h->demand, MESSAGE_MAX_DEMAND, now);
   limits_share (r->limits, h->claim_count > 0, LEASE_US, now);
   for (struct peer *p = f->peers; p != NULL; p = p->next)
     {
@@ -376,8 +379,7 @@
   p->heard = now;
   p->ended = false;
   confirm (p, h->echo);
-  if (!is_new && was_alive && h->echo != 0
-      && h->echo < f->previous_heartbeat
+  if (!is_new && was_alive && h->echo != 0 && h->echo < f->previous_heartbeat
       && now - f->last_heartbeat > CONFIRM_US)
     reset_connection (p, now, "heartbeats do not arrive");
   p->reaches_store = h->reaches_store;
@@ -508,11 +510,10 @@
   uint64_t own[LEASE_MAX_SERVICES];
   int count = 0;
   if (is_ready (f) && lease_in_quorum (f->leases, now))
-    out[count++] = (struct candidate){ f->relay->self,
-                                       f->relay->options->zone,
+    out[count++] = (struct candidate){ f->relay->self, f->relay->options->zone,
                                        lease_claims (f->leases, own) };
-  for (const struct peer *p = f->peers;
-       p != NULL && count < LEASE_MAX_MEMBERS; p = p->next)
+  for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
+       p = p->next)
     if (is_alive (p, now) && p->is_member && p->ready && !p->leaving)
       out[count++] = (struct candidate){ p->id, p->zone, p->claim_count };
   return count;
@@ -757,14 +758,13 @@
                                   .incarnation = r->incarnation,
                                   .term_us = LEASE_US,
                                   .now = f->started });
-  f->bus = bus_create (
-      f,
-      &(struct bus_options){ .ev = r->ev,
-                             .address = r->options->bus,
-                             .max_message = MESSAGE_MAX_BYTES,
-                             .received = received,
-                             .data = f },
-      err);
+  f->bus = bus_create (f,
+                       &(struct bus_options){ .ev = r->ev,
+                                              .address = r->options->bus,
+                                              .max_message = MESSAGE_MAX_BYTES,
+                                              .received = received,
+                                              .data = f },
+                       err);
   if (f->bus == NULL)
     {
       talloc_free (f);
--- a/session/front.c
+++ b/session/front.c
@@ -55,14 +55,14 @@
   bool started;
   struct bstr host;
   struct bstr key;
-  struct route route;               /**< Copy, for an open transaction. */
+  struct route route; /**< Copy, for an open transaction. */
   struct bstr organisation;
   uint64_t organisation_id;
-  struct forward *forwards;         /**< In the order of arrival. */
+  struct forward *forwards; /**< In the order of arrival. */
   struct queued_line *lines;
   uint64_t transaction_member;
   uint64_t transaction_incarnation;
-  enum outcome begin_outcome;       /**< Why BEGIN failed at the owner. */
+  enum outcome begin_outcome; /**< Why BEGIN failed at the owner. */
   int begin_retry_ms;
   char *begin_text;
 };
@@ -117,22 +117,21 @@
 answer_complete (struct caller *c)
 {
   char *out = wire_add_complete (talloc_strdup (c, ""), bstr_from ("-"));
-  send_text (c, wire_add_ready (out, c->session->state,
-                                (struct position){ 0, 0 }));
+  send_text (
+      c, wire_add_ready (out, c->session->state, (struct position){ 0, 0 }));
 }
 
 static void
 answer_error (struct caller *c, enum outcome outcome, const char *text,
               int retry_ms)
 {
-  char *reason
-      = retry_ms > 0
-            ? talloc_asprintf (c, "%s; retry-after-ms=%d", text, retry_ms)
-            : talloc_strdup (c, text);
+  char *reason = retry_ms > 0 ? talloc_asprintf (c, "%s; retry-after-ms=%d",
+                                                 text, retry_ms)
+                              : talloc_strdup (c, text);
   char *out = wire_add_error (talloc_strdup (c, ""), outcome, reason);
   talloc_free (reason);
-  send_text (c, wire_add_ready (out, c->session->state,
-                                (struct position){ 0, 0 }));
+  send_text (
+      c, wire_add_ready (out, c->session->state, (struct position){ 0, 0 }));
 }
 
 static void
@@ -188,12 +187,13 @@
               int retry_ms)
 {
   struct caller *c = w->caller;
-  relay_trace (PART,
-               "event=refused id=%.*s database=%.*s outcome=%s waited_us=%"
-               PRId64 " sent=%d retry_ms=%d reason=\"%s\"",
-               BSTR_ARG (w->message.statement.id), BSTR_ARG (c->host),
-               wire_outcome_name (outcome), clock_now () - w->arrived,
-               w->member != 0, retry_ms, text);
+  relay_trace (
+      PART,
+      "event=refused id=%.*s database=%.*s outcome=%s waited_us=%" PRId64
+      " sent=%d retry_ms=%d reason=\"%s\"",
+      BSTR_ARG (w->message.statement.id), BSTR_ARG (c->host),
+      wire_outcome_name (outcome), clock_now () - w->arrived, w->member != 0,
+      retry_ms, text);
   if (w->is_begin)
     {
       c->begin_outcome = outcome;
@@ -461,8 +461,8 @@
 take_statement (struct caller *c, const struct wire_request *request)
 {
   const struct statement *statement = &request->statement;
-  bool starts = c->session->state == SESSION_IDLE
-                && !is_local (statement->verb);
+  bool starts
+      = c->session->state == SESSION_IDLE && !is_local (statement->verb);
   if (starts)
     {
       enum outcome outcome = admit (c);
@@ -584,12 +584,11 @@
   c->front = f;
   c->session = session_create (c);
   c->number = (++f->generations[slot] << SLOT_BITS) | slot;
-  c->stream
-      = stream_adopt (f, fd,
-                      &(struct stream_options){ .ev = f->relay->ev,
-                                                .ops = &caller_ops,
-                                                .data = c,
-                                                .dead_ms = DEAD_MS });
+  c->stream = stream_adopt (f, fd,
+                            &(struct stream_options){ .ev = f->relay->ev,
+                                                      .ops = &caller_ops,
+                                                      .data = c,
+                                                      .dead_ms = DEAD_MS });
   f->slots[slot] = c;
   f->sessions++;
   if (f->sessions > f->relay->options->max_sessions)
--- a/session/link.c
+++ b/session/link.c
@@ -88,8 +88,8 @@
   l->rows = NULL;
   l->row_count = 0;
   l->answer_memory = talloc_new (l);
-  bool is_setup = e.task == LINK_SET || e.task == LINK_PREPARE
-                  || e.task == LINK_RESET;
+  bool is_setup
+      = e.task == LINK_SET || e.task == LINK_PREPARE || e.task == LINK_RESET;
   if (e.task == LINK_START)
     l->started = true;
   if (is_setup && e.outcome != OUTCOME_OK)
@@ -164,8 +164,7 @@
     = { .line = on_line, .closed = on_closed };
 
 struct link *
-link_open (void *parent, const struct link_options *options,
-           struct error *err)
+link_open (void *parent, const struct link_options *options, struct error *err)
 {
   struct link *l = talloc_zero (parent, struct link);
   l->options = *options;
@@ -266,8 +265,8 @@
   l->out
       = wire_add_prepare (l->out, name, request->reads_only, request->shape);
   expect (l, LINK_PREPARE);
-  l->prepared = talloc_realloc (l, l->prepared, char *,
-                                (size_t)l->prepared_count + 1);
+  l->prepared
+      = talloc_realloc (l, l->prepared, char *, (size_t)l->prepared_count + 1);
   l->prepared[l->prepared_count++] = talloc_strdup (l->prepared, name);
 }
 
--- a/session/link.h
+++ b/session/link.h
@@ -13,7 +13,7 @@
 
 enum link_task
 {
-  LINK_START,     /**< The connection is open. */
+  LINK_START, /**< The connection is open. */
   LINK_RESET,
   LINK_SET,
   LINK_PREPARE,
--- a/session/main.c
+++ b/session/main.c
@@ -32,13 +32,12 @@
   char *settings = NULL;
   int only_check = 0;
   int status = STATUS_USAGE;
-  const struct poptOption table[] = {
-    { "settings", '\0', POPT_ARG_STRING, &settings, 0,
-      "Settings file (TOML), required", "FILE" },
-    { "check", '\0', POPT_ARG_NONE, &only_check, 0,
-      "Check the settings and exit", NULL },
-    POPT_AUTOHELP POPT_TABLEEND
-  };
+  const struct poptOption table[]
+      = { { "settings", '\0', POPT_ARG_STRING, &settings, 0,
+            "Settings file (TOML), required", "FILE" },
+          { "check", '\0', POPT_ARG_NONE, &only_check, 0,
+            "Check the settings and exit", NULL },
+          POPT_AUTOHELP POPT_TABLEEND };
   poptContext context
       = poptGetContext ("azurewind-sessiond", argc, argv, table, 0);
   int code = poptGetNextOpt (context);
@@ -48,8 +47,7 @@
              poptBadOption (context, POPT_BADOPTION_NOALIAS),
              poptStrerror (code));
   else if (rest != NULL)
-    fprintf (stderr, "azurewind-sessiond: unexpected argument \"%s\"\n",
-             rest);
+    fprintf (stderr, "azurewind-sessiond: unexpected argument \"%s\"\n", rest);
   else if (settings == NULL)
     fprintf (stderr, "azurewind-sessiond: --settings is missing\n");
   else
--- a/session/message.h
+++ b/session/message.h
@@ -23,7 +23,7 @@
   MESSAGE_ABANDON,   /**< The session of a transaction ended. */
   MESSAGE_FETCH,     /**< Ask for a copy of a collection. */
   MESSAGE_COPY,
-  MESSAGE_PROBE,     /**< Ask whether the receiver reaches an endpoint. */
+  MESSAGE_PROBE, /**< Ask whether the receiver reaches an endpoint. */
   MESSAGE_PROBED,
   MESSAGE_KIND_COUNT
 };
@@ -54,7 +54,7 @@
   struct bstr zone;
   int64_t echo;
   bool leaving;
-  bool ready;            /**< Has what it needs to own a service. */
+  bool ready; /**< Has what it needs to own a service. */
   bool reaches_store;
   uint64_t config_version;
   uint64_t revision[OBJECT_KIND_COUNT];
@@ -136,7 +136,7 @@
     struct message_heartbeat heartbeat;
     struct message_statement statement;
     struct message_result result;
-    uint64_t session; /**< MESSAGE_ABANDON. */
+    uint64_t session;         /**< MESSAGE_ABANDON. */
     struct message_copy copy; /**< MESSAGE_FETCH: kind only. */
     struct message_probe probe;
   };
--- a/session/model.c
+++ b/session/model.c
@@ -4,8 +4,7 @@
 #include <stdlib.h>
 
 /* Not a secret: ids only have to be the same in all daemons. */
-static const unsigned char id_key[crypto_shorthash_KEYBYTES]
-    = "azurewind ids";
+static const unsigned char id_key[crypto_shorthash_KEYBYTES] = "azurewind ids";
 
 static uint64_t
 hash (const void *bytes, size_t len)
--- a/session/model.h
+++ b/session/model.h
@@ -10,9 +10,9 @@
 
 enum route_kind
 {
-  ROUTE_PRIMARY,           /**< Reads see every acknowledged commit. */
-  ROUTE_BOUNDED,           /**< Reads may miss the newest stale_ms. */
-  ROUTE_READ_YOUR_WRITES   /**< As bounded, but for the session's own. */
+  ROUTE_PRIMARY,         /**< Reads see every acknowledged commit. */
+  ROUTE_BOUNDED,         /**< Reads may miss the newest stale_ms. */
+  ROUTE_READ_YOUR_WRITES /**< As bounded, but for the session's own. */
 };
 
 struct route
@@ -20,11 +20,11 @@
   struct bstr host; /**< Database name that callers ask for. */
   struct bstr service;
   enum route_kind kind;
-  int timeout_ms;   /**< Of a statement. */
-  int target_ms;    /**< Latency objective of a whole operation. */
-  int priority;     /**< 0 is the highest. */
+  int timeout_ms; /**< Of a statement. */
+  int target_ms;  /**< Latency objective of a whole operation. */
+  int priority;   /**< 0 is the highest. */
   int stale_ms;
-  bool is_public;   /**< Needs no key. */
+  bool is_public; /**< Needs no key. */
 };
 
 struct service_config
@@ -40,7 +40,7 @@
   uint64_t id;
   struct bstr *keys;
   int key_count;
-  double rate;  /**< Operations per second over all daemons. */
+  double rate; /**< Operations per second over all daemons. */
   double burst;
 };
 
@@ -63,10 +63,10 @@
   struct bstr service;
   struct bstr address; /**< IP:PORT. */
   struct bstr zone;
-  int64_t born_ms;     /**< Start of the process; new at a restart. */
-  int slots;           /**< Statements that run at a time. */
+  int64_t born_ms; /**< Start of the process; new at a restart. */
+  int slots;       /**< Statements that run at a time. */
   bool is_draining;
-  bool is_primary;     /**< As it sees itself. */
+  bool is_primary; /**< As it sees itself. */
 };
 
 /** A daemon of the fleet, as it registered itself. */
--- a/session/options.c
+++ b/session/options.c
@@ -69,8 +69,7 @@
   missing = option_missing (table, options);
   if (missing != NULL)
     {
-      error_set (err, ERROR_INVALID, "%s: %s is missing", path,
-                 missing->name);
+      error_set (err, ERROR_INVALID, "%s: %s is missing", path, missing->name);
       goto fail;
     }
   return options;
--- a/session/options.h
+++ b/session/options.h
@@ -11,8 +11,8 @@
 
 struct relay_options
 {
-  char *name; /**< Of this VM, unique in the fleet. */
-  char *zone; /**< Failure domain. */
+  char *name;           /**< Of this VM, unique in the fleet. */
+  char *zone;           /**< Failure domain. */
   char *listen;         /**< IP:PORT of callers' sessions. */
   char *ready_listen;   /**< IP:PORT of the readiness probe. */
   char *metrics_listen; /**< IP:PORT of metrics and status. */
@@ -20,7 +20,7 @@
   char *store;          /**< IP:PORT of the object store. */
   char *duties;         /**< IP:PORT of the calls of one holder at a time. */
   char *log_level;
-  int grace_ms;         /**< From SIGTERM to the forced end. */
+  int grace_ms; /**< From SIGTERM to the forced end. */
   int max_sessions;
 };
 
--- a/session/owner.c
+++ b/session/owner.c
@@ -250,8 +250,7 @@
 owner_probed (struct owner *o, const struct message *m)
 {
   struct service *s = find_service (o, model_id (m->probe.service));
-  struct endpoint *e
-      = s != NULL ? find_endpoint (s, m->probe.endpoint) : NULL;
+  struct endpoint *e = s != NULL ? find_endpoint (s, m->probe.endpoint) : NULL;
   if (e != NULL && m->probe.reached)
     e->reached_by = m->sender.member;
 }
--- a/session/pool.c
+++ b/session/pool.c
@@ -40,7 +40,8 @@
   talloc_free (p);
 }
 
-static const struct link_ops ops = { .answered = on_answered, .lost = on_lost };
+static const struct link_ops ops
+    = { .answered = on_answered, .lost = on_lost };
 
 struct pooled *
 pool_open (struct endpoint *e, struct bstr organisation)
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -60,8 +60,9 @@
   s->step = step;
   s->step_since = clock_now ();
   s->next_status = 0;
-  log_info (PART, "event=promotion step=%s service=%s target=%s token=%" PRIu64
-                  " since_ms=%" PRId64,
+  log_info (PART,
+            "event=promotion step=%s service=%s target=%s token=%" PRIu64
+            " since_ms=%" PRId64,
             names[step], s->name, s->target_id != NULL ? s->target_id : "none",
             s->token, (s->step_since - s->replace_at) / USEC_PER_MSEC);
 }
@@ -102,8 +103,7 @@
   promotion_cancel (s);
   s->planned = planned;
   s->replace_at = now;
-  service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING,
-                     reason);
+  service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
 }
 
@@ -208,8 +208,9 @@
       s->next_status = s->step_since + FIRST_STATUS_US;
       return;
     }
-  log_warn (PART, "event=order_failed service=%s target=%s code=%s "
-                  "reason=\"%s\"",
+  log_warn (PART,
+            "event=order_failed service=%s target=%s code=%s "
+            "reason=\"%s\"",
             s->name, s->target_id, error_name (err->code), err->text);
   if (err->code == ERROR_CONFLICT && s->target != NULL)
     {
@@ -367,8 +368,9 @@
                && e->status_primary && e->status_term > s->term)
         {
           struct endpoint *old = s->primary;
-          log_info (PART, "event=promoted service=%s endpoint=%s term=%" PRIu64
-                          " took_ms=%" PRId64,
+          log_info (PART,
+                    "event=promoted service=%s endpoint=%s term=%" PRIu64
+                    " took_ms=%" PRId64,
                     s->name, e->id, e->status_term,
                     (now - s->replace_at) / USEC_PER_MSEC);
           if (old != NULL)
--- a/session/relay.c
+++ b/session/relay.c
@@ -185,8 +185,7 @@
     {
       bool ready = is_ready (r);
       http_reply (request, ready ? 200 : 503, "application/json",
-                  bstr_from (ready ? "{\"ready\":true}"
-                                   : "{\"ready\":false}"),
+                  bstr_from (ready ? "{\"ready\":true}" : "{\"ready\":false}"),
                   NULL);
       return;
     }
@@ -212,16 +211,15 @@
   h->base.ops = &probe_ops;
   h->relay = r;
   h->metrics = metrics;
-  return http_server_create (
-             r,
-             &(struct http_server_options){ .ev = r->ev,
-                                            .address = address,
-                                            .handler = &h->base,
-                                            .max_body = HTTP_BODY_BYTES,
-                                            .max_connections
-                                            = HTTP_CONNECTIONS,
-                                            .idle_seconds = HTTP_IDLE_S },
-             err)
+  return http_server_create (r,
+                             &(struct http_server_options){
+                                 .ev = r->ev,
+                                 .address = address,
+                                 .handler = &h->base,
+                                 .max_body = HTTP_BODY_BYTES,
+                                 .max_connections = HTTP_CONNECTIONS,
+                                 .idle_seconds = HTTP_IDLE_S },
+                             err)
          != NULL;
 }
 
@@ -262,6 +260,24 @@
   relay_every (r, r, CLOSE_STEP_US, on_leave_step, r);
 }
 
+/* A daemon that serves nothing sends its idle callers away; they return to
+   one that is ready. */
+static void
+check_quorum (void *data)
+{
+  struct relay *r = data;
+  int64_t now = clock_now ();
+  if (r->leaving_since != 0 || is_ready (r))
+    {
+      r->unready_since = 0;
+      return;
+    }
+  if (r->unready_since == 0)
+    r->unready_since = now;
+  if (now - r->unready_since > BALANCER_US)
+    front_close_idle (r->front, front_sessions (r->front) / 4 + 1);
+}
+
 /* Settings. */
 
 struct settings_watch
@@ -276,8 +292,7 @@
 reload (struct settings_watch *w)
 {
   struct error err = { 0 };
-  struct relay_options *options
-      = relay_options_load (w->relay, w->path, &err);
+  struct relay_options *options = relay_options_load (w->relay, w->path, &err);
   if (options == NULL)
     {
       log_warn (PART, "event=settings_rejected reason=\"%s\"", err.text);
@@ -382,7 +397,9 @@
       goto done;
     }
   watch_settings (r, settings);
-  log_info (PART, "event=started name=%s failure_domain=%s incarnation=%" PRIx64,
+  relay_every (r, r, USEC_PER_SEC, check_quorum, r);
+  log_info (PART,
+            "event=started name=%s failure_domain=%s incarnation=%" PRIx64,
             options->name, options->zone, r->incarnation);
   while (!r->stopped && tevent_loop_once (r->ev) == 0)
     ;
--- a/session/relay.h
+++ b/session/relay.h
@@ -31,7 +31,8 @@
   const struct config *config; /**< NULL until the first one is known. */
   uint64_t self;               /**< Id of this daemon. */
   uint64_t incarnation;
-  int64_t leaving_since;       /**< 0: not leaving. */
+  int64_t leaving_since; /**< 0: not leaving. */
+  int64_t unready_since; /**< 0: ready. */
   bool stopped;
 };
 
--- a/session/service.c
+++ b/session/service.c
@@ -38,8 +38,9 @@
       = { "foreign", "takeover", "serving", "handoff", "replacing" };
   if (s->phase == phase)
     return;
-  log_info (PART, "event=phase service=%s from=%s to=%s term=%" PRIu64
-                  " primary=%s reason=\"%s\"",
+  log_info (PART,
+            "event=phase service=%s from=%s to=%s term=%" PRIu64
+            " primary=%s reason=\"%s\"",
             s->name, names[s->phase], names[phase], s->term,
             s->primary != NULL ? s->primary->id : "none", reason);
   s->phase = phase;
@@ -74,11 +75,10 @@
                  " outcome=%s moved=%d"
                  " waited_us=%" PRId64 " sent=%d attempts=%d retry_ms=%d"
                  " reason=\"%.*s\"",
-                 BSTR_ARG (w->s->id), s->name,
-                 BSTR_ARG (w->s->organisation),
-                 wire_outcome_name (result->outcome), result->moved, now - w->arrived,
-                 w->sent_at != 0, w->attempts, result->retry_ms,
-                 BSTR_ARG (result->text));
+                 BSTR_ARG (w->s->id), s->name, BSTR_ARG (w->s->organisation),
+                 wire_outcome_name (result->outcome), result->moved,
+                 now - w->arrived, w->sent_at != 0, w->attempts,
+                 result->retry_ms, BSTR_ARG (result->text));
   send_result (s, w->message, result);
   if (w->pooled != NULL)
     w->pooled->work = NULL;
@@ -188,9 +188,8 @@
 {
   if (m->kind == ROUTE_PRIMARY || m->stale_ms == 0)
     return s->history.newest;
-  struct position bound
-      = history_at (&s->history, now - m->stale_ms * USEC_PER_MSEC
-                                     + STALE_MARGIN_US);
+  struct position bound = history_at (
+      &s->history, now - m->stale_ms * USEC_PER_MSEC + STALE_MARGIN_US);
   if (m->kind == ROUTE_BOUNDED)
     return bound;
   return position_max (bound, own_position (s, m->own));
@@ -275,15 +274,16 @@
   struct endpoint *e = choose_endpoint (s, w, required, now);
   if (e == NULL)
     return false;
-  struct pooled *p = pool_acquire (e, w->s->organisation, w->s->values,
-                                   w->s->value_count);
+  struct pooled *p
+      = pool_acquire (e, w->s->organisation, w->s->values, w->s->value_count);
   if (p == NULL)
     return false;
   if (w->transaction != NULL)
     p->transaction = w->transaction;
-  run_on (w, p, needs_primary (w) && w->s->verb != VERB_BEGIN
-                    ? (struct position){ 0, 0 }
-                    : required);
+  run_on (w, p,
+          needs_primary (w) && w->s->verb != VERB_BEGIN
+              ? (struct position){ 0, 0 }
+              : required);
   return true;
 }
 
@@ -374,8 +374,9 @@
     e->view.position = position;
   if (e->failed_since != 0)
     {
-      log_info (PART, "event=endpoint_regained service=%s endpoint=%s "
-                      "silent_ms=%" PRId64,
+      log_info (PART,
+                "event=endpoint_regained service=%s endpoint=%s "
+                "silent_ms=%" PRId64,
                 e->service->name, e->id,
                 (e->answered_at - e->failed_since) / USEC_PER_MSEC);
       e->failed_since = 0;
@@ -593,8 +594,9 @@
   else if (loss->outcome == OUTCOME_WRONG_ENDPOINT)
     {
       e->wrong = true;
-      log_warn (PART, "event=wrong_endpoint service=%s endpoint=%s "
-                      "address=%s",
+      log_warn (PART,
+                "event=wrong_endpoint service=%s endpoint=%s "
+                "address=%s",
                 e->service->name, e->id, e->address);
     }
   else if (loss->outcome == OUTCOME_OK)
@@ -606,8 +608,7 @@
       relay_trace (PART,
                    "event=link_lost service=%s endpoint=%s connected=%d "
                    "reason=\"%s\"",
-                   e->service->name, e->id, loss->was_connected,
-                   loss->reason);
+                   e->service->name, e->id, loss->was_connected, loss->reason);
     }
   p->work = NULL;
   p->transaction = NULL;
@@ -650,11 +651,11 @@
     return;
   e->failed_since = now;
   e->next_probe = now;
-  log_warn (PART, "event=endpoint_failed service=%s endpoint=%s primary=%d "
-                  "reason=\"%s\" answered_ms_ago=%" PRId64,
+  log_warn (PART,
+            "event=endpoint_failed service=%s endpoint=%s primary=%d "
+            "reason=\"%s\" answered_ms_ago=%" PRId64,
             e->service->name, e->id, e == e->service->primary, reason,
-            e->answered_at != 0 ? (now - e->answered_at) / USEC_PER_MSEC
-                                : -1);
+            e->answered_at != 0 ? (now - e->answered_at) / USEC_PER_MSEC : -1);
   service_drop_links (e, reason);
 }
 
@@ -884,8 +885,9 @@
   if (e->suspect_since != 0)
     return;
   e->suspect_since = now;
-  log_warn (PART, "event=endpoint_suspect service=%s endpoint=%s primary=%d "
-                  "reason=\"%s\"",
+  log_warn (PART,
+            "event=endpoint_suspect service=%s endpoint=%s primary=%d "
+            "reason=\"%s\"",
             e->service->name, e->id, e == e->service->primary, reason);
 }
 
@@ -965,12 +967,12 @@
   struct endpoint *e = s->primary;
   if (s->phase != SERVICE_SERVING || s->leaving || e == NULL)
     return;
-  if (e->failed_since != 0 && e->reached_by != 0
-      && e->refusals < REFUSALS_MAX
+  if (e->failed_since != 0 && e->reached_by != 0 && e->refusals < REFUSALS_MAX
       && fleet_alive (s->relay->fleet, e->reached_by) != 0)
     {
-      log_warn (PART, "event=handover service=%s endpoint=%s reason=\"only "
-                      "other daemons reach the primary\"",
+      log_warn (PART,
+                "event=handover service=%s endpoint=%s reason=\"only "
+                "other daemons reach the primary\"",
                 s->name, e->id);
       fleet_release (s->relay->fleet, s->id, e->reached_by);
       service_stop (s, "the primary cannot be reached from here");
@@ -1019,8 +1021,8 @@
       if (t->pooled != NULL && t->pooled->work == NULL
           && now - t->last_used > t->idle_ms * USEC_PER_MSEC)
         {
-          relay_trace (PART, "event=transaction_idle service=%s session=%"
-                             PRIu64,
+          relay_trace (PART,
+                       "event=transaction_idle service=%s session=%" PRIu64,
                        s->name, t->session);
           lose_transaction (t);
         }
--- a/session/service.h
+++ b/session/service.h
@@ -16,11 +16,11 @@
 
 enum service_phase
 {
-  SERVICE_FOREIGN,   /**< Another daemon owns it, or none. */
-  SERVICE_TAKEOVER,  /**< Owned; looking for the primary. */
+  SERVICE_FOREIGN,  /**< Another daemon owns it, or none. */
+  SERVICE_TAKEOVER, /**< Owned; looking for the primary. */
   SERVICE_SERVING,
-  SERVICE_HANDOFF,   /**< Planned change: work at the primary drains. */
-  SERVICE_REPLACING  /**< A replica is being promoted. */
+  SERVICE_HANDOFF,  /**< Planned change: work at the primary drains. */
+  SERVICE_REPLACING /**< A replica is being promoted. */
 };
 
 enum promotion_step
@@ -28,7 +28,7 @@
   PROMOTION_SURVEY, /**< Ask the endpoints for their positions. */
   PROMOTION_RECORD, /**< Write the record; its revision is the token. */
   PROMOTION_ORDER,
-  PROMOTION_AWAIT   /**< Until the endpoint says that it leads. */
+  PROMOTION_AWAIT /**< Until the endpoint says that it leads. */
 };
 
 struct endpoint
@@ -42,8 +42,8 @@
   bool listed;           /**< In the newest list. */
   int64_t missing_since; /**< 0: listed. */
   bool draining;
-  bool claims_primary;   /**< By its own entry. */
-  bool wrong;            /**< Another database answers at its address. */
+  bool claims_primary; /**< By its own entry. */
+  bool wrong;          /**< Another database answers at its address. */
   struct replica view;
   struct pooled *links;
   int link_count;
@@ -53,14 +53,14 @@
   int64_t next_probe;
   int64_t next_status;
   int64_t no_connection_until;
-  int refusals;          /**< Connections refused in a row. */
+  int refusals; /**< Connections refused in a row. */
   bool probing;
-  bool asked_others;     /**< Since it became suspect. */
+  bool asked_others; /**< Since it became suspect. */
   /* Of the newest STATUS. */
   int64_t status_at;
   bool status_primary;
   uint64_t status_term;
-  uint64_t reached_by;   /**< A daemon that reaches it while we do not. */
+  uint64_t reached_by; /**< A daemon that reaches it while we do not. */
 };
 
 /** A link and who uses it. */
@@ -71,8 +71,8 @@
   struct link *link;
   struct work *work;
   struct transaction *transaction;
-  bool is_probe;      /**< Opened to see whether the endpoint answers. */
-  bool counts;        /**< In endpoint.view.running. */
+  bool is_probe; /**< Opened to see whether the endpoint answers. */
+  bool counts;   /**< In endpoint.view.running. */
   int64_t opened_at;
   int64_t last_used;
 };
