lease, promotion: announce a change of the primary before it is ordered

Change: heartbeats say whether a change is under way; it is ordered only after a majority has confirmed that, and the next owner then waits for the record. Services are granted at once after a restart of all if all members were heard.

--- a/core/lease.c
+++ b/core/lease.c
@@ -16,6 +16,9 @@
   int64_t heard; /**< Own clock. */
   int64_t echo;  /**< Newest stamp of ours that it has. */
   bool is_member;
+  bool ended; /**< The process is known to have ended; it owns nothing. */
+  struct lease_claim claims[LEASE_MAX_SERVICES];
+  int claim_count;
   struct lease_grant grants[LEASE_MAX_SERVICES];
   int grant_count;
 };
@@ -28,6 +31,8 @@
   uint64_t granted_to; /**< 0: nobody. */
   uint64_t granted_incarnation;
   int64_t granted_until;
+  enum lease_state state; /**< Own, while it is claimed. */
+  bool changing;          /**< The last owner said so. */
 };
 
 struct lease_table
@@ -35,6 +40,7 @@
   struct lease_options options;
   struct peer *peers;
   int peer_count;
+  bool is_member;    /**< This member is one of them. */
   int member_count;  /**< This member included. */
   uint64_t smallest; /**< Id of the member with the casting vote. */
   struct service_lease services[LEASE_MAX_SERVICES];
@@ -81,8 +87,11 @@
     t->peers[i].is_member = false;
   t->member_count = 1;
   t->smallest = t->options.self;
+  t->is_member = false;
   for (int i = 0; i < count && i < LEASE_MAX_MEMBERS; i++)
     {
+      if (members[i] == t->options.self)
+        t->is_member = true;
       if (members[i] < t->smallest)
         t->smallest = members[i];
       if (members[i] == t->options.self)
@@ -113,12 +122,41 @@
   return s;
 }
 
+static bool
+claims (const struct peer *p, uint64_t service)
+{
+  for (int i = 0; i < p->claim_count; i++)
+    if (p->claims[i].service == service)
+      return true;
+  return false;
+}
+
+/* Whoever owns a service claims it in every heartbeat.  If all members were
+   heard since the start and none of the others claims it, it has no owner. */
+static bool
+nobody_else_claims (const struct lease_table *t, uint64_t service,
+                    uint64_t claimant)
+{
+  for (int i = 0; i < t->peer_count; i++)
+    {
+      const struct peer *p = &t->peers[i];
+      if (!p->is_member || p->ended || p->id == claimant)
+        continue;
+      if (p->heard == 0 || claims (p, service))
+        return false;
+    }
+  return true;
+}
+
 /* A member that has just started does not know what it granted before. */
 static bool
-may_grant (const struct lease_table *t, int64_t now)
+may_grant (const struct lease_table *t, uint64_t service, uint64_t claimant,
+           int64_t now)
 {
   int64_t margin = t->options.term_us * CLOCK_MARGIN_PERCENT / 100;
-  return now >= t->options.now + t->options.term_us + margin;
+  return t->is_member
+         && (now >= t->options.now + t->options.term_us + margin
+             || nobody_else_claims (t, service, claimant));
 }
 
 static bool
@@ -127,7 +165,7 @@
 {
   bool is_holder
       = s->granted_to == member && s->granted_incarnation == incarnation;
-  if (!may_grant (t, now))
+  if (!may_grant (t, s->service, member, now))
     return false;
   if (!is_holder && s->granted_to != 0 && now < s->granted_until)
     return false;
@@ -152,17 +190,38 @@
   if (s == NULL)
     return;
   if (wanted && !s->claimed)
-    s->claimed_at = now;
+    {
+      s->claimed_at = now;
+      s->state = LEASE_UNKNOWN;
+    }
   s->claimed = wanted;
   if (!wanted && s->granted_to == t->options.self)
     withdraw_grant (s);
 }
 
+static void
+note_state (struct service_lease *s, enum lease_state state)
+{
+  if (state != LEASE_UNKNOWN)
+    s->changing = state == LEASE_CHANGING;
+}
+
+void
+lease_set_state (struct lease_table *t, uint64_t service,
+                 enum lease_state state)
+{
+  struct service_lease *s = find_service (t, service);
+  if (s == NULL || !s->claimed)
+    return;
+  s->state = state;
+  note_state (s, state);
+}
+
 static bool
 is_claimed_by (const struct lease_heartbeat *h, uint64_t service)
 {
   for (int i = 0; i < h->claim_count; i++)
-    if (h->claims[i] == service)
+    if (h->claims[i].service == service)
       return true;
   return false;
 }
@@ -171,6 +230,12 @@
 lease_ended (struct lease_table *t, uint64_t member, uint64_t incarnation)
 {
   bool changed = false;
+  struct peer *p = add_peer (t, member);
+  if (p->incarnation == incarnation || p->incarnation == 0)
+    {
+      p->ended = true;
+      p->claim_count = 0;
+    }
   for (int i = 0; i < t->service_count; i++)
     if (t->services[i].granted_to == member
         && t->services[i].granted_incarnation == incarnation)
@@ -195,6 +260,10 @@
   p->incarnation = h->incarnation;
   p->stamp = h->stamp;
   p->heard = now;
+  p->ended = false;
+  p->claim_count = h->claim_count < LEASE_MAX_SERVICES ? h->claim_count
+                                                       : LEASE_MAX_SERVICES;
+  memcpy (p->claims, h->claims, sizeof p->claims[0] * (size_t)p->claim_count);
   p->echo = h->echo;
   p->grant_count = h->grant_count < LEASE_MAX_SERVICES ? h->grant_count
                                                        : LEASE_MAX_SERVICES;
@@ -212,9 +281,12 @@
     }
   for (int i = 0; i < h->claim_count; i++)
     {
-      struct service_lease *s = add_service (t, h->claims[i]);
-      if (s != NULL)
-        changed |= try_grant (t, s, h->member, h->incarnation, now);
+      struct service_lease *s = add_service (t, h->claims[i].service);
+      if (s == NULL)
+        continue;
+      changed |= try_grant (t, s, h->member, h->incarnation, now);
+      if (s->granted_to == h->member)
+        note_state (s, h->claims[i].state);
     }
   return changed;
 }
@@ -234,16 +306,16 @@
   return all / 2 + 1;
 }
 
-static bool
-grants_to_self (const struct lease_table *t, const struct peer *p,
-                uint64_t service)
+static const struct lease_grant *
+grant_to_self (const struct lease_table *t, const struct peer *p,
+               uint64_t service)
 {
   for (int i = 0; i < p->grant_count; i++)
     if (p->grants[i].service == service
         && p->grants[i].member == t->options.self
         && p->grants[i].incarnation == t->options.incarnation)
-      return true;
-  return false;
+      return &p->grants[i];
+  return NULL;
 }
 
 /** A grant by another member. */
@@ -261,33 +333,69 @@
   return x < y ? 1 : x > y ? -1 : 0;
 }
 
-int64_t
-lease_valid_until (const struct lease_table *t, uint64_t service)
+/* @return the time of the oldest of the newest grants that make a majority,
+   -1 if there is none. */
+static int64_t
+majority_at (const struct lease_table *t, const struct service_lease *s)
 {
   struct proof proofs[LEASE_MAX_MEMBERS];
   int count = 0;
   int missing = votes_needed (t) - votes_of (t, t->options.self);
-  const struct service_lease *s = find_service (t, service);
-  if (s == NULL || !s->claimed || s->granted_to != t->options.self
+  int64_t at = INT64_MAX;
+  if (!t->is_member || !s->claimed || s->granted_to != t->options.self
       || s->granted_incarnation != t->options.incarnation)
-    return 0;
+    return -1;
   for (int i = 0; i < t->peer_count && count < LEASE_MAX_MEMBERS; i++)
     {
       const struct peer *p = &t->peers[i];
       /* A grant counts only if it answers a heartbeat with this claim. */
       if (p->is_member && p->echo >= s->claimed_at
-          && grants_to_self (t, p, service))
+          && grant_to_self (t, p, s->service) != NULL)
         proofs[count++] = (struct proof){ p->echo, votes_of (t, p->id) };
     }
   qsort (proofs, (size_t)count, sizeof proofs[0], compare_proofs);
-  int64_t until = s->granted_until;
   for (int i = 0; i < count && missing > 0; i++)
     {
       missing -= proofs[i].votes;
-      if (proofs[i].at + t->options.term_us < until)
-        until = proofs[i].at + t->options.term_us;
+      at = proofs[i].at;
+    }
+  return missing <= 0 ? at : -1;
+}
+
+int64_t
+lease_valid_until (const struct lease_table *t, uint64_t service)
+{
+  const struct service_lease *s = find_service (t, service);
+  int64_t at = s != NULL ? majority_at (t, s) : -1;
+  if (at < 0)
+    return 0;
+  if (at > s->granted_until - t->options.term_us)
+    return s->granted_until;
+  return at + t->options.term_us;
+}
+
+bool
+lease_confirmed_since (const struct lease_table *t, uint64_t service,
+                       int64_t since)
+{
+  const struct service_lease *s = find_service (t, service);
+  return s != NULL && majority_at (t, s) >= since;
+}
+
+bool
+lease_is_changing (const struct lease_table *t, uint64_t service)
+{
+  const struct service_lease *s = find_service (t, service);
+  if (s == NULL || s->changing)
+    return s != NULL;
+  for (int i = 0; i < t->peer_count; i++)
+    {
+      const struct lease_grant *grant
+          = grant_to_self (t, &t->peers[i], service);
+      if (t->peers[i].is_member && grant != NULL && grant->changing)
+        return true;
     }
-  return missing <= 0 ? until : 0;
+  return false;
 }
 
 uint64_t
@@ -305,7 +413,7 @@
     if (t->peers[i].is_member && t->peers[i].heard > 0
         && now - t->peers[i].heard <= t->options.term_us)
       votes += votes_of (t, t->peers[i].id);
-  return votes >= votes_needed (t);
+  return t->is_member && votes >= votes_needed (t);
 }
 
 int64_t
@@ -316,12 +424,13 @@
 }
 
 int
-lease_claims (const struct lease_table *t, uint64_t *services)
+lease_claims (const struct lease_table *t, struct lease_claim *out)
 {
   int count = 0;
   for (int i = 0; i < t->service_count; i++)
     if (t->services[i].claimed)
-      services[count++] = t->services[i].service;
+      out[count++] = (struct lease_claim){ t->services[i].service,
+                                           t->services[i].state };
   return count;
 }
 
@@ -339,7 +448,8 @@
         grants[count++]
             = (struct lease_grant){ .service = s->service,
                                     .member = s->granted_to,
-                                    .incarnation = s->granted_incarnation };
+                                    .incarnation = s->granted_incarnation,
+                                    .changing = s->changing };
     }
   return count;
 }
--- a/core/lease.h
+++ b/core/lease.h
@@ -26,12 +26,29 @@
   int64_t now;
 };
 
+/** What an owner says of the service's primary.  A change is made known to a
+ * majority before it is ordered, so that the next owner hears of it. */
+enum lease_state
+{
+  LEASE_UNKNOWN,  /**< The owner does not know it yet. */
+  LEASE_SETTLED,  /**< No change of the primary is under way. */
+  LEASE_CHANGING, /**< A change may have been ordered. */
+  LEASE_STATE_COUNT
+};
+
+struct lease_claim
+{
+  uint64_t service;
+  enum lease_state state;
+};
+
 /** A grant: @p member may own @p service. */
 struct lease_grant
 {
   uint64_t service;
   uint64_t member;
   uint64_t incarnation;
+  bool changing; /**< The last owner said LEASE_CHANGING. */
 };
 
 /** What a heartbeat of another member says. */
@@ -39,9 +56,10 @@
 {
   uint64_t member;
   uint64_t incarnation;
-  int64_t stamp;          /**< Sender's clock when it was sent. */
-  int64_t echo;           /**< Newest stamp of ours that the sender has. */
-  const uint64_t *claims; /**< Services that the sender owns or wants. */
+  int64_t stamp; /**< Sender's clock when it was sent. */
+  int64_t echo;  /**< Newest stamp of ours that the sender has. */
+  const struct lease_claim
+      *claims; /**< Services that the sender owns or wants. */
   int claim_count;
   const struct lease_grant *grants;
   int grant_count;
@@ -49,12 +67,22 @@
 
 struct lease_table *lease_create (void *parent,
                                   const struct lease_options *options);
-/** The members whose majority decides; this member is added if missing. */
+/** The members whose majority decides.  A process that is not among them
+ * grants and owns nothing. */
 void lease_set_members (struct lease_table *t, const uint64_t *members,
                         int count);
 /** Ask for a service, or give it up. */
 void lease_claim (struct lease_table *t, uint64_t service, bool wanted,
                   int64_t now);
+/** What the own heartbeats say of a service that is claimed. */
+void lease_set_state (struct lease_table *t, uint64_t service,
+                      enum lease_state state);
+/** @return whether a majority has granted the service anew since it had the
+ * state that was set before @p since. */
+bool lease_confirmed_since (const struct lease_table *t, uint64_t service,
+                            int64_t since);
+/** @return whether an earlier owner may have ordered a change. */
+bool lease_is_changing (const struct lease_table *t, uint64_t service);
 /** @return whether the heartbeat changed a grant. */
 bool lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
                   int64_t now);
@@ -75,7 +103,7 @@
 int64_t lease_last_heard (const struct lease_table *t, uint64_t member);
 
 /* What this member's own heartbeat has to say. */
-int lease_claims (const struct lease_table *t, uint64_t *services);
+int lease_claims (const struct lease_table *t, struct lease_claim *claims);
 int lease_grants (struct lease_table *t, struct lease_grant *grants,
                   int64_t now);
 int64_t lease_echo (const struct lease_table *t, uint64_t member);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -65,7 +65,6 @@
   uint64_t incarnation;
   int64_t heard;       /**< 0: never. */
   int64_t clock_delta; /**< Smallest own clock less stamp seen. */
-  uint64_t claims[LEASE_MAX_SERVICES];
   int claim_count;
   bool reaches_store;
   bool ended;           /**< Its process is known to have ended. */
@@ -386,7 +385,6 @@
   p->leaving = h->leaving;
   p->ready = h->ready;
   p->claim_count = h->claim_count;
-  memcpy (p->claims, h->claims, sizeof p->claims[0] * (size_t)h->claim_count);
   if (!was_alive || is_new)
     log_info (PART, "event=daemon_heard name=%s restarted=%d", p->name,
               is_new);
@@ -507,7 +505,7 @@
 static int
 list_candidates (const struct fleet *f, struct candidate *out, int64_t now)
 {
-  uint64_t own[LEASE_MAX_SERVICES];
+  struct lease_claim own[LEASE_MAX_SERVICES];
   int count = 0;
   if (is_ready (f) && lease_in_quorum (f->leases, now))
     out[count++] = (struct candidate){ f->relay->self, f->relay->options->zone,
@@ -825,6 +823,25 @@
   return lease_valid_until (f->leases, service);
 }
 
+void
+fleet_set_state (struct fleet *f, uint64_t service, enum lease_state state)
+{
+  lease_set_state (f->leases, service, state);
+  heartbeat_soon (f);
+}
+
+bool
+fleet_confirmed_since (const struct fleet *f, uint64_t service, int64_t since)
+{
+  return lease_confirmed_since (f->leases, service, since);
+}
+
+bool
+fleet_is_changing (const struct fleet *f, uint64_t service)
+{
+  return lease_is_changing (f->leases, service);
+}
+
 bool
 fleet_in_quorum (const struct fleet *f)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -22,6 +22,14 @@
 uint64_t fleet_alive (const struct fleet *f, uint64_t member);
 /** @return until when this daemon owns @p service, 0: it does not. */
 int64_t fleet_owns_until (const struct fleet *f, uint64_t service);
+/** Tell the others whether a change of the primary is under way. */
+void fleet_set_state (struct fleet *f, uint64_t service,
+                      enum lease_state state);
+/** @return whether a majority has confirmed the ownership after @p since. */
+bool fleet_confirmed_since (const struct fleet *f, uint64_t service,
+                            int64_t since);
+/** @return whether an earlier owner may have ordered a change. */
+bool fleet_is_changing (const struct fleet *f, uint64_t service);
 /** @return whether this daemon hears a majority of the members. */
 bool fleet_in_quorum (const struct fleet *f);
 /** Give a service up. @param successor 0: whoever ranks first. */
--- a/session/message.c
+++ b/session/message.c
@@ -52,15 +52,19 @@
       pack_uint (p, h->revision[i]);
       pack_uint (p, h->digest[i]);
     }
-  pack_array (p, (unsigned)h->claim_count);
+  pack_array (p, (unsigned)h->claim_count * 2);
   for (int i = 0; i < h->claim_count; i++)
-    pack_uint (p, h->claims[i]);
-  pack_array (p, (unsigned)h->grant_count * 3);
+    {
+      pack_uint (p, h->claims[i].service);
+      pack_uint (p, h->claims[i].state);
+    }
+  pack_array (p, (unsigned)h->grant_count * 4);
   for (int i = 0; i < h->grant_count; i++)
     {
       pack_uint (p, h->grants[i].service);
       pack_uint (p, h->grants[i].member);
       pack_uint (p, h->grants[i].incarnation);
+      pack_bool (p, h->grants[i].changing);
     }
   pack_array (p, (unsigned)h->successor_count * 2);
   for (int i = 0; i < h->successor_count; i++)
@@ -93,15 +97,21 @@
       h->revision[i] = unpack_uint (u);
       h->digest[i] = unpack_uint (u);
     }
-  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES);
+  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
   for (int i = 0; i < h->claim_count; i++)
-    h->claims[i] = unpack_uint (u);
-  h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
+    {
+      h->claims[i].service = unpack_uint (u);
+      uint64_t state = unpack_uint (u);
+      u->failed |= state >= LEASE_STATE_COUNT;
+      h->claims[i].state = (enum lease_state)state;
+    }
+  h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 4) / 4;
   for (int i = 0; i < h->grant_count; i++)
     {
       h->grants[i].service = unpack_uint (u);
       h->grants[i].member = unpack_uint (u);
       h->grants[i].incarnation = unpack_uint (u);
+      h->grants[i].changing = unpack_bool (u);
     }
   h->successor_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
   for (int i = 0; i < h->successor_count; i++)
--- a/session/message.h
+++ b/session/message.h
@@ -59,7 +59,7 @@
   uint64_t config_version;
   uint64_t revision[OBJECT_KIND_COUNT];
   uint64_t digest[OBJECT_KIND_COUNT];
-  uint64_t claims[LEASE_MAX_SERVICES];
+  struct lease_claim claims[LEASE_MAX_SERVICES];
   int claim_count;
   struct lease_grant grants[LEASE_MAX_SERVICES];
   int grant_count;
--- a/session/owner.c
+++ b/session/owner.c
@@ -139,6 +139,7 @@
       bool owned = fleet_owns_until (o->relay->fleet, s->id) > now;
       if (owned && s->phase == SERVICE_FOREIGN)
         {
+          s->record_read = false;
           service_set_phase (s, SERVICE_TAKEOVER, "a majority granted it");
           update_endpoints (s);
           promotion_resume (s);
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -16,6 +16,9 @@
 #define RETRY_US (120 * USEC_PER_MSEC)
 /* An order that has shown no effect is repeated after this. */
 #define AWAIT_US (2500 * USEC_PER_MSEC)
+/* A new owner waits this long for the record of a promotion, or until it is
+   read if an earlier owner has announced one. */
+#define RECORD_WAIT_US (300 * USEC_PER_MSEC)
 /* A takeover without a primary that answers leads to a promotion. */
 #define NO_PRIMARY_US (700 * USEC_PER_MSEC)
 /* Transactions at a primary that is to leave have this long to end. */
@@ -162,14 +165,20 @@
 on_found (void *data, const struct error *err, const json_t *body)
 {
   struct service *s = end_call (data);
-  if (s == NULL || err->code == ERROR_NOT_FOUND)
+  if (s == NULL)
     return;
-  if (err->code != ERROR_NONE)
+  if (err->code != ERROR_NONE && err->code != ERROR_NOT_FOUND)
     {
       log_warn (PART, "event=record_unread service=%s code=%s reason=\"%s\"",
                 s->name, error_name (err->code), err->text);
       return;
     }
+  s->record_read = true;
+  if (err->code == ERROR_NOT_FOUND)
+    {
+      promotion_tick (s, clock_now ());
+      return;
+    }
   char *id = objects_decode_promotion (s, body);
   struct endpoint *e = id != NULL ? find_endpoint (s, id) : NULL;
   if (e == NULL || e == s->primary)
@@ -346,6 +355,15 @@
         best = e;
     }
   bool waited = now - s->phase_since > SURVEY_US;
+  /* An order of an earlier owner may still take effect. */
+  if (!s->record_read
+      && (now - s->phase_since < RECORD_WAIT_US
+          || fleet_is_changing (s->relay->fleet, s->id)))
+    {
+      if (!s->call_open)
+        promotion_resume (s);
+      return;
+    }
   if (best != NULL && best->status_term >= newest && (all_answered || waited))
     service_serve (s, best, best->status_term, best->view.position);
   else if (now - s->phase_since > NO_PRIMARY_US && s->endpoints != NULL)
@@ -411,7 +429,8 @@
         write_record (s, 0);
       break;
     case PROMOTION_ORDER:
-      if (!s->call_open && now >= s->next_status && service_is_owned (s))
+      if (!s->call_open && now >= s->next_status && service_is_owned (s)
+          && fleet_confirmed_since (s->relay->fleet, s->id, s->replace_at))
         order (s);
       break;
     default:
--- a/session/service.c
+++ b/session/service.c
@@ -45,6 +45,10 @@
             s->primary != NULL ? s->primary->id : "none", reason);
   s->phase = phase;
   s->phase_since = clock_now ();
+  if (phase == SERVICE_SERVING)
+    fleet_set_state (s->relay->fleet, s->id, LEASE_SETTLED);
+  else if (phase == SERVICE_HANDOFF || phase == SERVICE_REPLACING)
+    fleet_set_state (s->relay->fleet, s->id, LEASE_CHANGING);
 }
 
 /* Results. */
--- a/session/service.h
+++ b/session/service.h
@@ -137,6 +137,7 @@
   int64_t next_status;
   bool call_open;
   bool planned;
+  bool record_read;   /**< Since the takeover. */
   int64_t replace_at; /**< When the promotion was decided. */
   uint64_t calls;     /**< Numbers calls, so that late answers are ignored. */
 };
