--- a/session/front.c
+++ b/session/callers.c
@@ -1,4 +1,4 @@
-#include "session/front.h"
+#include "session/callers.h"
 
 #include "common/log.h"
 #include "core/session.h"
@@ -31,7 +31,7 @@
 {
   struct forward *next;
   struct caller *caller;
-  struct message message;
+  struct packet message;
   struct statement statement; /**< As the caller sent it. */
   uint64_t member;            /**< 0: waits for an owner. */
   uint64_t incarnation;
@@ -47,7 +47,7 @@
 
 struct caller
 {
-  struct front *front;
+  struct callers *front;
   struct stream *stream;
   uint64_t number;
   uint64_t sequence;
@@ -67,7 +67,7 @@
   char *begin_text;
 };
 
-struct front
+struct callers
 {
   struct relay *relay;
   struct stream_server *server;
@@ -80,7 +80,7 @@
 static void take_line (struct caller *c, struct bstr line);
 
 static struct caller *
-find_caller (const struct front *f, uint64_t number)
+find_caller (const struct callers *f, uint64_t number)
 {
   uint64_t slot = number & SLOT_MASK;
   struct caller *c = slot < f->slot_count ? f->slots[slot] : NULL;
@@ -135,7 +135,7 @@
 }
 
 static void
-answer_result (struct caller *c, const struct message_result *r)
+answer_result (struct caller *c, const struct packet_result *r)
 {
   char *out = talloc_strdup (c, "");
   for (int i = 0; i < r->row_count; i++)
@@ -168,7 +168,7 @@
 static void
 take_queued_lines (struct caller *c)
 {
-  struct front *f = c->front;
+  struct callers *f = c->front;
   uint64_t number = c->number;
   while (c->lines != NULL && !is_waiting (c))
     {
@@ -248,7 +248,7 @@
 static void
 lose_forward (struct forward *w, const char *reason, bool may_resend)
 {
-  const struct message_statement *s = &w->message.statement;
+  const struct packet_statement *s = &w->message.statement;
   bool is_read = s->is_read && !s->in_transaction;
   if (may_resend && (is_read || (w->is_begin && w->next == NULL)))
     w->member = 0;
@@ -280,7 +280,7 @@
 }
 
 void
-front_owners_changed (struct front *f)
+callers_owners_changed (struct callers *f)
 {
   int64_t now = clock_now ();
   for (unsigned i = 0; i < f->slot_count; i++)
@@ -308,8 +308,8 @@
   w->arrived = clock_now ();
   w->is_begin = step->action == SESSION_OPEN;
   w->statement = *statement;
-  w->message.kind = MESSAGE_STATEMENT;
-  w->message.statement = (struct message_statement){
+  w->message.kind = PACKET_STATEMENT;
+  w->message.statement = (struct packet_statement){
     .session = c->number,
     .service = c->route.service,
     .organisation = c->organisation,
@@ -330,7 +330,7 @@
     .arguments = { "", 0 },
     .own = c->session->own,
   };
-  struct message_statement *s = &w->message.statement;
+  struct packet_statement *s = &w->message.statement;
   if (step->prepared != NULL)
     {
       s->shape = bstr_copy (w, step->prepared->shape);
@@ -401,11 +401,11 @@
 static void
 end_caller (struct caller *c)
 {
-  struct front *f = c->front;
+  struct callers *f = c->front;
   if (c->session != NULL && c->session->state == SESSION_IN_TRANSACTION
       && c->transaction_member != 0)
     {
-      struct message m = { .kind = MESSAGE_ABANDON, .session = c->number };
+      struct packet m = { .kind = PACKET_ABANDON, .session = c->number };
       fleet_send (f->relay->fleet, c->transaction_member, &m);
     }
   f->slots[c->number & SLOT_MASK] = NULL;
@@ -558,7 +558,7 @@
     = { .line = on_line, .closed = on_closed };
 
 static unsigned
-free_slot (struct front *f)
+free_slot (struct callers *f)
 {
   for (unsigned i = 0; i < f->slot_count; i++)
     if (f->slots[i] == NULL)
@@ -578,7 +578,7 @@
 static void
 on_accepted (void *data, int fd)
 {
-  struct front *f = data;
+  struct callers *f = data;
   unsigned slot = free_slot (f);
   struct caller *c = talloc_zero (f, struct caller);
   c->front = f;
@@ -620,9 +620,9 @@
 }
 
 void
-front_result (struct front *f, const struct message *m)
+callers_result (struct callers *f, const struct packet *m)
 {
-  const struct message_result *r = &m->result;
+  const struct packet_result *r = &m->result;
   struct caller *c = find_caller (f, r->session);
   struct forward *w = c != NULL ? find_forward (c, r->sequence) : NULL;
   if (w == NULL || w->member != m->sender.member
@@ -658,13 +658,13 @@
 static void
 on_tick (void *data)
 {
-  front_owners_changed (data);
+  callers_owners_changed (data);
 }
 
-struct front *
-front_create (struct relay *r, struct error *err)
+struct callers *
+callers_create (struct relay *r, struct error *err)
 {
-  struct front *f = talloc_zero (r, struct front);
+  struct callers *f = talloc_zero (r, struct callers);
   f->relay = r;
   f->server = stream_server_create (
       f,
@@ -683,7 +683,7 @@
 }
 
 int
-front_sessions (const struct front *f)
+callers_count (const struct callers *f)
 {
   return f->sessions;
 }
@@ -696,7 +696,7 @@
 }
 
 int
-front_busy (const struct front *f)
+callers_busy (const struct callers *f)
 {
   int count = 0;
   for (unsigned i = 0; i < f->slot_count; i++)
@@ -705,7 +705,7 @@
 }
 
 void
-front_close_idle (struct front *f, int most)
+callers_close_idle (struct callers *f, int most)
 {
   for (unsigned i = 0; i < f->slot_count && most > 0; i++)
     if (f->slots[i] != NULL && is_idle (f->slots[i]))
--- a/session/front.h
+++ b/session/callers.h
@@ -2,22 +2,22 @@
  * Callers' sessions: answers what needs no endpoint and sends the rest to
  * the owner of the service.
  */
-#ifndef SESSION_FRONT_H
-#define SESSION_FRONT_H
+#ifndef SESSION_CALLERS_H
+#define SESSION_CALLERS_H
 
 #include "session/relay.h"
 
-struct front;
+struct callers;
 
-struct front *front_create (struct relay *r, struct error *err);
+struct callers *callers_create (struct relay *r, struct error *err);
 /** The owner's result of a statement. */
-void front_result (struct front *f, const struct message *m);
+void callers_result (struct callers *f, const struct packet *m);
 /** Owners may have changed: send what waits for one. */
-void front_owners_changed (struct front *f);
-int front_sessions (const struct front *f);
+void callers_owners_changed (struct callers *f);
+int callers_count (const struct callers *f);
 /** @return sessions with a statement or transaction that is not finished. */
-int front_busy (const struct front *f);
+int callers_busy (const struct callers *f);
 /** Close up to @p most idle sessions, those without a transaction. */
-void front_close_idle (struct front *f, int most);
+void callers_close_idle (struct callers *f, int most);
 
 #endif
--- a/session/directory.c
+++ b/session/directory.c
@@ -437,7 +437,7 @@
 
 static bool
 is_newer (const struct directory *d, enum object_kind kind,
-          const struct message_heartbeat *h)
+          const struct packet_heartbeat *h)
 {
   const struct collection *c = &d->collections[kind];
   if (kind == OBJECT_CONFIG)
@@ -448,7 +448,7 @@
 
 void
 directory_compare (struct directory *d, uint64_t member,
-                   const struct message_heartbeat *h)
+                   const struct packet_heartbeat *h)
 {
   int64_t now = clock_now ();
   for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
@@ -461,7 +461,7 @@
       if (now - c->behind_since < FETCH_AFTER_US && c->known)
         continue;
       c->behind_since = now;
-      struct message m = { .kind = MESSAGE_FETCH };
+      struct packet m = { .kind = PACKET_FETCH };
       m.copy.kind = (enum object_kind)kind;
       fleet_send (d->relay->fleet, member, &m);
     }
@@ -474,7 +474,7 @@
   const struct collection *c = &d->collections[kind];
   if (!c->known)
     return;
-  struct message m = { .kind = MESSAGE_COPY };
+  struct packet m = { .kind = PACKET_COPY };
   m.copy.kind = kind;
   m.copy.revision = c->revision;
   m.copy.items = json_text_take (d, json_incref (c->items), JSON_COMPACT);
@@ -483,7 +483,7 @@
 }
 
 void
-directory_adopt (struct directory *d, const struct message_copy *copy)
+directory_adopt (struct directory *d, const struct packet_copy *copy)
 {
   struct collection *c = &d->collections[copy->kind];
   if (copy->revision <= c->revision && c->known)
--- a/session/directory.h
+++ b/session/directory.h
@@ -26,11 +26,11 @@
 
 /** A heartbeat of another daemon: ask it for a copy of what is newer. */
 void directory_compare (struct directory *d, uint64_t member,
-                        const struct message_heartbeat *h);
+                        const struct packet_heartbeat *h);
 /** Answer a request for a copy. */
 void directory_send_copy (struct directory *d, uint64_t member,
                           enum object_kind kind);
-void directory_adopt (struct directory *d, const struct message_copy *copy);
+void directory_adopt (struct directory *d, const struct packet_copy *copy);
 
 /** Remove a member that has been silent for long. */
 void directory_remove_member (struct directory *d, struct bstr name);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -4,8 +4,8 @@
 #include "core/lease.h"
 #include "net/bus.h"
 #include "net/stream.h"
+#include "session/callers.h"
 #include "session/directory.h"
-#include "session/front.h"
 #include "session/owner.h"
 
 #include <inttypes.h>
@@ -201,20 +201,20 @@
 }
 
 static bool
-send_to (struct fleet *f, struct peer *p, struct message *message)
+send_to (struct fleet *f, struct peer *p, struct packet *message)
 {
-  message->sender = (struct message_sender){
+  message->sender = (struct packet_sender){
     .member = f->relay->self,
     .incarnation = f->relay->incarnation,
     .receiver_incarnation
-    = message->kind == MESSAGE_HEARTBEAT ? 0 : p->incarnation,
+    = message->kind == PACKET_HEARTBEAT ? 0 : p->incarnation,
     .stamp = clock_now (),
   };
   if (p->address == NULL)
     return false;
-  if (message->kind == MESSAGE_HEARTBEAT)
+  if (message->kind == PACKET_HEARTBEAT)
     {
-      struct bstr bytes = message_encode (f, message);
+      struct bstr bytes = packet_encode (f, message);
       bool sent = bus_send (f->bus, p->address, bytes);
       talloc_free ((char *)bytes.start);
       return sent;
@@ -222,7 +222,7 @@
   message->sender.number = ++p->next_number;
   struct unconfirmed *u = talloc_zero (p, struct unconfirmed);
   u->stamp = message->sender.stamp;
-  u->bytes = message_encode (u, message);
+  u->bytes = packet_encode (u, message);
   *p->unconfirmed_end = u;
   p->unconfirmed_end = &u->next;
   bus_send (f->bus, p->address, u->bytes);
@@ -271,19 +271,19 @@
 }
 
 bool
-fleet_send (struct fleet *f, uint64_t member, struct message *message)
+fleet_send (struct fleet *f, uint64_t member, struct packet *message)
 {
   if (member == f->relay->self)
     {
       struct local_delivery *local = talloc_zero (f, struct local_delivery);
       struct tevent_immediate *im = tevent_create_immediate (local);
-      message->sender = (struct message_sender){
+      message->sender = (struct packet_sender){
         .member = member,
         .incarnation = f->relay->incarnation,
         .stamp = clock_now (),
       };
       local->fleet = f;
-      local->bytes = message_encode (local, message);
+      local->bytes = packet_encode (local, message);
       tevent_schedule_immediate (im, f->relay->ev, deliver_local, local);
       return true;
     }
@@ -292,7 +292,7 @@
 }
 
 void
-fleet_broadcast (struct fleet *f, struct message *message)
+fleet_broadcast (struct fleet *f, struct packet *message)
 {
   int64_t now = clock_now ();
   for (struct peer *p = f->peers; p != NULL; p = p->next)
@@ -312,13 +312,13 @@
 {
   struct relay *r = f->relay;
   int64_t now = clock_now ();
-  struct message *m = talloc_zero (f, struct message);
-  struct message_heartbeat *h = &m->heartbeat;
+  struct packet *m = talloc_zero (f, struct packet);
+  struct packet_heartbeat *h = &m->heartbeat;
   if (now - f->last_heartbeat > CONFIRM_US)
     f->previous_heartbeat = f->last_heartbeat;
   f->last_heartbeat = now;
   f->urgent = false;
-  m->kind = MESSAGE_HEARTBEAT;
+  m->kind = PACKET_HEARTBEAT;
   h->name = bstr_from (r->options->name);
   h->address = bstr_from (r->options->bus);
   h->zone = bstr_from (r->options->zone);
@@ -338,11 +338,11 @@
   for (int i = 0; i < f->tenure_count; i++)
     if (now < f->tenures[i].release_until)
       h->successors[h->successor_count++]
-          = (struct message_successor){ f->tenures[i].service,
-                                        f->tenures[i].release_to };
+          = (struct packet_successor){ f->tenures[i].service,
+                                       f->tenures[i].release_to };
   if (h->claim_count > 0)
     h->demand_count
-        = limits_report (r->limits, h->demand, MESSAGE_MAX_DEMAND, now);
+        = limits_report (r->limits, h->demand, PACKET_MAX_DEMAND, now);
   limits_share (r->limits, h->claim_count > 0, LEASE_US, now);
   for (struct peer *p = f->peers; p != NULL; p = p->next)
     {
@@ -355,9 +355,9 @@
 }
 
 static void
-on_heartbeat (struct fleet *f, const struct message *m)
+on_heartbeat (struct fleet *f, const struct packet *m)
 {
-  const struct message_heartbeat *h = &m->heartbeat;
+  const struct packet_heartbeat *h = &m->heartbeat;
   int64_t now = clock_now ();
   struct peer *p = add_peer (f, m->sender.member);
   bool was_alive = is_alive (p, now);
@@ -412,13 +412,13 @@
     heartbeat_soon (f);
   directory_compare (f->relay->directory, p->id, h);
   owner_check (f->relay->owner);
-  front_owners_changed (f->relay->front);
+  callers_owners_changed (f->relay->callers);
 }
 
 /* The clocks of two daemons are not comparable; the fastest heartbeat shows
    how far they are apart. */
 static bool
-is_too_old (const struct fleet *f, const struct message *m)
+is_too_old (const struct fleet *f, const struct packet *m)
 {
   const struct peer *p = find_peer (f, m->sender.member);
   if (p == NULL || p->heard == 0 || p->incarnation != m->sender.incarnation)
@@ -427,7 +427,7 @@
 }
 
 static bool
-is_repeated (struct fleet *f, const struct message *m)
+is_repeated (struct fleet *f, const struct packet *m)
 {
   struct peer *p = find_peer (f, m->sender.member);
   if (m->sender.number == 0 || p == NULL
@@ -443,8 +443,8 @@
 received (void *data, struct bstr bytes)
 {
   struct fleet *f = data;
-  struct message *m = talloc_zero (f, struct message);
-  if (!message_decode (m, bytes, m))
+  struct packet *m = talloc_zero (f, struct packet);
+  if (!packet_decode (m, bytes, m))
     {
       log_warn (PART, "event=message_rejected bytes=%zu", bytes.len);
       goto done;
@@ -456,11 +456,11 @@
     goto done;
   switch (m->kind)
     {
-    case MESSAGE_HEARTBEAT:
+    case PACKET_HEARTBEAT:
       if (m->sender.member != f->relay->self)
         on_heartbeat (f, m);
       break;
-    case MESSAGE_STATEMENT:
+    case PACKET_STATEMENT:
       if (is_too_old (f, m))
         log_warn (PART, "event=statement_dropped id=%.*s reason=too_old",
                   BSTR_ARG (m->statement.id));
@@ -470,20 +470,20 @@
           m = NULL;
         }
       break;
-    case MESSAGE_RESULT:
-      front_result (f->relay->front, m);
+    case PACKET_RESULT:
+      callers_result (f->relay->callers, m);
       break;
-    case MESSAGE_ABANDON:
+    case PACKET_ABANDON:
       owner_abandon (f->relay->owner, m);
       break;
-    case MESSAGE_FETCH:
+    case PACKET_FETCH:
       directory_send_copy (f->relay->directory, m->sender.member,
                            m->copy.kind);
       break;
-    case MESSAGE_COPY:
+    case PACKET_COPY:
       directory_adopt (f->relay->directory, &m->copy);
       break;
-    case MESSAGE_PROBE:
+    case PACKET_PROBE:
       owner_probe (f->relay->owner, m);
       break;
     default:
@@ -669,7 +669,7 @@
             p->name);
   if (lease_ended (f->leases, p->id, p->incarnation))
     heartbeat_soon (f);
-  front_owners_changed (f->relay->front);
+  callers_owners_changed (f->relay->callers);
 }
 
 static void
@@ -759,7 +759,7 @@
   f->bus = bus_create (f,
                        &(struct bus_options){ .ev = r->ev,
                                               .address = r->options->bus,
-                                              .max_message = MESSAGE_MAX_BYTES,
+                                              .max_message = PACKET_MAX_BYTES,
                                               .received = received,
                                               .data = f },
                        err);
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -12,7 +12,7 @@
 /** Fill in the sender and send.  To this daemon itself it is delivered from
  * the loop.
  * @return false if it was dropped. */
-bool fleet_send (struct fleet *f, uint64_t member, struct message *message);
+bool fleet_send (struct fleet *f, uint64_t member, struct packet *message);
 void fleet_members_changed (struct fleet *f);
 
 /** @return the daemon that owns @p service as far as known, 0 if none. */
@@ -35,7 +35,7 @@
 /** Give a service up. @param successor 0: whoever ranks first. */
 void fleet_release (struct fleet *f, uint64_t service, uint64_t successor);
 /** Send to all daemons that are heard, this one excluded. */
-void fleet_broadcast (struct fleet *f, struct message *message);
+void fleet_broadcast (struct fleet *f, struct packet *message);
 /** @return how many daemons that reach the store come before this one. */
 int fleet_store_rank (const struct fleet *f);
 /** @return messages and bytes so far. */
--- a/session/owner.c
+++ b/session/owner.c
@@ -151,7 +151,7 @@
 }
 
 void
-owner_statement (struct owner *o, struct message *m)
+owner_statement (struct owner *o, struct packet *m)
 {
   struct service *s = find_service (o, model_id (m->statement.service));
   if (s != NULL)
@@ -159,7 +159,7 @@
       service_statement (s, m);
       return;
     }
-  struct message r = { .kind = MESSAGE_RESULT };
+  struct packet r = { .kind = PACKET_RESULT };
   r.result.session = m->statement.session;
   r.result.sequence = m->statement.sequence;
   r.result.moved = true;
@@ -168,7 +168,7 @@
 }
 
 void
-owner_abandon (struct owner *o, const struct message *m)
+owner_abandon (struct owner *o, const struct packet *m)
 {
   for (struct service *s = o->services; s != NULL; s = s->next)
     service_abandon (s, m);
@@ -181,7 +181,7 @@
   struct relay *relay;
   struct link *link;
   uint64_t member;
-  struct message_probe probe;
+  struct packet_probe probe;
 };
 
 static void
@@ -189,7 +189,7 @@
 {
   (void)link, (void)answer;
   struct question *q = data;
-  struct message m = { .kind = MESSAGE_PROBED, .probe = q->probe };
+  struct packet m = { .kind = PACKET_PROBED, .probe = q->probe };
   m.probe.reached = true;
   fleet_send (q->relay->fleet, q->member, &m);
   link_close (q->link);
@@ -217,7 +217,7 @@
 }
 
 void
-owner_probe (struct owner *o, const struct message *m)
+owner_probe (struct owner *o, const struct packet *m)
 {
   struct question *q = talloc_zero (o, struct question);
   struct error err = { 0 };
@@ -248,7 +248,7 @@
 }
 
 void
-owner_probed (struct owner *o, const struct message *m)
+owner_probed (struct owner *o, const struct packet *m)
 {
   struct service *s = find_service (o, model_id (m->probe.service));
   struct endpoint *e = s != NULL ? find_endpoint (s, m->probe.endpoint) : NULL;
--- a/session/owner.h
+++ b/session/owner.h
@@ -14,12 +14,12 @@
 void owner_check (struct owner *o);
 void owner_endpoints_changed (struct owner *o);
 /** Run a statement of a caller; takes over @p m. */
-void owner_statement (struct owner *o, struct message *m);
+void owner_statement (struct owner *o, struct packet *m);
 /** A session with an open transaction ended. */
-void owner_abandon (struct owner *o, const struct message *m);
+void owner_abandon (struct owner *o, const struct packet *m);
 /** Another daemon asks whether this one reaches an endpoint. */
-void owner_probe (struct owner *o, const struct message *m);
-void owner_probed (struct owner *o, const struct message *m);
+void owner_probe (struct owner *o, const struct packet *m);
+void owner_probed (struct owner *o, const struct packet *m);
 /** Give all services up; open transactions go on. */
 void owner_leave (struct owner *o);
 /** @return the failure domain of the service's primary, NULL if unknown. */
--- a/session/message.c
+++ b/session/packet.c
@@ -1,12 +1,12 @@
-#include "session/message.h"
+#include "session/packet.h"
 
 #include "proto/pack.h"
 
 /* Other versions are dropped. */
-#define MESSAGE_VERSION 1
+#define PACKET_VERSION 1
 
-/* Bits of message_statement and message_result flags. */
-enum message_flag
+/* Bits of packet_statement and packet_result flags. */
+enum packet_flag
 {
   FLAG_IS_READ = 1,
   FLAG_IN_TRANSACTION = 2,
@@ -36,7 +36,7 @@
 }
 
 static void
-pack_heartbeat (struct pack *p, const struct message_heartbeat *h)
+pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
   pack_array (p, 8 + 2 * OBJECT_KIND_COUNT + 4);
   pack_bstr (p, h->name);
@@ -81,7 +81,7 @@
 }
 
 static void
-unpack_heartbeat (void *parent, struct unpack *u, struct message_heartbeat *h)
+unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
   unpack_array (u, 8 + 2 * OBJECT_KIND_COUNT + 4);
   h->name = unpack_copy (parent, u);
@@ -119,7 +119,7 @@
       h->successors[i].service = unpack_uint (u);
       h->successors[i].member = unpack_uint (u);
     }
-  h->demand_count = (int)unpack_array_any (u, MESSAGE_MAX_DEMAND * 2) / 2;
+  h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 2) / 2;
   for (int i = 0; i < h->demand_count; i++)
     {
       h->demand[i].organisation = unpack_uint (u);
@@ -128,7 +128,7 @@
 }
 
 static void
-pack_statement (struct pack *p, const struct message_statement *s)
+pack_statement (struct pack *p, const struct packet_statement *s)
 {
   unsigned flags = (s->is_read ? FLAG_IS_READ : 0)
                    | (s->in_transaction ? FLAG_IN_TRANSACTION : 0)
@@ -161,7 +161,7 @@
 }
 
 static bool
-unpack_statement (void *parent, struct unpack *u, struct message_statement *s)
+unpack_statement (void *parent, struct unpack *u, struct packet_statement *s)
 {
   unpack_array (u, 20);
   s->session = unpack_uint (u);
@@ -199,7 +199,7 @@
 }
 
 static void
-pack_result (struct pack *p, const struct message_result *r)
+pack_result (struct pack *p, const struct packet_result *r)
 {
   pack_array (p, 11);
   pack_uint (p, r->session);
@@ -217,7 +217,7 @@
 }
 
 static bool
-unpack_result (void *parent, struct unpack *u, struct message_result *r)
+unpack_result (void *parent, struct unpack *u, struct packet_result *r)
 {
   unpack_array (u, 11);
   r->session = unpack_uint (u);
@@ -229,7 +229,7 @@
   r->signature = unpack_copy (parent, u);
   r->position = unpack_position (u);
   r->transaction_lost = unpack_bool (u);
-  r->row_count = (int)unpack_array_any (u, MESSAGE_MAX_ROWS);
+  r->row_count = (int)unpack_array_any (u, PACKET_MAX_ROWS);
   r->rows = talloc_array (parent, struct bstr, (size_t)r->row_count + 1);
   for (int i = 0; i < r->row_count; i++)
     r->rows[i] = unpack_copy (parent, u);
@@ -238,7 +238,7 @@
 }
 
 static void
-pack_probe (struct pack *p, const struct message_probe *probe)
+pack_probe (struct pack *p, const struct packet_probe *probe)
 {
   pack_array (p, 5);
   pack_bstr (p, probe->service);
@@ -249,7 +249,7 @@
 }
 
 static void
-unpack_probe (void *parent, struct unpack *u, struct message_probe *probe)
+unpack_probe (void *parent, struct unpack *u, struct packet_probe *probe)
 {
   unpack_array (u, 5);
   probe->service = unpack_copy (parent, u);
@@ -260,12 +260,12 @@
 }
 
 struct bstr
-message_encode (void *parent, const struct message *message)
+packet_encode (void *parent, const struct packet *message)
 {
   struct pack p;
   pack_begin (&p);
   pack_array (&p, 8);
-  pack_uint (&p, MESSAGE_VERSION);
+  pack_uint (&p, PACKET_VERSION);
   pack_uint (&p, message->kind);
   pack_uint (&p, message->sender.member);
   pack_uint (&p, message->sender.incarnation);
@@ -274,22 +274,22 @@
   pack_uint (&p, message->sender.number);
   switch (message->kind)
     {
-    case MESSAGE_HEARTBEAT:
+    case PACKET_HEARTBEAT:
       pack_heartbeat (&p, &message->heartbeat);
       break;
-    case MESSAGE_STATEMENT:
+    case PACKET_STATEMENT:
       pack_statement (&p, &message->statement);
       break;
-    case MESSAGE_RESULT:
+    case PACKET_RESULT:
       pack_result (&p, &message->result);
       break;
-    case MESSAGE_ABANDON:
+    case PACKET_ABANDON:
       pack_uint (&p, message->session);
       break;
-    case MESSAGE_FETCH:
+    case PACKET_FETCH:
       pack_uint (&p, message->copy.kind);
       break;
-    case MESSAGE_COPY:
+    case PACKET_COPY:
       pack_array (&p, 3);
       pack_uint (&p, message->copy.kind);
       pack_uint (&p, message->copy.revision);
@@ -305,26 +305,26 @@
 }
 
 static bool
-unpack_body (void *parent, struct unpack *u, struct message *message)
+unpack_body (void *parent, struct unpack *u, struct packet *message)
 {
   uint64_t kind;
   switch (message->kind)
     {
-    case MESSAGE_HEARTBEAT:
+    case PACKET_HEARTBEAT:
       unpack_heartbeat (parent, u, &message->heartbeat);
       return true;
-    case MESSAGE_STATEMENT:
+    case PACKET_STATEMENT:
       return unpack_statement (parent, u, &message->statement);
-    case MESSAGE_RESULT:
+    case PACKET_RESULT:
       return unpack_result (parent, u, &message->result);
-    case MESSAGE_ABANDON:
+    case PACKET_ABANDON:
       message->session = unpack_uint (u);
       return true;
-    case MESSAGE_FETCH:
+    case PACKET_FETCH:
       kind = unpack_uint (u);
       message->copy.kind = (enum object_kind)kind;
       return kind < OBJECT_KIND_COUNT;
-    case MESSAGE_COPY:
+    case PACKET_COPY:
       unpack_array (u, 3);
       kind = unpack_uint (u);
       message->copy.kind = (enum object_kind)kind;
@@ -338,7 +338,7 @@
 }
 
 bool
-message_decode (void *parent, struct bstr bytes, struct message *message)
+packet_decode (void *parent, struct bstr bytes, struct packet *message)
 {
   struct unpack u;
   bool ok = false;
@@ -347,9 +347,9 @@
   unpack_array (&u, 8);
   uint64_t version = unpack_uint (&u);
   uint64_t kind = unpack_uint (&u);
-  if (u.failed || version != MESSAGE_VERSION || kind >= MESSAGE_KIND_COUNT)
+  if (u.failed || version != PACKET_VERSION || kind >= PACKET_KIND_COUNT)
     goto done;
-  message->kind = (enum message_kind)kind;
+  message->kind = (enum packet_kind)kind;
   message->sender.member = unpack_uint (&u);
   message->sender.incarnation = unpack_uint (&u);
   message->sender.receiver_incarnation = unpack_uint (&u);
--- a/session/message.h
+++ b/session/packet.h
@@ -2,8 +2,8 @@
  * Messages between session daemons: heartbeats, statements on their way to
  * the owner of a service, results, and copies of the directory.
  */
-#ifndef SESSION_MESSAGE_H
-#define SESSION_MESSAGE_H
+#ifndef SESSION_PACKET_H
+#define SESSION_PACKET_H
 
 #include "core/lease.h"
 #include "core/limits.h"
@@ -11,25 +11,25 @@
 #include "platform/objects.h"
 #include "session/model.h"
 
-#define MESSAGE_MAX_BYTES ((size_t)4 << 20)
-#define MESSAGE_MAX_DEMAND 256
-#define MESSAGE_MAX_ROWS 4096
+#define PACKET_MAX_BYTES ((size_t)4 << 20)
+#define PACKET_MAX_DEMAND 256
+#define PACKET_MAX_ROWS 4096
 
-enum message_kind
+enum packet_kind
 {
-  MESSAGE_HEARTBEAT,
-  MESSAGE_STATEMENT, /**< Entry daemon to owner. */
-  MESSAGE_RESULT,    /**< Owner to entry daemon. */
-  MESSAGE_ABANDON,   /**< The session of a transaction ended. */
-  MESSAGE_FETCH,     /**< Ask for a copy of a collection. */
-  MESSAGE_COPY,
-  MESSAGE_PROBE, /**< Ask whether the receiver reaches an endpoint. */
-  MESSAGE_PROBED,
-  MESSAGE_KIND_COUNT
+  PACKET_HEARTBEAT,
+  PACKET_STATEMENT, /**< Entry daemon to owner. */
+  PACKET_RESULT,    /**< Owner to entry daemon. */
+  PACKET_ABANDON,   /**< The session of a transaction ended. */
+  PACKET_FETCH,     /**< Ask for a copy of a collection. */
+  PACKET_COPY,
+  PACKET_PROBE, /**< Ask whether the receiver reaches an endpoint. */
+  PACKET_PROBED,
+  PACKET_KIND_COUNT
 };
 
 /** Sender of every message. */
-struct message_sender
+struct packet_sender
 {
   uint64_t member;
   uint64_t incarnation;
@@ -41,13 +41,13 @@
 };
 
 /** Who is to own a service that the sender gives up. */
-struct message_successor
+struct packet_successor
 {
   uint64_t service;
   uint64_t member; /**< 0: whoever ranks first. */
 };
 
-struct message_heartbeat
+struct packet_heartbeat
 {
   struct bstr name;
   struct bstr address;
@@ -63,14 +63,14 @@
   int claim_count;
   struct lease_grant grants[LEASE_MAX_SERVICES];
   int grant_count;
-  struct message_successor successors[LEASE_MAX_SERVICES];
+  struct packet_successor successors[LEASE_MAX_SERVICES];
   int successor_count;
-  struct limits_demand demand[MESSAGE_MAX_DEMAND];
+  struct limits_demand demand[PACKET_MAX_DEMAND];
   int demand_count;
 };
 
 /** One statement of a caller on its way to the owner. */
-struct message_statement
+struct packet_statement
 {
   uint64_t session;  /**< Unique at the entry daemon. */
   uint64_t sequence; /**< Of the statement in the session. */
@@ -96,7 +96,7 @@
   int value_count;
 };
 
-struct message_result
+struct packet_result
 {
   uint64_t session;
   uint64_t sequence;
@@ -111,41 +111,41 @@
   bool transaction_lost;
 };
 
-struct message_copy
+struct packet_copy
 {
   enum object_kind kind;
   uint64_t revision;
   struct bstr items; /**< JSON. */
 };
 
-struct message_probe
+struct packet_probe
 {
   struct bstr service;
   struct bstr endpoint;
   struct bstr address;
   struct bstr organisation;
-  bool reached; /**< MESSAGE_PROBED only. */
+  bool reached; /**< PACKET_PROBED only. */
 };
 
-struct message
+struct packet
 {
-  enum message_kind kind;
-  struct message_sender sender;
+  enum packet_kind kind;
+  struct packet_sender sender;
   union
   {
-    struct message_heartbeat heartbeat;
-    struct message_statement statement;
-    struct message_result result;
-    uint64_t session;         /**< MESSAGE_ABANDON. */
-    struct message_copy copy; /**< MESSAGE_FETCH: kind only. */
-    struct message_probe probe;
+    struct packet_heartbeat heartbeat;
+    struct packet_statement statement;
+    struct packet_result result;
+    uint64_t session;        /**< PACKET_ABANDON. */
+    struct packet_copy copy; /**< PACKET_FETCH: kind only. */
+    struct packet_probe probe;
   };
 };
 
 /** @return bytes owned by @p parent. */
-struct bstr message_encode (void *parent, const struct message *message);
+struct bstr packet_encode (void *parent, const struct packet *message);
 /** Strings and arrays are owned by @p parent.
  * @return false if the bytes are no message of this version. */
-bool message_decode (void *parent, struct bstr bytes, struct message *message);
+bool packet_decode (void *parent, struct bstr bytes, struct packet *message);
 
 #endif
--- a/session/relay.c
+++ b/session/relay.c
@@ -7,9 +7,9 @@
 #include "common/log.h"
 #include "net/http.h"
 #include "platform/store.h"
+#include "session/callers.h"
 #include "session/directory.h"
 #include "session/fleet.h"
-#include "session/front.h"
 #include "session/owner.h"
 #include "session/run.h"
 
@@ -170,7 +170,7 @@
   *stats_counter (r->stats, "azurewind_bus_bytes_total", "")
       = fleet_bytes (r->fleet);
   *stats_counter (r->stats, "azurewind_sessions", "")
-      = (uint64_t)front_sessions (r->front);
+      = (uint64_t)callers_count (r->callers);
   *stats_counter (r->stats, "azurewind_memory_bytes", "")
       = mallinfo2 ().uordblks;
   return stats_render (r->stats, parent);
@@ -232,14 +232,14 @@
   int64_t elapsed = clock_now () - r->leaving_since;
   int64_t grace = r->options->grace_ms * USEC_PER_MSEC;
   int64_t closing = grace / 2 - BALANCER_US;
-  int sessions = front_sessions (r->front);
+  int sessions = callers_count (r->callers);
   if (elapsed > BALANCER_US && sessions > 0)
     {
       int64_t left = BALANCER_US + closing - elapsed;
       int64_t steps = left > CLOSE_STEP_US ? left / CLOSE_STEP_US : 1;
-      front_close_idle (r->front, (int)(sessions / steps) + 1);
+      callers_close_idle (r->callers, (int)(sessions / steps) + 1);
     }
-  if ((elapsed > BALANCER_US && front_sessions (r->front) == 0
+  if ((elapsed > BALANCER_US && callers_count (r->callers) == 0
        && owner_pending (r->owner) == 0)
       || elapsed > grace - END_MARGIN_US)
     r->stopped = true;
@@ -254,7 +254,7 @@
   if (r->leaving_since != 0)
     return;
   log_info (PART, "event=leaving signal=%d sessions=%d busy=%d", signum,
-            front_sessions (r->front), front_busy (r->front));
+            callers_count (r->callers), callers_busy (r->callers));
   r->leaving_since = clock_now ();
   owner_leave (r->owner);
   relay_every (r, r, CLOSE_STEP_US, on_leave_step, r);
@@ -275,7 +275,7 @@
   if (r->unready_since == 0)
     r->unready_since = now;
   if (now - r->unready_since > BALANCER_US)
-    front_close_idle (r->front, front_sessions (r->front) / 4 + 1);
+    callers_close_idle (r->callers, callers_count (r->callers) / 4 + 1);
 }
 
 /* Settings. */
@@ -359,8 +359,8 @@
     return error_wrap (err, ERROR_UNAVAILABLE, "platform");
   r->owner = owner_create (r);
   r->directory = directory_create (r);
-  r->front = front_create (r, err);
-  if (r->front == NULL)
+  r->callers = callers_create (r, err);
+  if (r->callers == NULL)
     return error_wrap (err, ERROR_UNAVAILABLE, "callers' port");
   r->fleet = fleet_create (r, err);
   if (r->fleet == NULL)
@@ -403,7 +403,7 @@
             options->name, options->zone, r->incarnation);
   while (!r->stopped && tevent_loop_once (r->ev) == 0)
     ;
-  log_info (PART, "event=stopped sessions=%d", front_sessions (r->front));
+  log_info (PART, "event=stopped sessions=%d", callers_count (r->callers));
   status = EXIT_SUCCESS;
 done:
   talloc_free (r);
--- a/session/relay.h
+++ b/session/relay.h
@@ -1,7 +1,7 @@
 /** @file
  * The session daemon: its parts and what they share.
  *
- * A statement goes front -> fleet -> owner -> link -> endpoint, and its
+ * A statement goes callers -> fleet -> owner -> link -> endpoint, and its
  * result the same way back.  Any daemon takes callers; each service has one
  * owner among the daemons, and only the owner talks to its endpoints.
  */
@@ -11,9 +11,9 @@
 #include "common/clock.h"
 #include "common/stats.h"
 #include "core/limits.h"
-#include "session/message.h"
 #include "session/model.h"
 #include "session/options.h"
+#include "session/packet.h"
 
 #include <tevent.h>
 
@@ -26,7 +26,7 @@
   struct directory *directory;
   struct fleet *fleet;
   struct owner *owner;
-  struct front *front;
+  struct callers *callers;
   struct limits *limits;
   const struct config *config; /**< NULL until the first one is known. */
   uint64_t self;               /**< Id of this daemon. */
--- a/session/service.c
+++ b/session/service.c
@@ -54,10 +54,10 @@
 /* Results. */
 
 static void
-send_result (struct service *s, const struct message *to,
-             struct message_result *result)
+send_result (struct service *s, const struct packet *to,
+             struct packet_result *result)
 {
-  struct message m = { .kind = MESSAGE_RESULT };
+  struct packet m = { .kind = PACKET_RESULT };
   result->session = to->statement.session;
   result->sequence = to->statement.sequence;
   if (result->text.start == NULL)
@@ -69,7 +69,7 @@
 }
 
 static void
-end_work (struct work *w, struct message_result *result)
+end_work (struct work *w, struct packet_result *result)
 {
   struct service *s = w->service;
   int64_t now = clock_now ();
@@ -92,16 +92,16 @@
 static void
 refuse (struct work *w, enum outcome outcome, const char *reason, int retry_ms)
 {
-  struct message_result r = { .outcome = outcome,
-                              .text = bstr_from (reason),
-                              .retry_ms = retry_ms };
+  struct packet_result r = { .outcome = outcome,
+                             .text = bstr_from (reason),
+                             .retry_ms = retry_ms };
   end_work (w, &r);
 }
 
 /* Transactions. */
 
 struct transaction *
-service_find_transaction (struct service *s, const struct message *m,
+service_find_transaction (struct service *s, const struct packet *m,
                           uint64_t session)
 {
   struct transaction *t = s->transactions;
@@ -160,7 +160,7 @@
 }
 
 static void
-take_values (struct transaction *t, const struct message_statement *s)
+take_values (struct transaction *t, const struct packet_statement *s)
 {
   if (!s->has_values)
     return;
@@ -187,7 +187,7 @@
 }
 
 static struct position
-required_position (const struct service *s, const struct message_statement *m,
+required_position (const struct service *s, const struct packet_statement *m,
                    int64_t now)
 {
   if (m->kind == ROUTE_PRIMARY || m->stale_ms == 0)
@@ -202,7 +202,7 @@
 static void
 run_on (struct work *w, struct pooled *p, struct position after)
 {
-  const struct message_statement *m = w->s;
+  const struct packet_statement *m = w->s;
   struct transaction *t = w->transaction;
   struct link_request request = {
     .verb = m->verb,
@@ -400,7 +400,7 @@
 give_result (struct work *w, const struct link_answer *answer)
 {
   struct service *s = w->service;
-  struct message_result r = {
+  struct packet_result r = {
     .outcome = answer->outcome,
     .text = answer->text,
     .rows = answer->rows,
@@ -753,7 +753,7 @@
 }
 
 void
-service_statement (struct service *s, struct message *m)
+service_statement (struct service *s, struct packet *m)
 {
   struct work *w = talloc_zero (s, struct work);
   w->service = s;
@@ -774,7 +774,7 @@
     lose_transaction (t);
   if (s->phase == SERVICE_FOREIGN || s->leaving || !service_is_owned (s))
     {
-      struct message_result r = { .moved = true };
+      struct packet_result r = { .moved = true };
       end_work (w, &r);
       return;
     }
@@ -787,7 +787,7 @@
 }
 
 void
-service_abandon (struct service *s, const struct message *m)
+service_abandon (struct service *s, const struct packet *m)
 {
   struct transaction *t = service_find_transaction (s, m, m->session);
   if (t == NULL)
@@ -899,7 +899,7 @@
 ask_others (struct endpoint *e)
 {
   const struct config *config = e->service->relay->config;
-  struct message m = { .kind = MESSAGE_PROBE };
+  struct packet m = { .kind = PACKET_PROBE };
   if (config == NULL || config->organisation_count == 0)
     return;
   m.probe.service = bstr_from (e->service->name);
@@ -1054,7 +1054,7 @@
 move_work (struct work *w)
 {
   struct transaction *t = w->transaction;
-  struct message_result moved = { .moved = true };
+  struct packet_result moved = { .moved = true };
   w->pooled = NULL;
   end_work (w, &moved);
   if (t != NULL)
--- a/session/service.h
+++ b/session/service.h
@@ -81,8 +81,8 @@
 {
   struct work *next;
   struct service *service;
-  struct message *message;
-  struct message_statement *s;
+  struct packet *message;
+  struct packet_statement *s;
   int64_t arrived;
   int64_t sent_at; /**< To an endpoint; 0: not sent. */
   int attempts;
@@ -144,10 +144,10 @@
 
 /* service.c */
 struct transaction *service_find_transaction (struct service *s,
-                                              const struct message *m,
+                                              const struct packet *m,
                                               uint64_t session);
-void service_statement (struct service *s, struct message *m);
-void service_abandon (struct service *s, const struct message *m);
+void service_statement (struct service *s, struct packet *m);
+void service_abandon (struct service *s, const struct packet *m);
 /** Find what has waited too long. */
 void service_tick (struct service *s, int64_t now);
 /** Ownership is gone: end what runs, as truly as it is known. */
