--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 # A program is a folder of sources (daemon, cli) or a set of files that
 # share a prefix (standins, tools).
 PROGRAMS = $(BUILD)/azurewindd $(BUILD)/azurewind $(BUILD)/azurewind-sessiond \
-  $(BUILD)/standin-platform $(BUILD)/standin-postgres \
+  $(BUILD)/standin-platform $(BUILD)/standin-postgres $(BUILD)/standin-site \
   $(BUILD)/azurewind-load $(BUILD)/azurewind-idle \
   $(BUILD)/azurewind-fault $(BUILD)/azurewind-core-slopes
 TEST_SRC = $(wildcard tests/*.c)
@@ -73,6 +73,9 @@
 $(BUILD)/standin-postgres: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/postgres*.c standins/standin.c)) $(LIB)
 	$(link)
 
+$(BUILD)/standin-site: $(patsubst %.c,$(BUILD)/%.o,$(wildcard standins/site*.c standins/standin.c)) $(LIB)
+	$(link)
+
 $(BUILD)/azurewind-load: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tools/load*.c)) $(LIB)
 	$(link)
 
--- a/net/stream.c
+++ b/net/stream.c
@@ -347,3 +347,12 @@
                                  TEVENT_FD_READ, on_accept, server);
   return server;
 }
+
+int
+stream_server_port (const struct stream_server *server)
+{
+  struct sockaddr_in at = { 0 };
+  socklen_t len = sizeof at;
+  getsockname (server->fd, (struct sockaddr *)&at, &len);
+  return ntohs (at.sin_port);
+}
--- a/net/stream.h
+++ b/net/stream.h
@@ -63,6 +63,7 @@
 stream_server_create (void *parent,
                       const struct stream_server_options *options,
                       struct error *err);
+int stream_server_port (const struct stream_server *server);
 /** Take over an accepted descriptor. */
 struct stream *stream_adopt (void *parent, int fd,
                              const struct stream_options *options);
--- a/session/service.c
+++ b/session/service.c
@@ -671,7 +671,6 @@
   if (term != s->term || s->history.newest.term == 0)
     {
       s->branch = position;
-      s->branch.term = term;
       history_restart (&s->history, s->branch, now);
     }
   s->term = term;
--- /dev/null
+++ b/standins/site_database.c
@@ -0,0 +1,771 @@
+#include "standins/site.h"
+
+#include "common/log.h"
+#include "net/stream.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define PART "database"
+#define MAX_DATABASES 24
+#define MAX_WORDS 8
+#define DATABASE_DEAD_MS 3000
+/* Time until a primary that was replaced follows the new one. */
+#define FOLLOW_MS 1000
+
+/** One write that was committed. */
+struct commit
+{
+  uint64_t term;
+  uint64_t number;
+  char *id; /**< Of the statement. */
+  char *item;
+};
+
+struct database
+{
+  struct site_databases *group;
+  char *service;
+  char *id;
+  int port;
+  bool is_primary;
+  bool dead;   /**< Nobody listens. */
+  bool silent; /**< Takes everything and answers nothing. */
+  bool deaf;   /**< Receives no commits. */
+  bool draining;
+  bool lose_next; /**< Run the next write and lose its answer. */
+  uint64_t term;
+  int64_t born_ms;
+  struct stream_server *server;
+  struct commit *log;
+  int log_count;
+  struct session *sessions;
+  int connections;
+};
+
+struct site_databases
+{
+  struct site_databases_options options;
+  struct database *databases[MAX_DATABASES];
+  int count;
+  uint64_t newest_token;
+  json_t *runs; /**< Every statement of a caller that ran. */
+  json_t *violations;
+};
+
+struct value
+{
+  struct value *next;
+  char *name;
+  char *text;
+  bool writes; /**< Of a prepared statement. */
+};
+
+/** A connection of a daemon. */
+struct session
+{
+  struct session *next;
+  struct database *database;
+  struct stream *stream;
+  bool started;
+  char state; /**< 'I', 'T' or 'E'. */
+  bool reads_only;
+  char *organisation;
+  struct value *values;
+  struct value *prepared;
+  struct commit *pending; /**< Writes of the open transaction. */
+  int pending_count;
+  char **lines; /**< Wait for the statement that runs. */
+  int line_count;
+  bool busy;
+  char *answer; /**< Of the statement that runs. */
+};
+
+static uint64_t
+last_term (const struct database *d)
+{
+  return d->log_count > 0 ? d->log[d->log_count - 1].term : 1;
+}
+
+static uint64_t
+last_number (const struct database *d)
+{
+  return d->log_count > 0 ? d->log[d->log_count - 1].number : 0;
+}
+
+static void
+publish (struct database *d)
+{
+  char address[32];
+  snprintf (address, sizeof address, "127.0.0.1:%d", d->port);
+  site_store_write (
+      d->group->options.store, "servers", d->id,
+      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:s, s:i, s:I}",
+                 "service", d->service, "address", address, "zone", "zone-a",
+                 "config-version", "v1", "slots", 3, "state",
+                 d->draining ? "draining" : "ready", "cold-left-ms", 0,
+                 "db-role", d->is_primary ? "primary" : "replica", "sequence",
+                 1, "born", (json_int_t)d->born_ms));
+}
+
+static void
+violation (struct site_databases *g, const char *text, const char *id)
+{
+  json_array_append_new (g->violations,
+                         json_pack ("{s:s, s:s}", "rule", text, "id", id));
+  log_warn (PART, "event=violation rule=\"%s\" id=%s", text, id);
+}
+
+/* Replication. */
+
+struct delivery
+{
+  struct database *replica;
+  struct commit *log;
+  int count;
+  uint64_t term;
+};
+
+static void
+on_delivery (struct tevent_context *ev, struct tevent_timer *timer,
+             struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct delivery *m = data;
+  struct database *d = m->replica;
+  if (!d->dead && !d->deaf && !d->is_primary && m->term >= d->term)
+    {
+      talloc_free (d->log);
+      d->log = talloc_steal (d, m->log);
+      d->log_count = m->count;
+      d->term = m->term;
+    }
+  talloc_free (m);
+}
+
+static void
+replicate (struct database *primary)
+{
+  struct site_databases *g = primary->group;
+  for (int i = 0; i < g->count; i++)
+    {
+      struct database *d = g->databases[i];
+      if (d == primary || strcmp (d->service, primary->service) != 0)
+        continue;
+      struct delivery *m = talloc_zero (g, struct delivery);
+      m->replica = d;
+      m->count = primary->log_count;
+      m->term = primary->term;
+      m->log = talloc_memdup (m, primary->log,
+                              sizeof m->log[0] * (size_t)m->count + 1);
+      uint32_t us = (uint32_t)g->options.lag_ms * 1000;
+      tevent_add_timer (
+          g->options.ev, m,
+          tevent_timeval_current_ofs (us / 1000000, us % 1000000), on_delivery,
+          m);
+    }
+}
+
+static void
+append (struct database *d, const struct commit *writes, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      d->log = talloc_realloc (d, d->log, struct commit, d->log_count + 2);
+      d->log[d->log_count] = (struct commit){
+        .term = d->term,
+        .number = last_number (d) + 1,
+        .id = talloc_strdup (d->group, writes[i].id),
+        .item = talloc_strdup (d->group, writes[i].item),
+      };
+      for (int k = 0; k < d->log_count; k++)
+        if (strcmp (d->log[k].id, writes[i].id) == 0)
+          violation (d->group, "a write took effect twice", writes[i].id);
+      d->log_count++;
+    }
+  if (count > 0)
+    replicate (d);
+}
+
+/* Statements. */
+
+static struct value *
+find_value (struct value *list, const char *name)
+{
+  while (list != NULL && strcmp (list->name, name) != 0)
+    list = list->next;
+  return list;
+}
+
+static void
+put_value (struct session *s, struct value **list, const char *name,
+           const char *text, bool writes)
+{
+  struct value *v = find_value (*list, name);
+  if (v == NULL)
+    {
+      v = talloc_zero (s, struct value);
+      v->name = talloc_strdup (v, name);
+      v->next = *list;
+      *list = v;
+    }
+  v->text = talloc_strdup (v, text);
+  v->writes = writes;
+}
+
+static json_t *
+values_json (struct session *s)
+{
+  json_t *values = json_object ();
+  for (struct value *v = s->values; v != NULL; v = v->next)
+    json_object_set_new (values, v->name, json_string (v->text));
+  return values;
+}
+
+static void
+note_run (struct session *s, const char *id, const char *what)
+{
+  struct database *d = s->database;
+  json_array_append_new (
+      d->group->runs,
+      json_pack ("{s:s, s:s, s:s, s:s, s:I, s:o, s:b}", "id", id, "database",
+                 d->id, "organisation", s->organisation, "what", what, "term",
+                 (json_int_t)d->term, "values", values_json (s),
+                 "in_transaction", s->state == 'T'));
+}
+
+static void
+add_ready (struct session *s)
+{
+  const struct database *d = s->database;
+  s->answer = talloc_asprintf_append (
+      s->answer, "READY %c %" PRIu64 ".%" PRIu64 "\r\n", s->state,
+      last_term (d), last_number (d));
+}
+
+static void
+add_error (struct session *s, const char *code)
+{
+  s->answer = talloc_asprintf_append (s->answer, "ERROR %s %s\r\n", code,
+                                      s->database->id);
+  if (s->state == 'T')
+    s->state = 'E';
+  add_ready (s);
+}
+
+static void
+add_done (struct session *s, const char *row, const char *signature)
+{
+  if (row != NULL)
+    s->answer = talloc_asprintf_append (s->answer, "ROW %s\r\n", row);
+  s->answer = talloc_asprintf_append (s->answer, "COMPLETE %s\r\n", signature);
+  add_ready (s);
+}
+
+static void
+end_transaction (struct session *s, bool commit)
+{
+  if (commit)
+    append (s->database, s->pending, s->pending_count);
+  s->state = 'I';
+  s->pending_count = 0;
+}
+
+static void
+run_write (struct session *s, const char *id, const char *item,
+           const char *what)
+{
+  struct database *d = s->database;
+  struct commit write = { .id = (char *)id, .item = (char *)item };
+  if (!d->is_primary || (s->state == 'T' && s->reads_only))
+    {
+      add_error (s, "READONLY");
+      return;
+    }
+  note_run (s, id, what);
+  if (s->state == 'T')
+    {
+      s->pending = talloc_realloc (s, s->pending, struct commit,
+                                   s->pending_count + 1);
+      write.id = talloc_strdup (s, id);
+      write.item = talloc_strdup (s, item);
+      s->pending[s->pending_count++] = write;
+    }
+  else
+    append (d, &write, 1);
+  add_done (s, NULL, id);
+}
+
+static void
+run_read (struct session *s, const char *id, const char *item,
+          const char *what)
+{
+  const struct database *d = s->database;
+  const char *row = "none";
+  note_run (s, id, what);
+  for (int i = d->log_count - 1; i >= 0; i--)
+    if (strcmp (d->log[i].item, item) == 0)
+      {
+        row = d->log[i].id;
+        break;
+      }
+  add_done (s, row, id);
+}
+
+static void
+run_begin (struct session *s, bool reads_only)
+{
+  if (s->state != 'I')
+    add_error (s, "MALFORMED");
+  else if (!reads_only && !s->database->is_primary)
+    add_error (s, "READONLY");
+  else
+    {
+      s->state = 'T';
+      s->reads_only = reads_only;
+      add_done (s, NULL, "-");
+    }
+}
+
+static void
+run_execute (struct session *s, const char *id, char *const *words)
+{
+  struct value *p = find_value (s->prepared, words[0]);
+  if (p == NULL)
+    add_error (s, "NOSTMT");
+  else if (p->writes)
+    run_write (s, id, words[1], p->text);
+  else
+    run_read (s, id, words[1], p->text);
+}
+
+static void
+run_status (struct session *s)
+{
+  const struct database *d = s->database;
+  char row[160];
+  snprintf (row, sizeof row, "%s %" PRIu64 " %" PRIu64 ".%" PRIu64 " 0 0 0 %d",
+            d->is_primary ? "primary" : "replica", d->term, last_term (d),
+            last_number (d), d->connections);
+  add_done (s, row, "-");
+}
+
+static bool
+lacks (const struct database *d, const char *position)
+{
+  uint64_t term = 0, number = 0;
+  sscanf (position, "%" SCNu64 ".%" SCNu64, &term, &number);
+  return last_term (d) < term
+         || (last_term (d) == term && last_number (d) < number);
+}
+
+static void
+run_query (struct session *s, char **words, int count)
+{
+  const char *id = words[1];
+  char **w = words + 2;
+  if (count > 4 && strcmp (w[0], "AFTER") == 0)
+    {
+      if (lacks (s->database, w[1]))
+        {
+          add_error (s, "LAGGING");
+          return;
+        }
+      w += 2;
+    }
+  if (s->state == 'E' && strcmp (w[0], "ROLLBACK") != 0
+      && strcmp (w[0], "COMMIT") != 0)
+    add_error (s, "MALFORMED");
+  else if (strcmp (w[0], "BEGIN") == 0)
+    run_begin (s, w[1] != NULL);
+  else if (strcmp (w[0], "COMMIT") == 0)
+    {
+      if (s->pending_count > 0 && !s->database->is_primary)
+        {
+          end_transaction (s, false);
+          add_error (s, "READONLY");
+          return;
+        }
+      note_run (s, id, "COMMIT");
+      end_transaction (s, s->state == 'T');
+      add_done (s, NULL, id);
+    }
+  else if (strcmp (w[0], "ROLLBACK") == 0)
+    {
+      end_transaction (s, false);
+      add_done (s, NULL, "-");
+    }
+  else if (strcmp (w[0], "RESET") == 0)
+    {
+      s->values = s->prepared = NULL;
+      add_done (s, NULL, "-");
+    }
+  else if (strcmp (w[0], "SET") == 0)
+    {
+      put_value (s, &s->values, w[1], w[2], false);
+      add_done (s, NULL, "-");
+    }
+  else if (strcmp (w[0], "PREPARE") == 0)
+    {
+      put_value (s, &s->prepared, w[1], w[3], strcmp (w[2], "WRITE") == 0);
+      add_done (s, NULL, "-");
+    }
+  else if (strcmp (w[0], "READ") == 0)
+    run_read (s, id, w[1], "READ");
+  else if (strcmp (w[0], "WRITE") == 0)
+    run_write (s, id, w[1], "WRITE");
+  else if (strcmp (w[0], "EXECUTE") == 0)
+    run_execute (s, id, w + 1);
+  else if (strcmp (w[0], "STATUS") == 0)
+    run_status (s);
+  else
+    add_error (s, "MALFORMED");
+}
+
+static void close_session (struct session *s);
+static void next_line (struct session *s);
+
+static void
+on_answer (struct tevent_context *ev, struct tevent_timer *timer,
+           struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct session *s = data;
+  s->busy = false;
+  if (!s->database->silent)
+    stream_send (s->stream, (struct bstr){ s->answer, strlen (s->answer) });
+  next_line (s);
+}
+
+static bool
+starts_session (struct session *s, char **words, int count)
+{
+  struct database *d = s->database;
+  const char *code = NULL;
+  if (count < 3 || strcmp (words[1], d->service) != 0
+      || (count > 3 && strcmp (words[3], d->id) != 0))
+    code = "MISROUTED";
+  else if (d->connections > d->group->options.max_connections)
+    code = "TOOMANY";
+  if (code != NULL)
+    {
+      char text[80];
+      snprintf (text, sizeof text, "ERROR %s %s\r\n", code, d->id);
+      stream_send (s->stream, bstr_from (text));
+      close_session (s);
+      return false;
+    }
+  s->started = true;
+  s->organisation = talloc_strdup (s, words[2]);
+  add_ready (s);
+  return true;
+}
+
+static void
+run_line (struct session *s, char *line)
+{
+  struct database *d = s->database;
+  char *words[MAX_WORDS + 1] = { NULL };
+  int count = 0;
+  for (char *word = strtok (line, " "); word != NULL && count < MAX_WORDS;
+       word = strtok (NULL, " "))
+    words[count++] = word;
+  s->answer = talloc_strdup (s, "");
+  if (!s->started)
+    {
+      if (!starts_session (s, words, count))
+        return;
+    }
+  else if (count >= 3)
+    run_query (s, words, count);
+  bool loses = d->lose_next && count >= 3 && strcmp (words[0], "QUERY") == 0
+               && strcmp (words[1], "-") != 0;
+  if (loses)
+    {
+      d->lose_next = false;
+      close_session (s);
+      return;
+    }
+  s->busy = true;
+  uint32_t us = (uint32_t)d->group->options.work_ms * 1000;
+  tevent_add_timer (d->group->options.ev, s,
+                    tevent_timeval_current_ofs (0, us), on_answer, s);
+}
+
+static void
+next_line (struct session *s)
+{
+  if (s->line_count == 0)
+    return;
+  char *line = s->lines[0];
+  s->line_count--;
+  memmove (s->lines, s->lines + 1, sizeof s->lines[0] * (size_t)s->line_count);
+  run_line (s, line);
+}
+
+static void
+on_line (void *data, struct bstr line)
+{
+  struct session *s = data;
+  char *copy = bstr_to_text (s, line);
+  if (s->busy)
+    {
+      s->lines = talloc_realloc (s, s->lines, char *, s->line_count + 1);
+      s->lines[s->line_count++] = copy;
+      return;
+    }
+  run_line (s, copy);
+}
+
+static void
+forget_session (struct session *s)
+{
+  struct session **at = &s->database->sessions;
+  while (*at != s)
+    at = &(*at)->next;
+  *at = s->next;
+  s->database->connections--;
+  talloc_free (s);
+}
+
+static void
+close_session (struct session *s)
+{
+  stream_close (s->stream);
+  forget_session (s);
+}
+
+static void
+on_closed (void *data, const char *reason)
+{
+  (void)reason;
+  forget_session (data);
+}
+
+static const struct stream_ops ops = { .line = on_line, .closed = on_closed };
+
+static void
+on_accepted (void *data, int fd)
+{
+  struct database *d = data;
+  struct session *s = talloc_zero (d, struct session);
+  s->database = d;
+  s->state = 'I';
+  s->next = d->sessions;
+  d->sessions = s;
+  d->connections++;
+  s->stream
+      = stream_adopt (d, fd,
+                      &(struct stream_options){ .ev = d->group->options.ev,
+                                                .ops = &ops,
+                                                .data = s,
+                                                .dead_ms = DATABASE_DEAD_MS });
+}
+
+/* Promotion and faults. */
+
+struct promotion
+{
+  struct database *database;
+};
+
+static void
+on_follow (struct tevent_context *ev, struct tevent_timer *timer,
+           struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct promotion *p = data;
+  struct database *leader = p->database;
+  for (int i = 0; i < leader->group->count; i++)
+    {
+      struct database *d = leader->group->databases[i];
+      if (d != leader && d->is_primary && d->term < leader->term
+          && strcmp (d->service, leader->service) == 0)
+        {
+          d->is_primary = false;
+          if (!d->dead)
+            publish (d);
+        }
+    }
+  if (leader->is_primary)
+    replicate (leader);
+  talloc_free (p);
+}
+
+static void
+on_promoted (struct tevent_context *ev, struct tevent_timer *timer,
+             struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct promotion *p = data;
+  struct database *d = p->database;
+  struct site_databases *g = d->group;
+  uint64_t newest = 0;
+  for (int i = 0; i < g->count; i++)
+    if (strcmp (g->databases[i]->service, d->service) == 0
+        && g->databases[i]->term > newest)
+      newest = g->databases[i]->term;
+  if (!d->dead && !d->is_primary)
+    {
+      d->is_primary = true;
+      d->term = newest + 1;
+      publish (d);
+      replicate (d);
+    }
+  tevent_add_timer (
+      ev, p,
+      tevent_timeval_current_ofs (FOLLOW_MS / 1000, FOLLOW_MS % 1000 * 1000),
+      on_follow, p);
+}
+
+static struct database *
+find_database (struct site_databases *g, const char *id)
+{
+  for (int i = 0; i < g->count; i++)
+    if (strcmp (g->databases[i]->id, id) == 0)
+      return g->databases[i];
+  return NULL;
+}
+
+unsigned
+site_databases_promote (void *data, const char *service, const char *id,
+                        uint64_t token)
+{
+  struct site_databases *g = data;
+  struct database *d = find_database (g, id);
+  if (token < g->newest_token)
+    violation (g, "a lower fencing token was used", id);
+  else
+    g->newest_token = token;
+  if (d == NULL || d->dead || strcmp (d->service, service) != 0)
+    return 409;
+  if (d->is_primary)
+    return 200;
+  struct promotion *p = talloc_zero (g, struct promotion);
+  p->database = d;
+  uint32_t us = (uint32_t)g->options.promote_ms * 1000;
+  tevent_add_timer (g->options.ev, p,
+                    tevent_timeval_current_ofs (us / 1000000, us % 1000000),
+                    on_promoted, p);
+  return 200;
+}
+
+static bool
+listen_on (struct database *d)
+{
+  struct error err = { 0 };
+  char address[32];
+  snprintf (address, sizeof address, "127.0.0.1:%d", d->port);
+  d->server = stream_server_create (
+      d,
+      &(struct stream_server_options){ .ev = d->group->options.ev,
+                                       .address = address,
+                                       .accepted = on_accepted,
+                                       .data = d },
+      &err);
+  if (d->server == NULL)
+    {
+      log_error (PART, "event=no_port reason=\"%s\"", err.text);
+      return false;
+    }
+  d->port = stream_server_port (d->server);
+  return true;
+}
+
+bool
+site_databases_fault (void *data, const char *id, const char *fault)
+{
+  struct site_databases *g = data;
+  struct database *d = find_database (g, id);
+  if (d == NULL)
+    return false;
+  if (strcmp (fault, "kill") == 0)
+    {
+      d->dead = true;
+      TALLOC_FREE (d->server);
+      while (d->sessions != NULL)
+        close_session (d->sessions);
+    }
+  else if (strcmp (fault, "revive") == 0)
+    {
+      d->dead = false;
+      for (int i = 0; i < g->count; i++)
+        if (strcmp (g->databases[i]->service, d->service) == 0
+            && g->databases[i]->term > d->term)
+          d->is_primary = false;
+      publish (d);
+      return listen_on (d);
+    }
+  else if (strcmp (fault, "silence") == 0)
+    d->silent = true;
+  else if (strcmp (fault, "speak") == 0)
+    d->silent = false;
+  else if (strcmp (fault, "deaf") == 0)
+    d->deaf = true;
+  else if (strcmp (fault, "hear") == 0)
+    d->deaf = false;
+  else if (strcmp (fault, "lose") == 0)
+    d->lose_next = true;
+  else if (strcmp (fault, "drain") == 0)
+    {
+      d->draining = true;
+      publish (d);
+    }
+  else
+    return false;
+  return true;
+}
+
+json_t *
+site_databases_observed (void *data)
+{
+  struct site_databases *g = data;
+  json_t *databases = json_array ();
+  for (int i = 0; i < g->count; i++)
+    {
+      const struct database *d = g->databases[i];
+      json_t *log = json_array ();
+      for (int k = 0; k < d->log_count; k++)
+        json_array_append_new (log, json_string (d->log[k].id));
+      json_array_append_new (
+          databases,
+          json_pack ("{s:s, s:s, s:b, s:b, s:I, s:o, s:i}", "id", d->id,
+                     "service", d->service, "primary", d->is_primary, "dead",
+                     d->dead, "term", (json_int_t)d->term, "log", log,
+                     "connections", d->connections));
+    }
+  return json_pack ("{s:o, s:O, s:O}", "databases", databases, "runs", g->runs,
+                    "violations", g->violations);
+}
+
+struct site_databases *
+site_databases_create (void *parent,
+                       const struct site_databases_options *options,
+                       struct error *err)
+{
+  struct site_databases *g = talloc_zero (parent, struct site_databases);
+  g->options = *options;
+  g->runs = json_array ();
+  g->violations = json_array ();
+  for (int s = 0; s < options->services; s++)
+    for (int i = 0; i <= options->replicas && g->count < MAX_DATABASES; i++)
+      {
+        struct database *d = talloc_zero (g, struct database);
+        d->group = g;
+        d->service = talloc_asprintf (d, "ledger-%d", s + 1);
+        d->id = talloc_asprintf (d, "db-%d-%c", s + 1, 'a' + i);
+        d->is_primary = i == 0;
+        d->term = 1;
+        d->born_ms = s * 100 + i + 1;
+        g->databases[g->count++] = d;
+        if (!listen_on (d))
+          {
+            error_set (err, ERROR_UNAVAILABLE, "no port for %s", d->id);
+            talloc_free (g);
+            return NULL;
+          }
+        publish (d);
+      }
+  return g;
+}
