--- a/core/lease.c
+++ b/core/lease.c
@@ -246,13 +246,23 @@
   return changed;
 }
 
+bool
+lease_is_stale (const struct lease_table *t, uint64_t member,
+                uint64_t incarnation, int64_t now)
+{
+  const struct peer *p = find_peer (t, member);
+  return p != NULL && incarnation < p->incarnation
+         && now - p->heard < 2 * t->options.term_us;
+}
+
 bool
 lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
              int64_t now)
 {
   struct peer *p = add_peer (t, h->member);
   bool changed = false;
-  if (p->incarnation == h->incarnation && h->stamp <= p->stamp)
+  if (lease_is_stale (t, h->member, h->incarnation, now)
+      || (p->incarnation == h->incarnation && h->stamp <= p->stamp))
     return false;
   /* A new process at the same address shows that the old one has ended. */
   if (p->incarnation != 0 && p->incarnation != h->incarnation)
--- a/core/lease.h
+++ b/core/lease.h
@@ -21,7 +21,7 @@
 struct lease_options
 {
   uint64_t self;        /**< Id of this member. */
-  uint64_t incarnation; /**< Differs at every start of the process. */
+  uint64_t incarnation; /**< Grows with every start of the process. */
   int64_t term_us;      /**< Length of a lease. */
   int64_t now;
 };
@@ -86,6 +86,11 @@
 /** @return whether the heartbeat changed a grant. */
 bool lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
                   int64_t now);
+/** @return whether a message comes from an earlier process of the member.  A
+ * smaller incarnation counts again once the member was silent for two leases,
+ * in case the time of day went back between two starts. */
+bool lease_is_stale (const struct lease_table *t, uint64_t member,
+                     uint64_t incarnation, int64_t now);
 /** The process with this incarnation has surely ended: what it was granted
  * is free at once.
  * @return whether a grant was withdrawn. */
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -426,6 +426,20 @@
   return clock_now () - m->sender.stamp - p->clock_delta > MAX_AGE_US;
 }
 
+/* From an earlier process of the sender, or from one that has not been heard
+   of yet. */
+static bool
+is_stale (struct fleet *f, const struct packet *m)
+{
+  const struct peer *p = find_peer (f, m->sender.member);
+  if (m->sender.member == f->relay->self)
+    return false;
+  if (m->kind == PACKET_HEARTBEAT)
+    return lease_is_stale (f->leases, m->sender.member,
+                           m->sender.incarnation, clock_now ());
+  return p == NULL || p->incarnation != m->sender.incarnation;
+}
+
 static bool
 is_repeated (struct fleet *f, const struct packet *m)
 {
@@ -452,7 +466,7 @@
   if (m->sender.receiver_incarnation != 0
       && m->sender.receiver_incarnation != f->relay->incarnation)
     goto done;
-  if (is_repeated (f, m))
+  if (is_stale (f, m) || is_repeated (f, m))
     goto done;
   switch (m->kind)
     {
--- a/session/relay.c
+++ b/session/relay.c
@@ -339,6 +339,15 @@
   relay_every (r, w, SETTINGS_CHECK_US, check_settings, w);
 }
 
+/* Microseconds of the time of day: grows from one start to the next. */
+static uint64_t
+start_time (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * USEC_PER_SEC + (uint64_t)now.tv_nsec / 1000;
+}
+
 static bool
 start_parts (struct relay *r, struct error *err)
 {
@@ -347,8 +356,7 @@
   r->stats = stats_create (r);
   r->limits = limits_create (r);
   r->self = model_id (bstr_from (o->name));
-  randombytes_buf (&r->incarnation, sizeof r->incarnation);
-  r->incarnation |= 1;
+  r->incarnation = start_time ();
   r->store = store_create (r,
                            &(struct store_options){ .ev = r->ev,
                                                     .objects = o->store,
