--- a/common/log.c
+++ b/common/log.c
@@ -1,10 +1,12 @@
 #include "common/log.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 static log4c_category_t *category;
 
@@ -39,8 +41,38 @@
 static const log4c_appender_type_t line_appender
     = { .name = "azurewind-stderr", .append = append_line };
 
-bool
-log_open (const char *level, struct error *err)
+/* A pipe that is writable takes PIPE_BUF bytes; lines are shorter. */
+static int
+append_without_blocking (log4c_appender_t *appender,
+                         const log4c_logging_event_t *event)
+{
+  static unsigned dropped;
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  char note[64];
+  (void)appender;
+  if (poll (&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+    {
+      dropped++;
+      return 0;
+    }
+  if (dropped > 0)
+    {
+      int len = snprintf (note, sizeof note,
+                          "log: event=lines_lost count=%u\n", dropped);
+      dropped = 0;
+      if (write (STDOUT_FILENO, note, (size_t)len) < 0)
+        return 0;
+    }
+  return (int)write (STDOUT_FILENO, event->evt_rendered_msg,
+                     strlen (event->evt_rendered_msg));
+}
+
+static const log4c_appender_type_t stdout_appender
+    = { .name = "azurewind-stdout", .append = append_without_blocking };
+
+static bool
+open_with (const char *level, const log4c_appender_type_t *type,
+           struct error *err)
 {
   int priority = log4c_priority_to_int (level);
   if (priority == LOG4C_PRIORITY_UNKNOWN)
@@ -52,8 +84,8 @@
   log4c_layout_t *layout = log4c_layout_get ("azurewind");
   log4c_layout_set_type (layout, &line_layout);
   log4c_appender_t *appender = log4c_appender_get ("azurewind");
-  log4c_appender_type_set (&line_appender);
-  log4c_appender_set_type (appender, &line_appender);
+  log4c_appender_type_set (type);
+  log4c_appender_set_type (appender, type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("azurewind");
   log4c_category_set_appender (category, appender);
@@ -62,6 +94,18 @@
   return true;
 }
 
+bool
+log_open (const char *level, struct error *err)
+{
+  return open_with (level, &line_appender, err);
+}
+
+bool
+log_open_stdout (const char *level, struct error *err)
+{
+  return open_with (level, &stdout_appender, err);
+}
+
 void
 log_close (void)
 {
--- a/common/log.h
+++ b/common/log.h
@@ -11,6 +11,9 @@
  * @param level "error", "warn", "info" or "debug".
  * @return false if the level is unknown or log4c cannot start. */
 bool log_open (const char *level, struct error *err);
+/** As log_open, but to standard output.  A line that would block is dropped;
+ * the next one says how many were. */
+bool log_open_stdout (const char *level, struct error *err);
 void log_close (void);
 
 void log_error (const char *part, const char *format, ...)
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -435,8 +435,8 @@
   if (m->sender.member == f->relay->self)
     return false;
   if (m->kind == PACKET_HEARTBEAT)
-    return lease_is_stale (f->leases, m->sender.member,
-                           m->sender.incarnation, clock_now ());
+    return lease_is_stale (f->leases, m->sender.member, m->sender.incarnation,
+                           clock_now ());
   return p == NULL || p->incarnation != m->sender.incarnation;
 }
 
--- a/session/relay.c
+++ b/session/relay.c
@@ -393,19 +393,21 @@
   mallopt (M_ARENA_MAX, 1);
   if (options == NULL)
     {
-      fprintf (stderr, "azurewindd: %s\n", err.text);
+      fprintf (stderr, "azurewind-sessiond: %s\n", err.text);
       status = 2;
       goto done;
     }
   r->options = options;
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0
-      || !log_open (options->log_level, &err) || !start_parts (r, &err))
+      || !log_open_stdout (options->log_level, &err) || !start_parts (r, &err))
     {
-      fprintf (stderr, "azurewindd: %s\n", err.text);
+      fprintf (stderr, "azurewind-sessiond: %s\n", err.text);
       goto done;
     }
   watch_settings (r, settings);
   relay_every (r, r, USEC_PER_SEC, check_quorum, r);
+  printf ("ready port=%s\n", strrchr (options->listen, ':') + 1);
+  fflush (stdout);
   log_info (PART,
             "event=started name=%s failure_domain=%s incarnation=%" PRIx64,
             options->name, options->zone, r->incarnation);
--- /dev/null
+++ b/tests/relay_site.c
@@ -0,0 +1,412 @@
+#include "tests/relay_site.h"
+
+#include "common/clock.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define PORTS_PER_DAEMON 4
+#define ANSWER_MS 4000
+#define START_MS 15000
+#define SHORT_GRACE_MS 450
+
+int64_t
+relay_site_now_ms (void)
+{
+  return clock_now () / USEC_PER_MSEC;
+}
+
+/* @return the first of @p count free ports in a row, 0 if none are found. */
+static int
+find_ports (int count)
+{
+  for (int first = 20000 + getpid () % 20000; first < 60000; first += count)
+    {
+      int i = 0;
+      for (; i < count; i++)
+        {
+          struct sockaddr_in at
+              = { .sin_family = AF_INET,
+                  .sin_port = htons ((uint16_t)(first + i)),
+                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+          int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+          int rc = bind (fd, (struct sockaddr *)&at, sizeof at);
+          close (fd);
+          if (rc != 0)
+            break;
+        }
+      if (i == count)
+        return first;
+    }
+  return 0;
+}
+
+int
+relay_site_port (const struct relay_site *s, int i)
+{
+  return s->first_port + i * PORTS_PER_DAEMON;
+}
+
+static void
+http_url (char *url, size_t size, int port)
+{
+  snprintf (url, size, "http://127.0.0.1:%d/", port);
+}
+
+int
+relay_site_ready (const struct relay_site *s, int i)
+{
+  char url[64];
+  http_url (url, sizeof url, relay_site_port (s, i) + 1);
+  return (int)process_http (NULL, "GET", url, NULL, NULL);
+}
+
+char *
+relay_site_metrics (struct relay_site *s, int i)
+{
+  char url[64];
+  char *answer = NULL;
+  http_url (url, sizeof url, relay_site_port (s, i) + 2);
+  process_http (s, "GET", url, NULL, &answer);
+  return answer;
+}
+
+bool
+relay_site_control (struct relay_site *s, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  long status = process_http (NULL, "POST", s->url, text, NULL);
+  free (text);
+  return status == 200;
+}
+
+bool
+relay_site_fault (struct relay_site *s, const char *database,
+                  const char *fault)
+{
+  return relay_site_control (
+      s, json_pack ("{s:s, s:s}", "database", database, "fault", fault));
+}
+
+json_t *
+relay_site_observed (struct relay_site *s)
+{
+  char *answer = NULL;
+  process_http (s, "GET", s->url, NULL, &answer);
+  json_t *json = answer != NULL ? json_loads (answer, 0, NULL) : NULL;
+  talloc_free (answer);
+  return json;
+}
+
+int
+relay_site_committed (struct relay_site *s, const char *id)
+{
+  json_t *observed = relay_site_observed (s), *database, *entry;
+  size_t i, k;
+  int count = 0;
+  json_int_t newest = 0;
+  json_array_foreach (json_object_get (observed, "databases"), i, database)
+  {
+    json_int_t term = json_integer_value (json_object_get (database, "term"));
+    if (json_is_true (json_object_get (database, "primary")) && term > newest)
+      newest = term;
+  }
+  json_array_foreach (json_object_get (observed, "databases"), i, database)
+  {
+    if (!json_is_true (json_object_get (database, "primary"))
+        || json_integer_value (json_object_get (database, "term")) < newest)
+      continue;
+    json_array_foreach (json_object_get (database, "log"), k, entry) count
+        += strcmp (json_string_value (entry), id) == 0;
+  }
+  json_decref (observed);
+  return count;
+}
+
+const json_t *
+relay_site_run (const json_t *observed, const char *id)
+{
+  const json_t *run;
+  size_t i;
+  json_array_foreach (
+      json_object_get (observed, "runs"), i,
+      run) if (strcmp (json_string_value (json_object_get (run, "id")), id)
+               == 0) return run;
+  return NULL;
+}
+
+static json_t *
+make_route (const char *host, const char *kind, const char *service,
+            int stale_ms)
+{
+  json_t *route = json_pack (
+      "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}", "name", host, "host", host,
+      "kind", kind, "service", service, "timeout-ms", 1500,
+      "target-latency-ms", 200, "priority", 1, "public-access", 0);
+  if (stale_ms > 0)
+    json_object_set_new (route, "max-staleness-ms", json_integer (stale_ms));
+  return route;
+}
+
+static json_t *
+make_config (const struct relay_site_options *o)
+{
+  json_t *routes = json_array (), *services = json_array ();
+  double rate = o->rate > 0 ? o->rate : 10000;
+  for (int i = 1; i <= o->services; i++)
+    {
+      char service[32], host[32];
+      snprintf (service, sizeof service, "ledger-%d", i);
+      json_array_append_new (services, json_pack ("{s:s, s:i, s:i}", "name",
+                                                  service, "max-connections",
+                                                  40, "sync-replicas", 0));
+      snprintf (host, sizeof host, "main%d", i);
+      json_array_append_new (routes, make_route (host, "primary", service, 0));
+      snprintf (host, sizeof host, "browse%d", i);
+      json_array_append_new (
+          routes, make_route (host, "bounded_staleness", service, 1500));
+      snprintf (host, sizeof host, "own%d", i);
+      json_array_append_new (
+          routes, make_route (host, "read_your_writes", service, 2500));
+    }
+  return json_pack (
+      "{s:i, s:o, s:o, s:{s:i}, s:[{s:s, s:[s,s], s:i, s:i}, {s:s, s:[s], "
+      "s:f, s:f}]}",
+      "config-version", 3, "routes", routes, "services", services, "limits",
+      "tx-idle-ms", 3000, "tenants", "name", "alpha", "api-keys", "key-a1",
+      "key-a2", "rate-per-s", 10000, "burst", 10000, "name", "beta",
+      "api-keys", "key-b", "rate-per-s", rate, "burst", rate);
+}
+
+bool
+relay_site_configure (struct relay_site *s)
+{
+  json_t *version = json_object_get (s->config, "config-version");
+  json_object_set_new (s->config, "config-version",
+                       json_integer (json_integer_value (version) + 3));
+  return relay_site_control (s, json_pack ("{s:O}", "config", s->config));
+}
+
+bool
+relay_site_start_daemon (struct relay_site *s, int i)
+{
+  int port = relay_site_port (s, i);
+  char *path = talloc_asprintf (s, "%s/daemon-%d.toml", s->folder, i);
+  FILE *file = fopen (path, "w");
+  if (file == NULL)
+    return false;
+  fprintf (file,
+           "name = \"vm-%d\"\nfailure_domain = \"zone-a\"\n"
+           "listen = \"127.0.0.1:%d\"\nready_listen = \"127.0.0.1:%d\"\n"
+           "metrics_listen = \"127.0.0.1:%d\"\n"
+           "bus = \"tcp://127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
+           "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\n",
+           i, port, port + 1, port + 2, port + 3, process_port (s->platform),
+           process_port (s->platform), s->grace_ms);
+  fclose (file);
+  TALLOC_FREE (s->daemons[i]);
+  s->daemons[i] = process_start (s, "azurewind-sessiond",
+                                 (const char *[]){ "--settings", path, NULL });
+  talloc_free (path);
+  return s->daemons[i] != NULL;
+}
+
+bool
+relay_site_wait (struct relay_site *s, int i, int service, int timeout_ms)
+{
+  int64_t end = relay_site_now_ms () + timeout_ms;
+  char database[32];
+  snprintf (database, sizeof database, "main%d", service);
+  while (relay_site_now_ms () < end)
+    {
+      struct line_answer a;
+      struct line_caller *c = line_open (s, relay_site_port (s, i));
+      bool ok = c != NULL && line_start (c, database, "key-a1", &a)
+                && line_query (c, &a, "WRITE ready x");
+      talloc_free (c);
+      if (ok)
+        return true;
+      usleep (30000);
+    }
+  return false;
+}
+
+static int
+remove_folder (struct relay_site *s)
+{
+  for (int i = 0; i < s->daemon_count; i++)
+    {
+      char *path = talloc_asprintf (NULL, "%s/daemon-%d.toml", s->folder, i);
+      unlink (path);
+      talloc_free (path);
+    }
+  rmdir (s->folder);
+  json_decref (s->config);
+  return 0;
+}
+
+struct relay_site *
+relay_site_start (void *parent, const struct relay_site_options *o)
+{
+  struct relay_site *s = talloc_zero (parent, struct relay_site);
+  char services[12], lag[12], folder[] = "/tmp/azurewind-site-XXXXXX";
+  snprintf (services, sizeof services, "%d", o->services);
+  snprintf (lag, sizeof lag, "%d", o->lag_ms);
+  s->daemon_count = o->daemons;
+  s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
+  s->first_port = find_ports (o->daemons * PORTS_PER_DAEMON);
+  s->platform = process_start (
+      s, "standin-site",
+      (const char *[]){ "--services", services, "--lag-ms", lag, NULL });
+  if (s->platform == NULL || mkdtemp (folder) == NULL || s->first_port == 0)
+    goto fail;
+  s->folder = talloc_strdup (s, folder);
+  s->url = talloc_asprintf (s, "http://127.0.0.1:%d/control",
+                            process_port (s->platform));
+  s->config = make_config (o);
+  talloc_set_destructor (s, remove_folder);
+  if (!relay_site_configure (s))
+    goto fail;
+  for (int i = 0; i < o->daemons; i++)
+    if (!relay_site_start_daemon (s, i))
+      goto fail;
+  for (int i = 0; i < o->daemons; i++)
+    for (int k = 1; k <= o->services; k++)
+      if (!relay_site_wait (s, i, k, START_MS))
+        {
+          printf ("vm-%d does not serve service %d\n", i, k);
+          goto fail;
+        }
+  return s;
+fail:
+  talloc_free (s);
+  return NULL;
+}
+
+/* Callers. */
+
+static int
+caller_destructor (struct line_caller *c)
+{
+  close (c->fd);
+  return 0;
+}
+
+struct line_caller *
+line_open (void *parent, int port)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET,
+                            .sin_port = htons ((uint16_t)port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (connect (fd, (struct sockaddr *)&to, sizeof to) != 0)
+    {
+      close (fd);
+      return NULL;
+    }
+  struct line_caller *c = talloc_zero (parent, struct line_caller);
+  c->fd = fd;
+  talloc_set_destructor (c, caller_destructor);
+  return c;
+}
+
+/* @return whether a line came; without its end in @p line. */
+static bool
+read_line (struct line_caller *c, char *line, size_t size, int timeout_ms)
+{
+  int64_t end = relay_site_now_ms () + timeout_ms;
+  for (;;)
+    {
+      char *stop = memchr (c->in, '\n', c->used);
+      if (stop != NULL)
+        {
+          size_t len = (size_t)(stop - c->in);
+          snprintf (line, size, "%.*s", (int)(len > 0 ? len - 1 : 0), c->in);
+          c->used -= len + 1;
+          memmove (c->in, stop + 1, c->used);
+          return true;
+        }
+      int64_t left = end - relay_site_now_ms ();
+      struct pollfd in = { .fd = c->fd, .events = POLLIN };
+      if (left <= 0 || poll (&in, 1, (int)left) <= 0)
+        return false;
+      ssize_t n = recv (c->fd, c->in + c->used, sizeof c->in - c->used, 0);
+      if (n <= 0)
+        return false;
+      c->used += (size_t)n;
+    }
+}
+
+static void
+read_answer (struct line_caller *c, struct line_answer *a)
+{
+  char line[1000];
+  while (read_line (c, line, sizeof line, ANSWER_MS))
+    {
+      if (strncmp (line, "ROW ", 4) == 0 && a->row[0] == '\0')
+        snprintf (a->row, sizeof a->row, "%.90s", line + 4);
+      else if (strncmp (line, "COMPLETE ", 9) == 0)
+        snprintf (a->signature, sizeof a->signature, "%.60s", line + 9);
+      else if (strncmp (line, "ERROR ", 6) == 0)
+        sscanf (line + 6, "%15s %190[^\n]", a->code, a->text);
+      else if (strncmp (line, "READY ", 6) == 0)
+        {
+          a->state = line[6];
+          return;
+        }
+    }
+}
+
+static bool
+send_text (struct line_caller *c, const char *text)
+{
+  return send (c->fd, text, strlen (text), MSG_NOSIGNAL)
+         == (ssize_t)strlen (text);
+}
+
+bool
+line_start (struct line_caller *c, const char *database, const char *key,
+            struct line_answer *answer)
+{
+  char text[200];
+  memset (answer, 0, sizeof *answer);
+  snprintf (text, sizeof text, "START %s %s\r\n", database, key);
+  if (send_text (c, text))
+    read_answer (c, answer);
+  return answer->state == 'I';
+}
+
+bool
+line_query (struct line_caller *c, struct line_answer *answer,
+            const char *format, ...)
+{
+  static unsigned number;
+  char statement[400], text[500];
+  va_list args;
+  memset (answer, 0, sizeof *answer);
+  snprintf (answer->id, sizeof answer->id, "%08x%08x", (unsigned)getpid (),
+            ++number);
+  va_start (args, format);
+  vsnprintf (statement, sizeof statement, format, args);
+  va_end (args);
+  snprintf (text, sizeof text, "QUERY %s %s\r\n", answer->id, statement);
+  if (send_text (c, text))
+    read_answer (c, answer);
+  return answer->state != 0 && answer->code[0] == '\0';
+}
+
+bool
+line_is_closed (struct line_caller *c, int timeout_ms)
+{
+  struct pollfd in = { .fd = c->fd, .events = POLLIN };
+  char byte;
+  return poll (&in, 1, timeout_ms) == 1
+         && recv (c->fd, &byte, 1, MSG_PEEK) <= 0;
+}
--- /dev/null
+++ b/tests/relay_site.h
@@ -0,0 +1,94 @@
+/** @file
+ * A small fleet of session daemons before the stand-in of the users'
+ * platform, and callers that speak the line protocol.
+ */
+#ifndef TESTS_RELAY_SITE_H
+#define TESTS_RELAY_SITE_H
+
+#include "tests/process.h"
+
+#include <jansson.h>
+#include <stdint.h>
+
+#define SITE_MAX_DAEMONS 8
+
+struct relay_site
+{
+  struct process *platform;
+  struct process *daemons[SITE_MAX_DAEMONS];
+  int daemon_count;
+  int grace_ms;
+  int first_port; /**< Four for each daemon. */
+  char *folder;
+  char *url; /**< Of the stand-in's control interface. */
+  json_t *config;
+};
+
+struct relay_site_options
+{
+  int daemons;
+  int services;
+  int lag_ms;
+  int grace_ms; /**< From SIGTERM to the end; 0: short. */
+  double rate;  /**< Of organisation "beta"; 0: plenty. */
+};
+
+/** Start everything and wait until each daemon serves writes of each
+ * service. @return NULL, with the reason on stdout, if it does not. */
+struct relay_site *relay_site_start (void *parent,
+                                     const struct relay_site_options *options);
+bool relay_site_start_daemon (struct relay_site *s, int i);
+/** Wait until a write succeeds through daemon @p i. */
+bool relay_site_wait (struct relay_site *s, int i, int service,
+                      int timeout_ms);
+/** Port of callers' sessions. */
+int relay_site_port (const struct relay_site *s, int i);
+int relay_site_ready (const struct relay_site *s, int i);
+char *relay_site_metrics (struct relay_site *s, int i);
+
+/** Change what the platform does, for example {"down": true}. */
+bool relay_site_control (struct relay_site *s, json_t *body);
+bool relay_site_fault (struct relay_site *s, const char *database,
+                       const char *fault);
+/** Put the present configuration again with the next version. */
+bool relay_site_configure (struct relay_site *s);
+/** What the databases saw; a new reference. */
+json_t *relay_site_observed (struct relay_site *s);
+/** @return how often a write with this id is in the primary's log. */
+int relay_site_committed (struct relay_site *s, const char *id);
+/** @return the run with this id as the databases saw it, NULL if none. */
+const json_t *relay_site_run (const json_t *observed, const char *id);
+
+int64_t relay_site_now_ms (void);
+
+/** A caller. */
+struct line_caller
+{
+  int fd;
+  size_t used;
+  char in[65536];
+};
+
+struct line_answer
+{
+  char id[24];    /**< Of the statement. */
+  char code[16];  /**< Empty on success. */
+  char text[200]; /**< Of the error. */
+  char row[100];  /**< First row. */
+  char signature[64];
+  char state; /**< 0: the connection ended or nothing came. */
+};
+
+struct line_caller *line_open (void *parent, int port);
+/** @return whether the session is ready; the code of a refusal in
+ * @p answer. */
+bool line_start (struct line_caller *c, const char *database, const char *key,
+                 struct line_answer *answer);
+/** Run one statement. @return whether it succeeded. */
+bool line_query (struct line_caller *c, struct line_answer *answer,
+                 const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+/** @return whether the daemon has closed the session. */
+bool line_is_closed (struct line_caller *c, int timeout_ms);
+
+#endif
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -30,7 +30,7 @@
 {
   struct lease_table *table;
   uint64_t incarnation;
-  int64_t offset;    /**< Own clock less that of the world. */
+  int64_t offset; /**< Own clock less that of the world. */
   int64_t paused_until;
   int64_t down_until;
   int64_t next_beat;
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,547 @@
+/** Session daemons as real processes before the stand-in of the platform. */
+#include "tests/relay_site.h"
+#include "tests/tests.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define SERVE_MS 8000
+
+static struct line_caller *
+start (struct relay_site *s, int daemon, const char *database, const char *key)
+{
+  struct line_answer a;
+  struct line_caller *c = line_open (s, relay_site_port (s, daemon));
+  if (c == NULL || !line_start (c, database, key, &a))
+    {
+      CU_FAIL ("no session");
+      talloc_free (c);
+      return NULL;
+    }
+  return c;
+}
+
+/* Repeat a write until it succeeds. @return its id, "" after the time. */
+static struct line_answer
+write_until (struct relay_site *s, int daemon, int timeout_ms)
+{
+  int64_t end = relay_site_now_ms () + timeout_ms;
+  struct line_answer a = { .id = "" };
+  while (relay_site_now_ms () < end)
+    {
+      struct line_caller *c = line_open (s, relay_site_port (s, daemon));
+      bool ok = c != NULL && line_start (c, "main1", "key-a1", &a)
+                && line_query (c, &a, "WRITE again x");
+      talloc_free (c);
+      if (ok)
+        return a;
+      usleep (20000);
+    }
+  a.id[0] = '\0';
+  return a;
+}
+
+static void
+assert_no_violation (struct relay_site *s)
+{
+  json_t *observed = relay_site_observed (s);
+  json_t *violations = json_object_get (observed, "violations");
+  if (json_array_size (violations) > 0)
+    {
+      char *text = json_dumps (violations, 0);
+      printf ("violations: %s\n", text);
+      free (text);
+    }
+  CU_ASSERT_EQUAL (json_array_size (violations), 0);
+  json_decref (observed);
+}
+
+/* Pattern: a caller writes and reads its write back, in and outside of a
+   transaction; the text and the id reach the endpoint unchanged. */
+static void
+session_reads_its_writes (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 3, .services = 2, .lag_ms = 40 });
+  struct line_answer w, r;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int daemon = 0; daemon < 3; daemon++)
+    {
+      struct line_caller *c = start (s, daemon, "own2", "key-a2");
+      for (int i = 0; i < 10; i++)
+        {
+          CU_ASSERT_TRUE (line_query (c, &w, "WRITE item%d x", i));
+          CU_ASSERT_STRING_EQUAL (w.signature, w.id);
+          CU_ASSERT_TRUE (line_query (c, &r, "READ item%d", i));
+          CU_ASSERT_STRING_EQUAL (r.row, w.id);
+        }
+      CU_ASSERT_TRUE (line_query (c, &r, "BEGIN"));
+      CU_ASSERT_EQUAL (r.state, 'T');
+      CU_ASSERT_TRUE (line_query (c, &w, "WRITE item1 y"));
+      CU_ASSERT_TRUE (line_query (c, &r, "COMMIT"));
+      CU_ASSERT_EQUAL (r.state, 'I');
+      CU_ASSERT_TRUE (line_query (c, &r, "READ item1"));
+      CU_ASSERT_STRING_EQUAL (r.row, w.id);
+      CU_ASSERT_EQUAL (relay_site_committed (s, w.id), 1);
+      talloc_free (c);
+    }
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: callers use the same names for different values and statements,
+   turn and turn about, on connections that they share. */
+static void
+values_and_names_do_not_mix (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_caller *c[3];
+  struct line_answer a;
+  char ids[3][24];
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 3; i++)
+    {
+      c[i] = start (s, i % 2, "main1", "key-a1");
+      CU_ASSERT_TRUE (line_query (c[i], &a, "SET mode m%d", i));
+      if (i == 1)
+        CU_ASSERT_TRUE (line_query (c[i], &a, "SET extra e"));
+      CU_ASSERT_TRUE (line_query (c[i], &a, "PREPARE s1 %s shape%d",
+                                  i == 0 ? "WRITE" : "READ", i));
+    }
+  for (int round = 0; round < 5; round++)
+    {
+      for (int i = 0; i < 3; i++)
+        {
+          CU_ASSERT_TRUE (line_query (c[i], &a, "EXECUTE s1 item%d%s", i,
+                                      i == 0 ? " data" : ""));
+          snprintf (ids[i], sizeof ids[i], "%s", a.id);
+        }
+      json_t *observed = relay_site_observed (s);
+      for (int i = 0; i < 3; i++)
+        {
+          char mode[8], shape[16];
+          const json_t *run = relay_site_run (observed, ids[i]);
+          const json_t *values = json_object_get (run, "values");
+          snprintf (mode, sizeof mode, "m%d", i);
+          snprintf (shape, sizeof shape, "shape%d", i);
+          CU_ASSERT_PTR_NOT_NULL_FATAL (run);
+          CU_ASSERT_STRING_EQUAL (
+              json_string_value (json_object_get (values, "mode")), mode);
+          CU_ASSERT_EQUAL (json_object_size (values), i == 1 ? 2 : 1);
+          CU_ASSERT_STRING_EQUAL (
+              json_string_value (json_object_get (run, "what")), shape);
+        }
+      json_decref (observed);
+    }
+  CU_ASSERT_FALSE (line_query (c[0], &a, "EXECUTE s2 item"));
+  CU_ASSERT_STRING_EQUAL (a.code, "NOSTMT");
+  talloc_free (s);
+}
+
+/* Pattern: a transaction is rolled back, fails, or its caller leaves. */
+static void
+unfinished_transactions_keep_nothing (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a, first, second;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *c = start (s, 0, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (c, &first, "WRITE one x"));
+  CU_ASSERT_TRUE (line_query (c, &a, "ROLLBACK"));
+  CU_ASSERT_EQUAL (a.state, 'I');
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (c, &second, "WRITE two x"));
+  talloc_free (c);
+  c = start (s, 1, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN READ"));
+  CU_ASSERT_FALSE (line_query (c, &a, "WRITE three x"));
+  CU_ASSERT_STRING_EQUAL (a.code, "READONLY");
+  CU_ASSERT_EQUAL (a.state, 'E');
+  CU_ASSERT_FALSE (line_query (c, &a, "READ three"));
+  CU_ASSERT_STRING_EQUAL (a.code, "MALFORMED");
+  CU_ASSERT_TRUE (line_query (c, &a, "ROLLBACK"));
+  CU_ASSERT_EQUAL (a.state, 'I');
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE four x"));
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 1);
+  CU_ASSERT_EQUAL (relay_site_committed (s, first.id), 0);
+  CU_ASSERT_EQUAL (relay_site_committed (s, second.id), 0);
+  talloc_free (s);
+}
+
+/* Pattern: the endpoint runs a statement and its answer is lost. */
+static void
+lost_answers_are_told_truly (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *c = start (s, 1, "main1", "key-a1");
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "lose"));
+  CU_ASSERT_FALSE (line_query (c, &a, "WRITE one x"));
+  CU_ASSERT_STRING_EQUAL (a.code, "INDOUBT");
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 1);
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "lose"));
+  CU_ASSERT_TRUE (line_query (c, &a, "READ one"));
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "lose"));
+  CU_ASSERT_FALSE (line_query (c, &a, "WRITE two x"));
+  CU_ASSERT_STRING_EQUAL (a.code, "ABORTED");
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: the primary crashes; it comes back as a replica. */
+static void
+crashed_primary_is_replaced (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer before, after, a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  before = write_until (s, 0, SERVE_MS);
+  usleep (100000);
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "kill"));
+  int64_t since = relay_site_now_ms ();
+  after = write_until (s, 1, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (after.id, "");
+  printf ("[%d ms] ", (int)(relay_site_now_ms () - since));
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "revive"));
+  CU_ASSERT_EQUAL (relay_site_committed (s, before.id), 1);
+  CU_ASSERT_EQUAL (relay_site_committed (s, after.id), 1);
+  usleep (1500000);
+  struct line_caller *c = start (s, 2, "browse1", "key-b");
+  for (int i = 0; i < 20; i++)
+    CU_ASSERT_TRUE (line_query (c, &a, "READ again"));
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: a primary takes everything and answers nothing. */
+static void
+silent_primary_is_replaced (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "silence"));
+  struct line_answer a = write_until (s, 1, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (a.id, "");
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: the primary reports that it will leave. */
+static void
+draining_primary_hands_over (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer before = write_until (s, 0, SERVE_MS);
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "drain"));
+  int64_t end = relay_site_now_ms () + SERVE_MS;
+  bool moved = false;
+  while (!moved && relay_site_now_ms () < end)
+    {
+      a = write_until (s, 1, SERVE_MS);
+      json_t *observed = relay_site_observed (s);
+      const json_t *run = relay_site_run (observed, a.id);
+      moved = run != NULL
+              && strcmp (json_string_value (json_object_get (run, "database")),
+                         "db-1-a")
+                     != 0;
+      json_decref (observed);
+    }
+  CU_ASSERT_TRUE (moved);
+  CU_ASSERT_EQUAL (relay_site_committed (s, before.id), 1);
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: daemons are killed one after the other and start again; the others
+   own their services meanwhile. */
+static void
+killed_daemons_are_replaced (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 4, .services = 2 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 4; i++)
+    {
+      process_signal (s->daemons[i], SIGKILL);
+      for (int service = 1; service <= 2; service++)
+        CU_ASSERT_TRUE (relay_site_wait (s, (i + 1) % 4, service, SERVE_MS));
+      CU_ASSERT_TRUE (relay_site_start_daemon (s, i));
+      CU_ASSERT_TRUE (relay_site_wait (s, i, 1, SERVE_MS));
+    }
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: an owner is paused for longer than its lease and wakes up. */
+static void
+paused_owner_does_no_harm (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 3; i++)
+    {
+      process_signal (s->daemons[i], SIGSTOP);
+      CU_ASSERT_TRUE (relay_site_wait (s, (i + 1) % 3, 1, SERVE_MS));
+      process_signal (s->daemons[i], SIGCONT);
+      CU_ASSERT_TRUE (relay_site_wait (s, i, 1, SERVE_MS));
+    }
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: all daemons are killed at once. */
+static void
+fleet_starts_again_after_a_kill_of_all (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer before = write_until (s, 0, SERVE_MS);
+  for (int i = 0; i < 3; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (relay_site_start_daemon (s, i));
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (relay_site_wait (s, i, 1, SERVE_MS));
+  CU_ASSERT_EQUAL (relay_site_committed (s, before.id), 1);
+  talloc_free (s);
+}
+
+/* Pattern: a key is taken away from a connected caller, and a route goes. */
+static void
+configuration_reaches_open_sessions (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *revoked = start (s, 0, "main1", "key-a2");
+  struct line_caller *kept = start (s, 1, "main1", "key-a1");
+  struct line_caller *dropped = start (s, 1, "browse1", "key-a1");
+  CU_ASSERT_TRUE (line_query (revoked, &a, "READ one"));
+  json_t *tenant = json_array_get (json_object_get (s->config, "tenants"), 0);
+  json_array_remove (json_object_get (tenant, "api-keys"), 1);
+  json_array_remove (json_object_get (s->config, "routes"), 1);
+  CU_ASSERT_TRUE (relay_site_configure (s));
+  usleep (700000);
+  CU_ASSERT_FALSE (line_query (revoked, &a, "READ one"));
+  CU_ASSERT_STRING_EQUAL (a.code, "NOAUTH");
+  CU_ASSERT_TRUE (line_query (kept, &a, "READ one"));
+  CU_ASSERT_FALSE (line_query (dropped, &a, "READ one"));
+  CU_ASSERT_STRING_EQUAL (a.code, "NODB");
+  struct line_caller *c = line_open (s, relay_site_port (s, 0));
+  CU_ASSERT_FALSE (line_start (c, "main1", "key-a2", &a));
+  CU_ASSERT_STRING_EQUAL (a.code, "NOAUTH");
+  talloc_free (s);
+}
+
+/* Pattern: the store is away for some seconds; a daemon that starts meanwhile
+   learns everything from the others. */
+static void
+fleet_serves_without_the_store (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 4, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (relay_site_control (s, json_pack ("{s:b}", "down", 1)));
+  process_signal (s->daemons[3], SIGKILL);
+  CU_ASSERT_TRUE (relay_site_wait (s, 0, 1, SERVE_MS));
+  CU_ASSERT_TRUE (relay_site_start_daemon (s, 3));
+  CU_ASSERT_TRUE (relay_site_wait (s, 3, 1, SERVE_MS));
+  CU_ASSERT_TRUE (relay_site_control (s, json_pack ("{s:b}", "down", 0)));
+  CU_ASSERT_TRUE (relay_site_control (s, json_pack ("{s:b}", "forget", 1)));
+  json_array_remove (json_object_get (s->config, "routes"), 1);
+  CU_ASSERT_TRUE (relay_site_configure (s));
+  int64_t end = relay_site_now_ms () + SERVE_MS;
+  for (int i = 0; i < 4; i++)
+    {
+      bool gone = false;
+      while (!gone && relay_site_now_ms () < end)
+        {
+          struct line_answer a;
+          struct line_caller *c = line_open (s, relay_site_port (s, i));
+          gone = c != NULL && !line_start (c, "browse1", "key-a1", &a)
+                 && strcmp (a.code, "NODB") == 0;
+          talloc_free (c);
+        }
+      CU_ASSERT_TRUE (gone);
+    }
+  talloc_free (s);
+}
+
+/* Pattern: answers of the store to conditional changes are lost while a
+   primary is replaced. */
+static void
+promotion_survives_lost_answers_of_the_store (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (relay_site_control (s, json_pack ("{s:b}", "lose", 1)));
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "kill"));
+  usleep (900000);
+  CU_ASSERT_TRUE (relay_site_control (s, json_pack ("{s:b}", "lose", 0)));
+  struct line_answer a = write_until (s, 1, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (a.id, "");
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: entries of another writer lie among those of the databases. */
+static void
+foreign_entries_harm_nothing (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  static const char *const specs[]
+      = { "{\"service\":\"ledger-1\"}",
+          "{\"service\":7,\"address\":[],\"state\":\"ready\"}", "\"text\"",
+          "{\"service\":\"ledger-1\",\"address\":\"127.0.0.1:1\","
+          "\"state\":\"sleeping\",\"db-role\":\"primary\",\"slots\":2}",
+          "{\"service\":\"ledger-1\",\"address\":\"nowhere\","
+          "\"state\":\"ready\",\"db-role\":\"primary\",\"slots\":2}" };
+  for (size_t i = 0; i < sizeof specs / sizeof specs[0]; i++)
+    {
+      char body[400], url[100];
+      snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers",
+                process_port (s->platform));
+      snprintf (body, sizeof body,
+                "{\"meta\":{\"name\":\"foreign-%zu\"},\"spec\":%s}", i,
+                specs[i]);
+      CU_ASSERT_EQUAL (process_http (s, "POST", url, body, NULL), 200);
+    }
+  usleep (300000);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (relay_site_wait (s, i, 1, SERVE_MS));
+  talloc_free (s);
+}
+
+/* Pattern: an organisation sends far more than its rate through all daemons
+   and to all services. */
+static void
+rate_holds_over_the_fleet (void)
+{
+  const double rate = 60;
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 3, .services = 3, .rate = rate });
+  struct line_caller *c[9];
+  struct line_answer a;
+  int served = 0, refused = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 9; i++)
+    {
+      char database[8];
+      snprintf (database, sizeof database, "own%d", i % 3 + 1);
+      c[i] = start (s, i / 3, database, "key-b");
+    }
+  int64_t begin = relay_site_now_ms ();
+  while (relay_site_now_ms () - begin < 3000)
+    for (int i = 0; i < 9; i++)
+      {
+        bool ok = line_query (c[i], &a, "READ one");
+        served += ok;
+        if (!ok)
+          {
+            refused++;
+            CU_ASSERT_STRING_EQUAL (a.code, "BUSY");
+            CU_ASSERT_PTR_NOT_NULL (strstr (a.text, "retry-after-ms="));
+          }
+      }
+  double seconds = (double)(relay_site_now_ms () - begin) / 1000;
+  printf ("[%d served, %d refused] ", served, refused);
+  CU_ASSERT_TRUE (served <= (rate * seconds + rate) * 1.1 + 20);
+  CU_ASSERT_TRUE (served >= rate * seconds * 0.8);
+  struct line_caller *other = start (s, 0, "own1", "key-a1");
+  CU_ASSERT_TRUE (line_query (other, &a, "READ one"));
+  talloc_free (s);
+}
+
+/* Pattern: SIGTERM while callers work: no statement is cut, idle sessions
+   are closed between statements. */
+static void
+planned_stop_cuts_nothing (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 3, .services = 1, .grace_ms = 1500 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *c = start (s, 0, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE one x"));
+  process_signal (s->daemons[0], SIGTERM);
+  usleep (200000);
+  CU_ASSERT_EQUAL (relay_site_ready (s, 0), 503);
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE two x"));
+  CU_ASSERT_TRUE (line_query (c, &a, "COMMIT"));
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE three x"));
+  CU_ASSERT_TRUE (relay_site_wait (s, 1, 1, SERVE_MS));
+  CU_ASSERT_EQUAL (process_wait (s->daemons[0], 5000), 0);
+  CU_ASSERT_TRUE (line_is_closed (c, 100));
+  CU_ASSERT_EQUAL (relay_site_committed (s, a.id), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: metrics and readiness of a daemon that serves. */
+static void
+metrics_are_served (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_EQUAL (relay_site_ready (s, 0), 200);
+  char *text = relay_site_metrics (s, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "azurewind_statements_total"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "azurewind_statement_us"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "azurewind_store_calls_total"));
+  talloc_free (s);
+}
+
+static const struct test_case cases[] = {
+  { "session_reads_its_writes", session_reads_its_writes },
+  { "values_and_names_do_not_mix", values_and_names_do_not_mix },
+  { "unfinished_transactions_keep_nothing",
+    unfinished_transactions_keep_nothing },
+  { "lost_answers_are_told_truly", lost_answers_are_told_truly },
+  { "crashed_primary_is_replaced", crashed_primary_is_replaced },
+  { "silent_primary_is_replaced", silent_primary_is_replaced },
+  { "draining_primary_hands_over", draining_primary_hands_over },
+  { "killed_daemons_are_replaced", killed_daemons_are_replaced },
+  { "paused_owner_does_no_harm", paused_owner_does_no_harm },
+  { "fleet_starts_again_after_a_kill_of_all",
+    fleet_starts_again_after_a_kill_of_all },
+  { "configuration_reaches_open_sessions",
+    configuration_reaches_open_sessions },
+  { "fleet_serves_without_the_store", fleet_serves_without_the_store },
+  { "promotion_survives_lost_answers_of_the_store",
+    promotion_survives_lost_answers_of_the_store },
+  { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
+  { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
+  { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
+  { "metrics_are_served", metrics_are_served },
+  { NULL, NULL },
+};
+
+TEST_SUITE (relay, cases)
