service: links that end while others are watched

Found by reading: watch_links went on with a link that repeating a read may have evicted, and service_drop_links repeated statements on the endpoint whose links it was closing. UBSan found memmove with a null pointer; ASan leaks at the end. Change: the watch stops after a link was ended; nothing is sent while links are dropped; a lost transaction frees its statement; destructors.

--- a/net/stream.c
+++ b/net/stream.c
@@ -94,7 +94,8 @@
         }
       done += (size_t)n;
     }
-  memmove (s->out, s->out + done, s->out_len - done);
+  if (done > 0)
+    memmove (s->out, s->out + done, s->out_len - done);
   s->out_len -= done;
   want_write (s, s->out_len > 0);
   if (s->out_len == 0 && s->closing)
--- a/session/directory.c
+++ b/session/directory.c
@@ -380,10 +380,22 @@
                c->revision, watch_wait (c), on_watch, c);
 }
 
+static int
+directory_destructor (struct directory *d)
+{
+  for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
+    {
+      json_decref (d->collections[kind].items);
+      json_decref (d->collections[kind].building);
+    }
+  return 0;
+}
+
 struct directory *
 directory_create (struct relay *r)
 {
   struct directory *d = talloc_zero (r, struct directory);
+  talloc_set_destructor (d, directory_destructor);
   d->relay = r;
   d->store_answers = true;
   for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
--- a/session/service.c
+++ b/session/service.c
@@ -134,9 +134,10 @@
 {
   struct pooled *p = t->pooled;
   free_transaction (t);
-  if (p == NULL || p->link == NULL)
+  if (p == NULL)
     return;
-  if (p->work != NULL || !link_is_idle (p->link))
+  TALLOC_FREE (p->work);
+  if (!link_is_idle (p->link))
     pool_close (p);
   else
     link_rollback (p->link);
@@ -628,6 +629,9 @@
 void
 service_drop_links (struct endpoint *e, const char *reason)
 {
+  bool dispatching = e->service->dispatching;
+  /* What is repeated must not open new links here. */
+  e->service->dispatching = true;
   while (e->links != NULL)
     {
       struct pooled *p = e->links;
@@ -645,6 +649,7 @@
           free_transaction (t);
         }
     }
+  e->service->dispatching = dispatching;
 }
 
 void
@@ -857,7 +862,8 @@
     }
 }
 
-static void
+/* @return whether it was ended; other links may be gone then. */
+static bool
 expire_statement (struct pooled *p, struct work *w, int64_t now)
 {
   struct endpoint *e = p->endpoint;
@@ -868,7 +874,7 @@
                  && now - w->sent_at > silence_limit (e)
                  && e->answered_at > w->sent_at;
   if (!too_late && !is_lost)
-    return;
+    return false;
   struct transaction *t = p->transaction;
   p->work = NULL;
   p->transaction = NULL;
@@ -880,6 +886,7 @@
     }
   else
     lost_work (w, &loss);
+  return true;
 }
 
 static void
@@ -921,14 +928,8 @@
         suspect (e, now, "no answer");
       if (p->is_probe && now - p->opened_at > PROBE_LIMIT_US)
         pool_close (p);
-      else if (w != NULL)
-        {
-          expire_statement (p, w, now);
-          /* Other links may be gone too. */
-          if (p != e->links && next != NULL)
-            continue;
-          next = NULL;
-        }
+      else if (w != NULL && expire_statement (p, w, now))
+        return;
     }
 }
 
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -739,6 +739,14 @@
                     "violations", g->violations);
 }
 
+static int
+databases_destructor (struct site_databases *g)
+{
+  json_decref (g->runs);
+  json_decref (g->violations);
+  return 0;
+}
+
 struct site_databases *
 site_databases_create (void *parent,
                        const struct site_databases_options *options,
@@ -748,6 +756,7 @@
   g->options = *options;
   g->runs = json_array ();
   g->violations = json_array ();
+  talloc_set_destructor (g, databases_destructor);
   for (int s = 0; s < options->services; s++)
     for (int i = 0; i <= options->replicas && g->count < MAX_DATABASES; i++)
       {
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -399,6 +399,14 @@
 static const struct http_handler_ops ops
     = { .request = on_request, .closed = on_closed };
 
+static int
+store_destructor (struct site_store *s)
+{
+  json_decref (s->kinds);
+  json_decref (s->events);
+  return 0;
+}
+
 struct site_store *
 site_store_create (void *parent, const struct site_store_options *options,
                    struct error *err)
@@ -408,6 +416,7 @@
   s->options = *options;
   s->kinds = json_object ();
   s->events = json_array ();
+  talloc_set_destructor (s, store_destructor);
   s->revision = 1;
   s->server = http_server_create (
       s,
