--- a/session/callers.c
+++ b/session/callers.c
@@ -21,6 +21,8 @@
 #define TICK_US (50 * USEC_PER_MSEC)
 /* Statements sent before their predecessors were answered. */
 #define MAX_QUEUED_LINES 64
+/* Sessions that the table holds at first; it grows by doubling. */
+#define FIRST_SLOTS 64
 /* A session number holds its slot in the low bits, so that a number is
    never used again. */
 #define SLOT_BITS 20
@@ -563,13 +565,14 @@
   for (unsigned i = 0; i < f->slot_count; i++)
     if (f->slots[i] == NULL)
       return i;
-  unsigned count = f->slot_count == 0 ? 64 : f->slot_count * 2;
+  unsigned count = f->slot_count == 0 ? FIRST_SLOTS : f->slot_count * 2;
   f->slots = talloc_realloc (f, f->slots, struct caller *, count);
   f->generations = talloc_realloc (f, f->generations, uint64_t, count);
-  memset (f->slots + f->slot_count, 0,
-          sizeof f->slots[0] * (count - f->slot_count));
-  memset (f->generations + f->slot_count, 0,
-          sizeof f->generations[0] * (count - f->slot_count));
+  for (unsigned i = f->slot_count; i < count; i++)
+    {
+      f->slots[i] = NULL;
+      f->generations[i] = 0;
+    }
   unsigned slot = f->slot_count;
   f->slot_count = count;
   return slot;
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -254,11 +254,12 @@
 static struct endpoint *
 find_successor (const struct service *s, int64_t since, bool *all_answered)
 {
-  struct replica views[16];
-  struct endpoint *endpoints[16];
+  struct replica views[SERVICE_MAX_ENDPOINTS];
+  struct endpoint *endpoints[SERVICE_MAX_ENDPOINTS] = { NULL };
   int count = 0;
   *all_answered = true;
-  for (struct endpoint *e = s->endpoints; e != NULL && count < 16; e = e->next)
+  for (struct endpoint *e = s->endpoints;
+       e != NULL && count < SERVICE_MAX_ENDPOINTS; e = e->next)
     {
       if (e == s->primary || !e->listed || e->wrong || e->draining)
         continue;
--- a/session/service.c
+++ b/session/service.c
@@ -237,8 +237,8 @@
 choose_endpoint (struct service *s, struct work *w, struct position required,
                  int64_t now)
 {
-  struct replica views[16];
-  struct endpoint *endpoints[16];
+  struct replica views[SERVICE_MAX_ENDPOINTS];
+  struct endpoint *endpoints[SERVICE_MAX_ENDPOINTS] = { NULL };
   int count = 0, index = 0;
   if (needs_primary (w))
     {
@@ -249,7 +249,8 @@
                  ? e
                  : NULL;
     }
-  for (struct endpoint *e = s->endpoints; e != NULL && count < 16; e = e->next)
+  for (struct endpoint *e = s->endpoints;
+       e != NULL && count < SERVICE_MAX_ENDPOINTS; e = e->next)
     {
       endpoints[count] = e;
       views[count] = e->view;
--- a/session/service.h
+++ b/session/service.h
@@ -14,6 +14,9 @@
  * leads; the platform's own part of it is a second. */
 #define PROMOTION_US (1300 * USEC_PER_MSEC)
 
+/** Endpoints of one service that are considered. */
+#define SERVICE_MAX_ENDPOINTS 16
+
 enum service_phase
 {
   SERVICE_FOREIGN,  /**< Another daemon owns it, or none. */
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -378,7 +378,7 @@
       && strcmp (w[0], "COMMIT") != 0)
     add_error (s, "MALFORMED");
   else if (strcmp (w[0], "BEGIN") == 0)
-    run_begin (s, w[1] != NULL);
+    run_begin (s, w[1][0] != '\0');
   else if (strcmp (w[0], "COMMIT") == 0)
     {
       if (s->pending_count > 0 && !s->database->is_primary)
@@ -466,8 +466,10 @@
 run_line (struct session *s, char *line)
 {
   struct database *d = s->database;
-  char *words[MAX_WORDS + 1] = { NULL };
+  char *words[MAX_WORDS + 3];
   int count = 0;
+  for (size_t i = 0; i < sizeof words / sizeof words[0]; i++)
+    words[i] = "";
   for (char *word = strtok (line, " "); word != NULL && count < MAX_WORDS;
        word = strtok (NULL, " "))
     words[count++] = word;
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -11,7 +11,8 @@
 #define MAX_CONNECTIONS 500
 #define IDLE_SECONDS 60
 #define MAX_PATH 200
-#define PAGE_ITEMS 500
+#define PAGE_ITEMS ((size_t)500)
+#define LISTED_ITEMS ((size_t)2000)
 
 /** A call that waits for a change. */
 struct watcher
@@ -181,10 +182,10 @@
 {
   json_t *objects = objects_of (s, kind), *items = json_array (), *object;
   struct bstr after = http_query_value (request, "after");
-  const char *names[PAGE_ITEMS * 4], *name;
+  const char *names[LISTED_ITEMS], *name;
   size_t count = 0;
   bool more = false;
-  json_object_foreach (objects, name, object) if (count < PAGE_ITEMS * 4)
+  json_object_foreach (objects, name, object) if (count < LISTED_ITEMS)
       names[count++]
       = name;
   qsort (names, count, sizeof names[0], compare_names);
