service: forget a BEGIN that waits when its session starts anew

A daemon that was slowed was taken for gone by entry daemons; they ended the session's transaction, and the next statement of the session freed the transaction at the owner while its BEGIN was still in the queue or at an endpoint. Test: statement_behind_a_forgotten_begin plays an entry daemon; heap-use-after-free in transaction_answer with ASan before, passes after. Change: a lost transaction takes its BEGIN with it, wherever that is; one function for all ways to lose one.

--- a/session/service.c
+++ b/session/service.c
@@ -127,12 +127,38 @@
   talloc_free (t);
 }
 
-/* End a transaction that cannot go on; its link is rolled back if it still
-   works. */
+/* BEGIN is still in the queue, or at an endpoint. */
+static void
+forget_begin (struct transaction *t)
+{
+  struct service *s = t->service;
+  for (struct work **at = &s->queue; *at != NULL; at = &(*at)->next)
+    if ((*at)->transaction == t)
+      {
+        struct work *w = *at;
+        *at = w->next;
+        talloc_free (w);
+        return;
+      }
+  for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    for (struct pooled *p = e->links; p != NULL; p = p->next)
+      if (p->transaction == t)
+        {
+          TALLOC_FREE (p->work);
+          p->transaction = NULL;
+          pool_close (p);
+          return;
+        }
+}
+
+/* End a transaction that cannot go on, whatever it waits for; its link is
+   rolled back if it still works. */
 static void
 lose_transaction (struct transaction *t)
 {
   struct pooled *p = t->pooled;
+  if (p == NULL)
+    forget_begin (t);
   free_transaction (t);
   if (p == NULL)
     return;
@@ -795,30 +821,8 @@
 service_abandon (struct service *s, const struct packet *m)
 {
   struct transaction *t = service_find_transaction (s, m, m->session);
-  if (t == NULL)
-    return;
-  /* A BEGIN that still waits ends with its transaction. */
-  for (struct work **at = &s->queue; *at != NULL; at = &(*at)->next)
-    if ((*at)->transaction == t)
-      {
-        struct work *w = *at;
-        *at = w->next;
-        talloc_free (w);
-        break;
-      }
-  for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
-    for (struct pooled *p = e->links; p != NULL; p = p->next)
-      if (p->transaction == t)
-        {
-          talloc_free (p->work);
-          p->work = NULL;
-          t->pooled = NULL;
-          p->transaction = NULL;
-          free_transaction (t);
-          pool_close (p);
-          return;
-        }
-  lose_transaction (t);
+  if (t != NULL)
+    lose_transaction (t);
 }
 
 /* Waiting too long. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,4 +1,7 @@
 /** Session daemons as real processes before the stand-in of the platform. */
+#include "net/bus.h"
+#include "session/packet.h"
+#include "tests/loop.h"
 #include "tests/relay_site.h"
 #include "tests/tests.h"
 
@@ -567,7 +570,108 @@
   talloc_free (s);
 }
 
+/* A daemon that the test plays itself. */
+struct played_daemon
+{
+  struct tevent_context *ev;
+  struct bus *bus;
+  char address[64];
+  int results;
+};
+
+static void
+on_packet (void *data, struct bstr bytes)
+{
+  struct played_daemon *d = data;
+  void *scratch = talloc_new (NULL);
+  struct packet *m = talloc_zero (scratch, struct packet);
+  d->results += packet_decode (scratch, bytes, m) && m->kind == PACKET_RESULT;
+  talloc_free (scratch);
+}
+
+static void
+play (struct played_daemon *d, struct packet *m)
+{
+  void *scratch = talloc_new (NULL);
+  m->sender = (struct packet_sender){ .member = 77,
+                                      .incarnation = 1,
+                                      .stamp = clock_now () };
+  bus_send (d->bus, d->address, packet_encode (scratch, m));
+  talloc_free (scratch);
+}
+
+static void
+play_statement (struct played_daemon *d, enum statement_verb verb,
+                const char *text, uint64_t sequence)
+{
+  struct packet m = { .kind = PACKET_STATEMENT };
+  struct bstr empty = { "", 0 };
+  m.statement = (struct packet_statement){
+    .session = 1,
+    .sequence = sequence,
+    .service = bstr_from ("ledger-1"),
+    .organisation = bstr_from ("alpha"),
+    .organisation_id = model_id (bstr_from ("alpha")),
+    .kind = ROUTE_PRIMARY,
+    .timeout_ms = 800,
+    .target_ms = 200,
+    .idle_transaction_ms = 3000,
+    .verb = verb,
+    .is_read = verb == VERB_READ,
+    .id = bstr_from ("1a2b"),
+    .text = bstr_from (text),
+    .shape = empty,
+    .arguments = empty,
+  };
+  play (d, &m);
+}
+
+static bool
+has_results (const void *data)
+{
+  return ((const struct played_daemon *)data)->results >= 20;
+}
+
+/* Pattern: an entry daemon that took a slow owner for gone starts anew on a
+   session whose BEGIN still waits at the owner. */
+static void
+statement_behind_a_forgotten_begin (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 1, .services = 1 });
+  struct error err = { 0 };
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct played_daemon d = { .ev = tevent_context_init (s) };
+  d.bus = bus_create (s,
+                      &(struct bus_options){ .ev = d.ev,
+                                             .address = "tcp://127.0.0.1:*",
+                                             .max_message = PACKET_MAX_BYTES,
+                                             .received = on_packet,
+                                             .data = &d },
+                      &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (d.bus);
+  snprintf (d.address, sizeof d.address, "tcp://127.0.0.1:%d",
+            relay_site_port (s, 0) + 3);
+  struct packet *beat = talloc_zero (s, struct packet);
+  beat->kind = PACKET_HEARTBEAT;
+  beat->heartbeat.name = bstr_from ("played");
+  beat->heartbeat.address = bstr_from (bus_address (d.bus));
+  beat->heartbeat.zone = bstr_from ("zone-a");
+  play (&d, beat);
+  for (uint64_t i = 0; i < 10; i++)
+    {
+      play_statement (&d, VERB_BEGIN, "BEGIN", 2 * i + 1);
+      play_statement (&d, VERB_READ, "READ item", 2 * i + 2);
+    }
+  loop_run (d.ev, 600, has_results, &d);
+  CU_ASSERT_TRUE (d.results >= 10);
+  CU_ASSERT_EQUAL (process_wait (s->daemons[0], 100), -1);
+  CU_ASSERT_TRUE (relay_site_wait (s, 0, 1, SERVE_MS));
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
+  { "statement_behind_a_forgotten_begin", statement_behind_a_forgotten_begin },
   { "session_reads_its_writes", session_reads_its_writes },
   { "values_and_names_do_not_mix", values_and_names_do_not_mix },
   { "unfinished_transactions_keep_nothing",
