--- a/session/service.h
+++ b/session/service.h
@@ -151,8 +151,16 @@
                                               uint64_t session);
 void service_statement (struct service *s, struct packet *m);
 void service_abandon (struct service *s, const struct packet *m);
-/** Find what has waited too long. */
-void service_tick (struct service *s, int64_t now);
+/** Answer a statement without a result and release it. */
+void service_refuse (struct work *w, enum outcome outcome, const char *reason,
+                     int retry_ms);
+/** As service_refuse, with the transaction that the statement begins. */
+void service_refuse_start (struct work *w, enum outcome outcome,
+                           const char *reason, int retry_ms);
+/** The link of a statement is gone; whether it ran may not be known. */
+void service_lose_work (struct work *w, const struct link_loss *loss);
+/** End a transaction that cannot go on, whatever it waits for. */
+void service_lose_transaction (struct transaction *t);
 /** Ownership is gone: end what runs, as truly as it is known. */
 void service_stop (struct service *s, const char *reason);
 /** Give the service up; open transactions go on. */
@@ -170,6 +178,10 @@
 void service_serve (struct service *s, struct endpoint *primary, uint64_t term,
                     struct position position);
 
+/* watch.c */
+/** Find what has waited too long. */
+void service_tick (struct service *s, int64_t now);
+
 /* pool.c */
 /** @return a link that is free for @p organisation, NULL if there is none
  * and none may be opened now. */
