--- a/session/directory.c
+++ b/session/directory.c
@@ -180,8 +180,8 @@
   d->registered_at = now;
   store_put (d->relay->store, objects_kind_name (OBJECT_MEMBERS), o->name,
              present != NULL ? objects_revision (present) : 0,
-             objects_encode_member (o->bus, o->zone), CALL_TIMEOUT_MS,
-             on_registered, d);
+             objects_encode_member (o->bus, o->failure_domain),
+             CALL_TIMEOUT_MS, on_registered, d);
 }
 
 static void
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -58,7 +58,7 @@
   uint64_t id;
   char *name;
   char *address;
-  char *zone;
+  char *failure_domain;
   bool is_member;
   bool leaving;
   bool ready;
@@ -321,7 +321,7 @@
   m->kind = PACKET_HEARTBEAT;
   h->name = bstr_from (r->options->name);
   h->address = bstr_from (r->options->bus);
-  h->zone = bstr_from (r->options->zone);
+  h->failure_domain = bstr_from (r->options->failure_domain);
   h->leaving = r->leaving_since != 0;
   h->ready = is_ready (f);
   h->reaches_store = directory_store_answers (r->directory);
@@ -365,7 +365,7 @@
   int64_t delta = now - m->sender.stamp;
   set_text (p, &p->name, h->name);
   set_text (p, &p->address, h->address);
-  set_text (p, &p->zone, h->zone);
+  set_text (p, &p->failure_domain, h->failure_domain);
   if (is_new || delta < p->clock_delta)
     p->clock_delta = delta;
   if (is_new)
@@ -512,7 +512,7 @@
 struct candidate
 {
   uint64_t id;
-  const char *zone;
+  const char *failure_domain;
   int owned;
 };
 
@@ -522,23 +522,27 @@
   struct lease_claim own[LEASE_MAX_SERVICES];
   int count = 0;
   if (is_ready (f) && lease_in_quorum (f->leases, now))
-    out[count++] = (struct candidate){ f->relay->self, f->relay->options->zone,
+    out[count++] = (struct candidate){ f->relay->self,
+                                       f->relay->options->failure_domain,
                                        lease_claims (f->leases, own) };
   for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
        p = p->next)
     if (is_alive (p, now) && p->is_member && p->ready && !p->leaving)
-      out[count++] = (struct candidate){ p->id, p->zone, p->claim_count };
+      out[count++]
+          = (struct candidate){ p->id, p->failure_domain, p->claim_count };
   return count;
 }
 
 static bool
 is_better (const struct candidate *a, const struct candidate *b,
-           const char *zone, uint64_t service)
+           const char *failure_domain, uint64_t service)
 {
   if (a->owned != b->owned)
     return a->owned < b->owned;
-  bool a_near = zone != NULL && strcmp (a->zone, zone) == 0;
-  bool b_near = zone != NULL && strcmp (b->zone, zone) == 0;
+  bool a_near = failure_domain != NULL
+                && strcmp (a->failure_domain, failure_domain) == 0;
+  bool b_near = failure_domain != NULL
+                && strcmp (b->failure_domain, failure_domain) == 0;
   if (a_near != b_near)
     return a_near;
   return model_rank (service, a->id) > model_rank (service, b->id);
@@ -551,9 +555,9 @@
                 uint64_t service)
 {
   struct candidate *best = NULL;
-  const char *zone = owner_primary_zone (f->relay->owner, service);
+  const char *failure_domain = owner_primary_domain (f->relay->owner, service);
   for (int i = 0; i < count; i++)
-    if (best == NULL || is_better (&list[i], best, zone, service))
+    if (best == NULL || is_better (&list[i], best, failure_domain, service))
       best = &list[i];
   return best;
 }
@@ -808,7 +812,7 @@
       p->is_member = true;
       set_text (p, &p->name, members[i].name);
       set_text (p, &p->address, members[i].address);
-      set_text (p, &p->zone, members[i].zone);
+      set_text (p, &p->failure_domain, members[i].failure_domain);
     }
   bus_keep_only (f->bus, addresses, id_count);
   lease_set_members (f->leases, ids, id_count);
--- a/session/model.h
+++ b/session/model.h
@@ -62,7 +62,7 @@
   struct bstr id;
   struct bstr service;
   struct bstr address; /**< IP:PORT. */
-  struct bstr zone;
+  struct bstr failure_domain;
   int64_t born_ms; /**< Start of the process; new at a restart. */
   int slots;       /**< Statements that run at a time. */
   bool is_draining;
@@ -75,7 +75,7 @@
   struct bstr name;
   uint64_t id;
   struct bstr address; /**< Of its bus: tcp://IP:PORT. */
-  struct bstr zone;
+  struct bstr failure_domain;
 };
 
 /** @return a 64-bit id that is the same in every daemon. */
--- a/session/options.c
+++ b/session/options.c
@@ -14,8 +14,9 @@
 static const struct option_spec table[] = {
   OPT (name, "name", OPTION_NAME, .min = 1, .max = OPTION_MAX_NAME,
        .flags = OPTION_REQUIRED, .help = "Name of this VM in the fleet."),
-  OPT (zone, "failure_domain", OPTION_NAME, .min = 1, .max = OPTION_MAX_NAME,
-       .flags = OPTION_REQUIRED, .help = "Failure domain of this VM."),
+  OPT (failure_domain, "failure_domain", OPTION_NAME, .min = 1,
+       .max = OPTION_MAX_NAME, .flags = OPTION_REQUIRED,
+       .help = "Failure domain of this VM."),
   OPT (listen, "listen", OPTION_LISTEN, .min = 1, .max = MAX_ADDRESS,
        .flags = OPTION_REQUIRED, .help = "Address for callers' sessions."),
   OPT (ready_listen, "ready_listen", OPTION_LISTEN, .min = 1,
--- a/session/options.h
+++ b/session/options.h
@@ -12,7 +12,7 @@
 struct relay_options
 {
   char *name;           /**< Of this VM, unique in the fleet. */
-  char *zone;           /**< Failure domain. */
+  char *failure_domain; /**< Failure domain. */
   char *listen;         /**< IP:PORT of callers' sessions. */
   char *ready_listen;   /**< IP:PORT of the readiness probe. */
   char *metrics_listen; /**< IP:PORT of metrics and status. */
--- a/session/owner.c
+++ b/session/owner.c
@@ -85,8 +85,8 @@
   if (!is_new && e->draining != entry->is_draining)
     log_info (PART, "event=endpoint_state service=%s endpoint=%s draining=%d",
               s->name, e->id, entry->is_draining);
-  talloc_free (e->zone);
-  e->zone = bstr_to_text (e, entry->zone);
+  talloc_free (e->failure_domain);
+  e->failure_domain = bstr_to_text (e, entry->failure_domain);
   e->born_ms = entry->born_ms;
   e->listed = true;
   e->missing_since = 0;
@@ -264,14 +264,14 @@
 }
 
 const char *
-owner_primary_zone (const struct owner *o, uint64_t service)
+owner_primary_domain (const struct owner *o, uint64_t service)
 {
   int count;
   const struct endpoint_entry *entries
       = directory_endpoints (o->relay->directory, &count);
   for (int i = 0; i < count; i++)
     if (entries[i].is_primary && model_id (entries[i].service) == service)
-      return entries[i].zone.start;
+      return entries[i].failure_domain.start;
   return NULL;
 }
 
--- a/session/owner.h
+++ b/session/owner.h
@@ -23,7 +23,7 @@
 /** Give all services up; open transactions go on. */
 void owner_leave (struct owner *o);
 /** @return the failure domain of the service's primary, NULL if unknown. */
-const char *owner_primary_zone (const struct owner *o, uint64_t service);
+const char *owner_primary_domain (const struct owner *o, uint64_t service);
 /** @return statements and transactions that are not finished. */
 int owner_pending (const struct owner *o);
 
--- a/session/packet.c
+++ b/session/packet.c
@@ -44,7 +44,7 @@
   pack_array (p, 8 + 2 * OBJECT_KIND_COUNT + 4);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
-  pack_bstr (p, h->zone);
+  pack_bstr (p, h->failure_domain);
   pack_int (p, h->echo);
   pack_bool (p, h->leaving);
   pack_bool (p, h->ready);
@@ -89,7 +89,7 @@
   unpack_array (u, 8 + 2 * OBJECT_KIND_COUNT + 4);
   h->name = unpack_copy (parent, u);
   h->address = unpack_copy (parent, u);
-  h->zone = unpack_copy (parent, u);
+  h->failure_domain = unpack_copy (parent, u);
   h->echo = unpack_int (u);
   h->leaving = unpack_bool (u);
   h->ready = unpack_bool (u);
--- a/session/packet.h
+++ b/session/packet.h
@@ -51,7 +51,7 @@
 {
   struct bstr name;
   struct bstr address;
-  struct bstr zone;
+  struct bstr failure_domain;
   int64_t echo;
   bool leaving;
   bool ready; /**< Has what it needs to own a service. */
--- a/session/relay.c
+++ b/session/relay.c
@@ -410,7 +410,7 @@
   fflush (stdout);
   log_info (PART,
             "event=started name=%s failure_domain=%s incarnation=%" PRIx64,
-            options->name, options->zone, r->incarnation);
+            options->name, options->failure_domain, r->incarnation);
   while (!r->stopped && tevent_loop_once (r->ev) == 0)
     ;
   log_info (PART, "event=stopped sessions=%d", callers_count (r->callers));
--- a/session/service.h
+++ b/session/service.h
@@ -40,7 +40,7 @@
   struct service *service;
   char *id;
   char *address;
-  char *zone;
+  char *failure_domain;
   int64_t born_ms;
   bool listed;           /**< In the newest list. */
   int64_t missing_since; /**< 0: listed. */
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -656,7 +656,7 @@
   beat->kind = PACKET_HEARTBEAT;
   beat->heartbeat.name = bstr_from ("played");
   beat->heartbeat.address = bstr_from (bus_address (d.bus));
-  beat->heartbeat.zone = bstr_from ("zone-a");
+  beat->heartbeat.failure_domain = bstr_from ("zone-a");
   play (&d, beat);
   for (uint64_t i = 0; i < 10; i++)
     {
