promotion, service: a draining primary whose owner the store turns away

Change: a record that cannot be written for 350 ms is left to a daemon that reaches the store; an endpoint that leaves gets no work after drain_ms less 1.5 s, also as the primary. Tests: other_daemon_records_the_promotion, left_primary_gets_no_work.

--- a/session/directory.c
+++ b/session/directory.c
@@ -125,6 +125,18 @@
   talloc_free ((void *)old);
 }
 
+static int64_t
+draining_since (const struct directory *d, const struct endpoint_entry *entry)
+{
+  if (!entry->is_draining)
+    return 0;
+  for (int i = 0; i < d->endpoint_count; i++)
+    if (bstr_equals (d->endpoints[i].id, entry->id)
+        && d->endpoints[i].is_draining)
+      return d->endpoints[i].draining_since;
+  return clock_now ();
+}
+
 static void
 decode_endpoints (struct directory *d, const json_t *items)
 {
@@ -138,7 +150,10 @@
   {
     struct error err = { 0 };
     if (objects_decode_endpoint (memory, object, &entries[count], &err))
-      count++;
+      {
+        entries[count].draining_since = draining_since (d, &entries[count]);
+        count++;
+      }
     else
       log_warn (PART, "event=endpoint_ignored name=\"%.40s\" reason=\"%s\"",
                 name, err.text);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -892,6 +892,19 @@
   return rank;
 }
 
+uint64_t
+fleet_store_peer (const struct fleet *f)
+{
+  int64_t now = clock_now ();
+  const struct peer *best = NULL;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (is_alive (p, now) && p->is_member && p->ready && !p->leaving
+        && p->reaches_store
+        && (best == NULL || p->claim_count < best->claim_count))
+      best = p;
+  return best != NULL ? best->id : 0;
+}
+
 uint64_t
 fleet_messages (const struct fleet *f)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -38,6 +38,9 @@
 void fleet_broadcast (struct fleet *f, struct packet *message);
 /** @return how many daemons that reach the store come before this one. */
 int fleet_store_rank (const struct fleet *f);
+/** @return a daemon that reaches the store and may own a service, 0 if none
+ * is known. */
+uint64_t fleet_store_peer (const struct fleet *f);
 /** @return messages and bytes so far. */
 uint64_t fleet_messages (const struct fleet *f);
 uint64_t fleet_bytes (const struct fleet *f);
--- a/session/model.h
+++ b/session/model.h
@@ -63,8 +63,9 @@
   struct bstr service;
   struct bstr address; /**< IP:PORT. */
   struct bstr failure_domain;
-  int64_t born_ms; /**< Start of the process; new at a restart. */
-  int slots;       /**< Statements that run at a time. */
+  int64_t born_ms;        /**< Start of the process; new at a restart. */
+  int slots;              /**< Statements that run at a time. */
+  int64_t draining_since; /**< Own clock, when it was first seen; 0: not. */
   bool is_draining;
   bool is_primary; /**< As it sees itself. */
 };
--- a/session/options.h
+++ b/session/options.h
@@ -21,6 +21,7 @@
   char *duties;         /**< IP:PORT of the calls of one holder at a time. */
   char *log_level;
   int grace_ms; /**< From SIGTERM to the forced end. */
+  int drain_ms; /**< An endpoint that leaves gets no work after it. */
   int max_sessions;
 };
 
--- a/session/owner.c
+++ b/session/owner.c
@@ -91,6 +91,7 @@
   e->listed = true;
   e->missing_since = 0;
   e->draining = entry->is_draining;
+  e->draining_since = entry->draining_since;
   e->claims_primary = entry->is_primary;
   e->view.slots = entry->slots;
 }
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -14,6 +14,9 @@
 #define FIRST_STATUS_US (500 * USEC_PER_MSEC)
 #define CALL_TIMEOUT_MS 700
 #define RETRY_US (120 * USEC_PER_MSEC)
+/* A record that cannot be written for this time is left to a daemon that
+   reaches the store. */
+#define HAND_OVER_US (350 * USEC_PER_MSEC)
 /* An order that has shown no effect is repeated after this. */
 #define AWAIT_US (2500 * USEC_PER_MSEC)
 /* A new owner waits this long for the record of a promotion, or until it is
@@ -202,6 +205,24 @@
              CALL_TIMEOUT_MS, on_found, begin_call (s));
 }
 
+/* The store may turn this daemon away and serve others; one of them can
+   record the promotion.
+   @return whether the service was handed over. */
+static bool
+hand_over_record (struct service *s, int64_t now)
+{
+  uint64_t peer = fleet_store_peer (s->relay->fleet);
+  if (now - s->step_since < HAND_OVER_US || peer == 0)
+    return false;
+  log_warn (PART,
+            "event=handover service=%s reason=\"only other daemons reach "
+            "the store\"",
+            s->name);
+  fleet_release (s->relay->fleet, s->id, peer);
+  service_stop (s, "the store cannot be reached from here");
+  return true;
+}
+
 /* Order. */
 
 static void
@@ -426,7 +447,8 @@
       survey (s, now);
       break;
     case PROMOTION_RECORD:
-      if (!s->call_open && now >= s->next_status && service_is_owned (s))
+      if (!s->call_open && now >= s->next_status && service_is_owned (s)
+          && !hand_over_record (s, now))
         write_record (s, 0);
       break;
     case PROMOTION_ORDER:
--- a/session/service.c
+++ b/session/service.c
@@ -11,6 +11,8 @@
 #define STALE_MARGIN_US (250 * USEC_PER_MSEC)
 /* The lease must last at least this long when a statement is sent. */
 #define LEASE_MARGIN_US (30 * USEC_PER_MSEC)
+/* For a statement that is on its way, and its time in a queue there. */
+#define DRAIN_MARGIN_US (1500 * USEC_PER_MSEC)
 /* How often a statement that did not run is tried again here. */
 #define MAX_ATTEMPTS 8
 /* Pause before a connection is tried again at an endpoint without free
@@ -261,6 +263,16 @@
   return !w->s->is_read;
 }
 
+/* An endpoint that leaves gets no work some time before it may be gone; also
+   a primary that could not be replaced. */
+static bool
+has_left (const struct endpoint *e, int64_t now)
+{
+  int64_t limit
+      = e->service->relay->options->drain_ms * USEC_PER_MSEC - DRAIN_MARGIN_US;
+  return e->draining && now - e->draining_since > limit;
+}
+
 static struct endpoint *
 choose_endpoint (struct service *s, struct work *w, struct position required,
                  int64_t now)
@@ -272,7 +284,7 @@
     {
       struct endpoint *e = s->primary;
       return s->phase == SERVICE_SERVING && e != NULL && e->failed_since == 0
-                     && e->refusals == 0
+                     && e->refusals == 0 && !has_left (e, now)
                      && e->view.running < replicas_limit (&e->view)
                  ? e
                  : NULL;
@@ -286,7 +298,8 @@
       /* An old primary that is being replaced still has all commits. */
       views[count].usable
           = e->listed && !e->wrong && e->failed_since == 0 && e->refusals == 0
-            && (!e->draining || (e == s->primary && !w->transaction));
+            && (!e->draining
+                || (e == s->primary && !w->transaction && !has_left (e, now)));
       count++;
     }
   /* What was acknowledged before is not known yet. */
--- a/session/service.h
+++ b/session/service.h
@@ -42,28 +42,28 @@
   char *address;
   char *failure_domain;
   int64_t born_ms;
-  bool listed;           /**< In the newest list. */
-  int64_t missing_since; /**< 0: listed. */
-  bool draining;
-  bool claims_primary; /**< By its own entry. */
-  bool wrong;          /**< Another database answers at its address. */
+  int64_t missing_since;  /**< Not in the newest list; 0: it is. */
+  int64_t draining_since; /**< When it said first that it leaves. */
   struct replica view;
   struct pooled *links;
-  int link_count;
   int64_t answered_at;   /**< Last line that it sent. */
   int64_t suspect_since; /**< It owes an answer; 0: no. */
   int64_t failed_since;  /**< Gets no work; 0: it does. */
   int64_t next_probe;
   int64_t next_status;
   int64_t no_connection_until;
+  int64_t status_at; /**< When STATUS was answered last. */
+  uint64_t status_term;
+  uint64_t reached_by; /**< A daemon that reaches it while we do not. */
+  int link_count;
   int refusals; /**< Connections refused in a row. */
+  bool listed;  /**< In the newest list. */
+  bool draining;
+  bool claims_primary; /**< By its own entry. */
+  bool status_primary; /**< By its last STATUS. */
+  bool wrong;          /**< Another database answers at its address. */
   bool probing;
   bool asked_others; /**< Since it became suspect. */
-  /* Of the newest STATUS. */
-  int64_t status_at;
-  bool status_primary;
-  uint64_t status_term;
-  uint64_t reached_by; /**< A daemon that reaches it while we do not. */
 };
 
 /** A link and who uses it. */
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -36,7 +36,10 @@
   uint64_t oldest; /**< History before it is gone. */
   struct watcher *watchers;
   bool down; /**< Every call gets 503. */
-  bool lose; /**< Writes are done and answered with a lost answer. */
+  char *first_holder;
+  bool refuse_first; /**< The first daemon that records a promotion. */
+  bool refuse_all;   /**< Every record of a promotion. */
+  bool lose;         /**< Writes are done and answered with a lost answer. */
 };
 
 static void
@@ -239,6 +242,20 @@
   json_decref (events);
 }
 
+/* Whether a record of a promotion is to be turned away. */
+static bool
+is_refused (struct site_store *s, const json_t *body)
+{
+  const char *holder = json_string_value (
+      json_object_get (json_object_get (body, "spec"), "holder"));
+  if (holder == NULL)
+    return false;
+  if (s->refuse_first && s->first_holder == NULL)
+    s->first_holder = talloc_strdup (s, holder);
+  return s->refuse_all
+         || (s->refuse_first && strcmp (holder, s->first_holder) == 0);
+}
+
 /* A conditional change of one object. */
 static void
 change (struct site_store *s, struct http_request *request, const char *kind,
@@ -259,6 +276,8 @@
   unsigned status = 200;
   if (name == NULL || json_object_get (body, "spec") == NULL)
     status = 400;
+  else if (is_refused (s, body))
+    status = 503;
   else if (creates && old != NULL)
     status = 409;
   else if (!creates && old == NULL)
@@ -332,6 +351,10 @@
     ok = s->options.fault (s->options.data, database, fault);
   if (json_object_get (body, "down") != NULL)
     s->down = json_is_true (json_object_get (body, "down"));
+  if (json_is_true (json_object_get (body, "refuse_first")))
+    s->refuse_first = true;
+  if (json_is_true (json_object_get (body, "refuse_all")))
+    s->refuse_all = true;
   if (json_object_get (body, "lose") != NULL)
     s->lose = json_is_true (json_object_get (body, "lose"));
   if (json_is_true (json_object_get (body, "forget")))
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -207,7 +207,7 @@
            "listen = \"127.0.0.1:%d\"\nready_listen = \"127.0.0.1:%d\"\n"
            "metrics_listen = \"127.0.0.1:%d\"\n"
            "bus = \"tcp://127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
-           "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\n",
+           "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\ndrain_ms = 3000\n",
            i, port, port + 1, port + 2, port + 3, process_port (s->platform),
            process_port (s->platform), s->grace_ms);
   fclose (file);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -456,6 +456,52 @@
   talloc_free (s);
 }
 
+/* Pattern: the store turns the owner away while a primary is replaced, and
+   serves the other daemons. */
+static void
+other_daemon_records_the_promotion (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (
+      relay_site_control (s, json_pack ("{s:b}", "refuse_first", 1)));
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "kill"));
+  struct line_answer a = write_until (s, 1, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (a.id, "");
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* Pattern: a primary leaves and cannot be replaced; it gets no work after the
+   time of drain_ms. */
+static void
+left_primary_gets_no_work (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (
+      relay_site_control (s, json_pack ("{s:b}", "refuse_all", 1)));
+  CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "drain"));
+  usleep (3000000);
+  struct line_caller *c = start (s, 0, "main1", "key-a1");
+  for (int i = 0; i < 10; i++)
+    {
+      line_query (c, &a, i % 2 ? "READ one" : "WRITE one x");
+      json_t *observed = relay_site_observed (s);
+      const json_t *run = relay_site_run (observed, a.id);
+      CU_ASSERT_TRUE (
+          run == NULL
+          || strcmp (json_string_value (json_object_get (run, "database")),
+                     "db-1-a")
+                 != 0);
+      json_decref (observed);
+    }
+  talloc_free (s);
+}
+
 /* Pattern: entries of another writer lie among those of the databases. */
 static void
 foreign_entries_harm_nothing (void)
@@ -690,6 +736,8 @@
   { "fleet_serves_without_the_store", fleet_serves_without_the_store },
   { "promotion_survives_lost_answers_of_the_store",
     promotion_survives_lost_answers_of_the_store },
+  { "other_daemon_records_the_promotion", other_daemon_records_the_promotion },
+  { "left_primary_gets_no_work", left_primary_gets_no_work },
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
