--- a/net/bus.c
+++ b/net/bus.c
@@ -3,8 +3,9 @@
 #include <stdio.h>
 #include <zmq.h>
 
-/* Messages queued for a peer that does not answer. */
-#define SEND_QUEUE 1024
+/* Messages queued for a peer that does not answer; heartbeats older than a
+   few seconds are worthless. */
+#define DEFAULT_SEND_QUEUE 64
 #define RECEIVE_QUEUE 4096
 
 struct peer_socket
@@ -24,6 +25,7 @@
   void (*received) (void *data, struct bstr bytes);
   void *data;
   char *address;
+  int send_queue;
   uint64_t bytes;
   uint64_t messages;
 };
@@ -100,6 +102,8 @@
   bus->ev = options->ev;
   bus->received = options->received;
   bus->data = options->data;
+  bus->send_queue
+      = options->send_queue > 0 ? options->send_queue : DEFAULT_SEND_QUEUE;
   bus->again = tevent_create_immediate (bus);
   bus->context = zmq_ctx_new ();
   talloc_set_destructor (bus, bus_destructor);
@@ -139,7 +143,7 @@
   p->address = talloc_strdup (p, address);
   p->socket = zmq_socket (bus->context, ZMQ_PUSH);
   set_option (p->socket, ZMQ_LINGER, 0);
-  set_option (p->socket, ZMQ_SNDHWM, SEND_QUEUE);
+  set_option (p->socket, ZMQ_SNDHWM, bus->send_queue);
   set_option (p->socket, ZMQ_RECONNECT_IVL, 100);
   set_option (p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
   if (zmq_connect (p->socket, address) != 0)
--- a/net/bus.h
+++ b/net/bus.h
@@ -19,6 +19,7 @@
   struct tevent_context *ev;
   const char *address; /**< tcp://IP:PORT; port * takes a free one. */
   size_t max_message;  /**< Larger messages are dropped by the socket. */
+  int send_queue;      /**< Messages kept for a silent peer; 0: 64. */
   void (*received) (void *data, struct bstr bytes);
   void *data;
 };
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -42,6 +42,9 @@
 #define QUIET_US (420 * USEC_PER_MSEC)
 #define CHECK_US (280 * USEC_PER_MSEC)
 #define CHECK_PAUSE_US (150 * USEC_PER_MSEC)
+/* Statements and results that wait for a peer until its connection is opened
+   anew: half a second of a busy owner. */
+#define SEND_QUEUE 1024
 
 /** A message that the receiver has not confirmed. */
 struct unconfirmed
@@ -778,6 +781,7 @@
                        &(struct bus_options){ .ev = r->ev,
                                               .address = r->options->bus,
                                               .max_message = PACKET_MAX_BYTES,
+                                              .send_queue = SEND_QUEUE,
                                               .received = received,
                                               .data = f },
                        err);
