--- a/core/lease.c
+++ b/core/lease.c
@@ -7,6 +7,8 @@
 /* Margin in percent that a granting member adds, for clocks that run at
    slightly different rates. */
 #define CLOCK_MARGIN_PERCENT 2
+/* Leases for which an observer believes what it heard last. */
+#define OBSERVER_TERMS 2
 
 struct peer
 {
@@ -40,8 +42,8 @@
   struct lease_options options;
   struct peer *peers;
   int peer_count;
-  bool is_member;    /**< This member is one of them. */
-  int member_count;  /**< This member included. */
+  bool is_member;    /**< This process is a voter. */
+  int member_count;  /**< Voters, this process included if it is one. */
   uint64_t smallest; /**< Id of the member with the casting vote. */
   struct service_lease services[LEASE_MAX_SERVICES];
   int service_count;
@@ -52,8 +54,7 @@
 {
   struct lease_table *t = talloc_zero (parent, struct lease_table);
   t->options = *options;
-  t->member_count = 1;
-  t->smallest = options->self;
+  t->smallest = UINT64_MAX;
   return t;
 }
 
@@ -80,25 +81,35 @@
   return p;
 }
 
+static void
+withdraw_grant (struct service_lease *s)
+{
+  s->granted_to = 0;
+  s->granted_until = 0;
+}
+
 void
 lease_set_members (struct lease_table *t, const uint64_t *members, int count)
 {
   for (int i = 0; i < t->peer_count; i++)
     t->peers[i].is_member = false;
-  t->member_count = 1;
-  t->smallest = t->options.self;
+  bool was_member = t->is_member;
+  t->member_count = 0;
+  t->smallest = UINT64_MAX;
   t->is_member = false;
   for (int i = 0; i < count && i < LEASE_MAX_MEMBERS; i++)
     {
-      if (members[i] == t->options.self)
-        t->is_member = true;
+      t->member_count++;
       if (members[i] < t->smallest)
         t->smallest = members[i];
       if (members[i] == t->options.self)
-        continue;
-      add_peer (t, members[i])->is_member = true;
-      t->member_count++;
+        t->is_member = true;
+      else
+        add_peer (t, members[i])->is_member = true;
     }
+  /* What an observer has heard is no grant. */
+  for (int i = 0; i < t->service_count && t->is_member && !was_member; i++)
+    withdraw_grant (&t->services[i]);
 }
 
 static struct service_lease *
@@ -176,11 +187,21 @@
   return !is_holder;
 }
 
-static void
-withdraw_grant (struct service_lease *s)
-{
-  s->granted_to = 0;
-  s->granted_until = 0;
+/* An observer follows the claims of those that own a service. */
+static bool
+observe (struct lease_table *t, struct service_lease *s,
+         const struct lease_heartbeat *h, const struct lease_claim *claim,
+         int64_t now)
+{
+  bool is_holder = s->granted_to == h->member
+                   && s->granted_incarnation == h->incarnation
+                   && now < s->granted_until;
+  if (!claim->held)
+    return false;
+  s->granted_to = h->member;
+  s->granted_incarnation = h->incarnation;
+  s->granted_until = now + OBSERVER_TERMS * t->options.term_us;
+  return !is_holder;
 }
 
 void
@@ -226,6 +247,14 @@
   return false;
 }
 
+void
+lease_forget (struct lease_table *t, uint64_t member)
+{
+  struct peer *p = find_peer (t, member);
+  if (p != NULL && !p->is_member)
+    *p = t->peers[--t->peer_count];
+}
+
 bool
 lease_ended (struct lease_table *t, uint64_t member, uint64_t incarnation)
 {
@@ -294,7 +323,10 @@
       struct service_lease *s = add_service (t, h->claims[i].service);
       if (s == NULL)
         continue;
-      changed |= try_grant (t, s, h->member, h->incarnation, now);
+      if (t->is_member)
+        changed |= try_grant (t, s, h->member, h->incarnation, now);
+      else
+        changed |= observe (t, s, h, &h->claims[i], now);
       if (s->granted_to == h->member)
         note_state (s, h->claims[i].state);
     }
@@ -415,15 +447,22 @@
   return s != NULL && now < s->granted_until ? s->granted_to : 0;
 }
 
+bool
+lease_is_voter (const struct lease_table *t)
+{
+  return t->is_member;
+}
+
 bool
 lease_in_quorum (const struct lease_table *t, int64_t now)
 {
-  int votes = votes_of (t, t->options.self);
+  int votes = t->is_member ? votes_of (t, t->options.self) : 0;
+  int64_t limit = t->options.term_us * (t->is_member ? 1 : OBSERVER_TERMS);
   for (int i = 0; i < t->peer_count; i++)
     if (t->peers[i].is_member && t->peers[i].heard > 0
-        && now - t->peers[i].heard <= t->options.term_us)
+        && now - t->peers[i].heard <= limit)
       votes += votes_of (t, t->peers[i].id);
-  return t->is_member && votes >= votes_needed (t);
+  return t->member_count > 0 && votes >= votes_needed (t);
 }
 
 int64_t
@@ -434,13 +473,20 @@
 }
 
 int
-lease_claims (const struct lease_table *t, struct lease_claim *out)
+lease_claims (const struct lease_table *t, struct lease_claim *out,
+              int64_t now)
 {
   int count = 0;
   for (int i = 0; i < t->service_count; i++)
-    if (t->services[i].claimed)
-      out[count++] = (struct lease_claim){ t->services[i].service,
-                                           t->services[i].state };
+    {
+      uint64_t service = t->services[i].service;
+      if (t->services[i].claimed)
+        out[count++] = (struct lease_claim){
+          .service = service,
+          .state = t->services[i].state,
+          .held = lease_valid_until (t, service) > now,
+        };
+    }
   return count;
 }
 
@@ -454,7 +500,7 @@
       struct service_lease *s = &t->services[i];
       if (s->claimed)
         try_grant (t, s, t->options.self, t->options.incarnation, now);
-      if (s->granted_to != 0 && now < s->granted_until)
+      if (t->is_member && s->granted_to != 0 && now < s->granted_until)
         grants[count++]
             = (struct lease_grant){ .service = s->service,
                                     .member = s->granted_to,
--- a/core/lease.h
+++ b/core/lease.h
@@ -1,9 +1,12 @@
 /** @file
  * Which member owns which service, agreed by leases that a majority of the
- * members grants.  The grants travel in heartbeats and live in memory only:
- * a member that has just started grants nothing for one lease, so that it
+ * voters grants.  The grants travel in heartbeats and live in memory only:
+ * a voter that has just started grants nothing for one lease, so that it
  * cannot contradict what it granted before its restart.
  *
+ * A process that is no voter is an observer: it grants and owns nothing and
+ * learns the owners from their claims.
+ *
  * Times are microseconds of the process's own clock; stamps of another
  * member are only compared with stamps of that member.
  */
@@ -13,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Voters that are considered. */
 #define LEASE_MAX_MEMBERS 128
 #define LEASE_MAX_SERVICES 64
 
@@ -40,6 +44,7 @@
 {
   uint64_t service;
   enum lease_state state;
+  bool held; /**< The sender owns it: a majority has granted it. */
 };
 
 /** A grant: @p member may own @p service. */
@@ -67,8 +72,8 @@
 
 struct lease_table *lease_create (void *parent,
                                   const struct lease_options *options);
-/** The members whose majority decides.  A process that is not among them
- * grants and owns nothing. */
+/** The voters, whose majority decides.  A process that is not among them
+ * becomes an observer. */
 void lease_set_members (struct lease_table *t, const uint64_t *members,
                         int count);
 /** Ask for a service, or give it up. */
@@ -91,6 +96,8 @@
  * in case the time of day went back between two starts. */
 bool lease_is_stale (const struct lease_table *t, uint64_t member,
                      uint64_t incarnation, int64_t now);
+/** Forget a member that is no voter. */
+void lease_forget (struct lease_table *t, uint64_t member);
 /** The process with this incarnation has surely ended: what it was granted
  * is free at once.
  * @return whether a grant was withdrawn. */
@@ -98,17 +105,21 @@
                   uint64_t incarnation);
 /** @return until when this member owns the service; 0: it does not. */
 int64_t lease_valid_until (const struct lease_table *t, uint64_t service);
-/** @return the member that this member has granted the service to, 0 if
- * none. */
+/** @return the member that this voter has granted the service to, or that an
+ * observer has heard to own it; 0 if none. */
 uint64_t lease_owner (const struct lease_table *t, uint64_t service,
                       int64_t now);
-/** @return whether this member heard a majority within one lease. */
+/** @return whether this process votes. */
+bool lease_is_voter (const struct lease_table *t);
+/** @return whether a majority of the voters was heard: by a voter within one
+ * lease, by an observer within two, as it hears them less often. */
 bool lease_in_quorum (const struct lease_table *t, int64_t now);
 /** @return when the member was heard last, 0 if never. */
 int64_t lease_last_heard (const struct lease_table *t, uint64_t member);
 
 /* What this member's own heartbeat has to say. */
-int lease_claims (const struct lease_table *t, struct lease_claim *claims);
+int lease_claims (const struct lease_table *t, struct lease_claim *claims,
+                  int64_t now);
 int lease_grants (struct lease_table *t, struct lease_grant *grants,
                   int64_t now);
 int64_t lease_echo (const struct lease_table *t, uint64_t member);
--- a/session/directory.c
+++ b/session/directory.c
@@ -25,6 +25,20 @@
 /* Another daemon's newer copy is fetched if ours has not caught up by
    then. */
 #define FETCH_AFTER_US (150 * USEC_PER_MSEC)
+/* An observer waits this long for the voter that it takes copies from before
+   it asks another one, and for a copy that it has asked for. */
+#define SOURCE_WAIT_US (900 * USEC_PER_MSEC)
+#define COPY_WAIT_US (1200 * USEC_PER_MSEC)
+/* Voters that a fleet wants: any four may fail at once.  More would only
+   make every change of a lease slower. */
+#define VOTERS_WANTED 9
+/* A VM of this size votes at once, in cores; smaller ones leave the places
+   to it for a while, longer the smaller they are. */
+#define LARGE_VM 0.5
+#define SMALL_VM_WAIT_US (4 * USEC_PER_SEC)
+#define CANDIDATE_SPREAD_US (300 * USEC_PER_MSEC)
+/* An observer that does not hear the voters looks for new ones this often. */
+#define LOOK_US (2 * USEC_PER_SEC)
 
 struct collection
 {
@@ -36,7 +50,9 @@
   uint64_t digest;
   int64_t retry_us;
   int64_t behind_since; /**< Another daemon has a newer copy; 0: none. */
+  int64_t asked_at;     /**< For a copy; 0: never. */
   bool known;
+  bool called; /**< A list, a watch or a retry of it is under way. */
 };
 
 struct directory
@@ -52,12 +68,21 @@
   const struct config *config;
   bool store_answers;
   bool registering;
+  bool is_candidate;     /**< Waits for its turn to become a voter. */
+  bool is_chosen;        /**< It is its turn. */
   int64_t registered_at; /**< Start of the last attempt. */
 };
 
 static void watch (struct collection *c);
 static void list (struct collection *c, const char *after);
 
+/* Before the fleet exists nobody is. */
+static bool
+is_voter (const struct directory *d)
+{
+  return d->relay->fleet != NULL && fleet_is_voter (d->relay->fleet);
+}
+
 static void
 set_store_answers (struct directory *d, bool answers, const char *reason)
 {
@@ -165,31 +190,87 @@
   relay_endpoints_changed (d->relay);
 }
 
+static void
+start_calls (struct collection *c)
+{
+  if (!c->called)
+    list (c, NULL);
+}
+
+static void
+on_candidate (struct tevent_context *ev, struct tevent_timer *timer,
+              struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct directory *d = data;
+  d->is_candidate = false;
+  d->is_chosen = true;
+  start_calls (&d->collections[OBJECT_MEMBERS]);
+}
+
+/* There are too few voters: see whether this is so still after a time in
+   which larger VMs come first. */
+static void
+become_candidate (struct directory *d)
+{
+  double missing = LARGE_VM - d->relay->options->capacity;
+  int64_t wait = missing > 0 ? (int64_t)(missing * SMALL_VM_WAIT_US) : 0;
+  wait += relay_random ((uint32_t)(wait + CANDIDATE_SPREAD_US));
+  d->is_candidate = true;
+  log_info (PART, "event=candidate voters=%d wait_ms=%" PRId64,
+            d->member_count, wait / USEC_PER_MSEC);
+  relay_after (d->relay, d, wait, on_candidate, d);
+}
+
 static void
 on_registered (void *data, const struct error *err, const json_t *body)
 {
   (void)body;
   struct directory *d = data;
   d->registering = false;
-  if (err->code != ERROR_NONE)
-    log_warn (PART, "event=register_failed code=%s reason=\"%s\"",
-              error_name (err->code), err->text);
+  if (err->code == ERROR_NONE || err->code == ERROR_CONFLICT)
+    {
+      start_calls (&d->collections[OBJECT_MEMBERS]);
+      return;
+    }
+  log_warn (PART, "event=register_failed code=%s reason=\"%s\"",
+            error_name (err->code), err->text);
+  if (!d->is_candidate)
+    become_candidate (d);
 }
 
-static void
-register_self (struct directory *d, const json_t *present)
+/* @return whether this daemon should write its entry now. */
+static bool
+should_register (struct directory *d, const json_t *present)
 {
-  const struct relay_options *o = d->relay->options;
   struct error err = { 0 };
   struct member_entry entry;
-  int64_t now = clock_now ();
   void *scratch = talloc_new (NULL);
   bool same = present != NULL
               && objects_decode_member (scratch, present, &entry, &err)
-              && bstr_equals_text (entry.address, o->bus);
+              && bstr_equals_text (entry.address, d->relay->options->bus);
+  bool is_chosen = d->is_chosen;
   talloc_free (scratch);
-  if (same || d->registering || d->relay->leaving_since != 0
-      || (d->registered_at != 0 && now - d->registered_at < REGISTER_RETRY_US))
+  d->is_chosen = false;
+  if (same || d->relay->leaving_since != 0)
+    return false;
+  if (present != NULL)
+    return true;
+  if (d->member_count >= VOTERS_WANTED)
+    return false;
+  if (!is_chosen && !d->is_candidate)
+    become_candidate (d);
+  return is_chosen;
+}
+
+static void
+register_self (struct directory *d, const json_t *present)
+{
+  const struct relay_options *o = d->relay->options;
+  int64_t now = clock_now ();
+  if (d->registering
+      || (d->registered_at != 0 && now - d->registered_at < REGISTER_RETRY_US)
+      || !should_register (d, present))
     return;
   d->registering = true;
   d->registered_at = now;
@@ -199,6 +280,13 @@
              CALL_TIMEOUT_MS, on_registered, d);
 }
 
+static void
+register_again (struct directory *d)
+{
+  register_self (d, json_object_get (d->collections[OBJECT_MEMBERS].items,
+                                     d->relay->options->name));
+}
+
 static void
 decode_members (struct directory *d, const json_t *items)
 {
@@ -223,6 +311,8 @@
   d->member_count = count;
   register_self (d, json_object_get (items, d->relay->options->name));
   relay_members_changed (d->relay);
+  for (int kind = 0; kind < OBJECT_KIND_COUNT && is_voter (d); kind++)
+    start_calls (&d->collections[kind]);
 }
 
 static void
@@ -260,6 +350,7 @@
 static void
 retry_later (struct collection *c, const struct error *err)
 {
+  c->called = true;
   set_store_answers (c->directory, false, err->text);
   if (c->retry_us < RETRY_US)
     c->retry_us = RETRY_US;
@@ -306,12 +397,15 @@
       c->revision = revision;
       items_changed (c);
     }
+  else if (c->kind == OBJECT_MEMBERS)
+    register_again (c->directory);
   watch (c);
 }
 
 static void
 list (struct collection *c, const char *after)
 {
+  c->called = true;
   if (after == NULL)
     {
       json_decref (c->building);
@@ -372,9 +466,7 @@
   if (changed)
     items_changed (c);
   else if (c->kind == OBJECT_MEMBERS)
-    register_self (
-        c->directory,
-        json_object_get (c->items, c->directory->relay->options->name));
+    register_again (c->directory);
   watch (c);
 }
 
@@ -391,6 +483,9 @@
 static void
 watch (struct collection *c)
 {
+  c->called = is_voter (c->directory);
+  if (!c->called)
+    return;
   store_watch (c->directory->relay->store, objects_kind_name (c->kind),
                c->revision, watch_wait (c), on_watch, c);
 }
@@ -419,8 +514,8 @@
       c->directory = d;
       c->kind = (enum object_kind)kind;
       c->items = json_object ();
-      list (c, NULL);
     }
+  list (&d->collections[OBJECT_MEMBERS], NULL);
   return d;
 }
 
@@ -462,6 +557,21 @@
   return d->collections[kind].digest;
 }
 
+/* An observer that hears no majority may know voters that are gone. */
+static void
+look_for_voters (void *data)
+{
+  struct directory *d = data;
+  if (!is_voter (d) && !fleet_in_quorum (d->relay->fleet))
+    start_calls (&d->collections[OBJECT_MEMBERS]);
+}
+
+void
+directory_start (struct directory *d)
+{
+  relay_every (d->relay, d, LOOK_US, look_for_voters, d);
+}
+
 static bool
 is_newer (const struct directory *d, enum object_kind kind,
           const struct packet_heartbeat *h)
@@ -473,6 +583,25 @@
          && h->digest[kind] != 0;
 }
 
+/* A voter waits for its own watch first.  An observer asks its source. */
+static bool
+should_fetch (struct collection *c, uint64_t member, int64_t now)
+{
+  const struct directory *d = c->directory;
+  if (c->behind_since == 0)
+    c->behind_since = now;
+  int64_t behind = now - c->behind_since;
+  if (is_voter (d))
+    return !c->known
+           || (behind >= FETCH_AFTER_US
+               && now - c->asked_at >= FETCH_AFTER_US);
+  if (c->kind == OBJECT_ENDPOINTS
+      || (c->asked_at != 0 && now - c->asked_at < COPY_WAIT_US))
+    return false;
+  uint64_t source = fleet_copy_source (d->relay->fleet);
+  return source == 0 || member == source || behind >= SOURCE_WAIT_US;
+}
+
 void
 directory_compare (struct directory *d, uint64_t member,
                    const struct packet_heartbeat *h)
@@ -481,13 +610,10 @@
   for (int kind = 0; kind < OBJECT_KIND_COUNT; kind++)
     {
       struct collection *c = &d->collections[kind];
-      if (!is_newer (d, (enum object_kind)kind, h))
-        continue;
-      if (c->behind_since == 0)
-        c->behind_since = now;
-      if (now - c->behind_since < FETCH_AFTER_US && c->known)
+      if (!is_newer (d, (enum object_kind)kind, h)
+          || !should_fetch (c, member, now))
         continue;
-      c->behind_since = now;
+      c->asked_at = now;
       struct packet m = { .kind = PACKET_FETCH };
       m.copy.kind = (enum object_kind)kind;
       fleet_send (d->relay->fleet, member, &m);
--- a/session/directory.h
+++ b/session/directory.h
@@ -1,6 +1,7 @@
 /** @file
- * What the platform's store holds, kept up to date by watches and, when the
- * store cannot be reached, by copies from other daemons.
+ * What the platform's store holds.  Voters keep it up to date by watches and,
+ * when the store cannot be reached, by copies from other daemons.  Observers
+ * take copies from a voter and call the store only to find the voters.
  */
 #ifndef SESSION_DIRECTORY_H
 #define SESSION_DIRECTORY_H
@@ -9,7 +10,10 @@
 
 struct directory;
 
+/** Begins to read; nothing is received before the loop runs. */
 struct directory *directory_create (struct relay *r);
+/** The fleet exists. */
+void directory_start (struct directory *d);
 
 /** Entries that may be used, valid until the next change. */
 const struct endpoint_entry *directory_endpoints (const struct directory *d,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -17,6 +17,9 @@
    leaves room for four lost heartbeats. */
 #define LEASE_US (1000 * USEC_PER_MSEC)
 #define HEARTBEAT_US (200 * USEC_PER_MSEC)
+/* Between a voter and an observer heartbeats are rarer, and silence is
+   tolerated longer, by this factor. */
+#define OBSERVER_FACTOR 2
 #define TICK_US (50 * USEC_PER_MSEC)
 /* A daemon that was silent for longer gets no new statements. */
 #define SILENT_US (650 * USEC_PER_MSEC)
@@ -27,8 +30,12 @@
 #define OTHERS_CLAIM_US (400 * USEC_PER_MSEC)
 /* A named successor is the only one to claim for this time. */
 #define SUCCESSOR_US (400 * USEC_PER_MSEC)
-/* A member that a majority has not heard for this time is removed. */
+/* A voter that a majority has not heard for this time is removed. */
 #define REMOVE_US (7 * USEC_PER_SEC)
+/* An observer that was silent for this time is forgotten.  Until then it gets
+   a few heartbeats, so that it finds the voters without the store. */
+#define FORGET_US (60 * USEC_PER_SEC)
+#define SILENT_HEARTBEAT_US (1 * USEC_PER_SEC)
 #define REMOVE_CHECK_US (1 * USEC_PER_SEC)
 /* Statements that took longer on their way are dropped by the receiver. */
 #define MAX_AGE_US (600 * USEC_PER_MSEC)
@@ -62,7 +69,9 @@
   char *name;
   char *address;
   char *failure_domain;
-  bool is_member;
+  bool is_voter;
+  bool knows_us; /**< It has confirmed a heartbeat of this process. */
+  int capacity;  /**< Thousandths of a core. */
   bool leaving;
   bool ready;
   uint64_t incarnation;
@@ -77,6 +86,8 @@
   uint64_t next_number;
   struct unconfirmed *unconfirmed;
   struct unconfirmed **unconfirmed_end;
+  int64_t last_heartbeat;
+  int64_t previous_heartbeat;
   int64_t last_reset;
   int64_t last_reset_logged;
   /* Messages from it. */
@@ -105,14 +116,14 @@
   struct peer *peers;
   struct tenure tenures[LEASE_MAX_SERVICES];
   int tenure_count;
-  int64_t last_heartbeat;
-  int64_t previous_heartbeat;
+  int64_t last_round; /**< Of heartbeats. */
   int64_t started;
-  bool urgent; /**< Send heartbeats at the next turn of the loop. */
+  bool urgent;        /**< Send heartbeats at the next turn of the loop. */
+  uint64_t told_held; /**< Digest of the services told to observers. */
   struct tevent_immediate *soon;
 };
 
-static void send_heartbeats (struct fleet *f);
+static void send_heartbeats (struct fleet *f, bool urgent);
 
 static struct peer *
 find_peer (const struct fleet *f, uint64_t id)
@@ -147,10 +158,19 @@
   *text = bstr_to_text (p, value);
 }
 
+/* How much slower than between two voters everything goes. */
+static int
+slowness (const struct peer *p)
+{
+  return p->is_voter && lease_is_voter (p->fleet->leases) ? 1
+                                                          : OBSERVER_FACTOR;
+}
+
 static bool
 is_alive (const struct peer *p, int64_t now)
 {
-  return p->heard > 0 && !p->ended && now - p->heard <= SILENT_US;
+  return p->heard > 0 && !p->ended
+         && now - p->heard <= slowness (p) * SILENT_US;
 }
 
 static struct tenure *
@@ -172,7 +192,7 @@
   (void)ev, (void)im;
   struct fleet *f = data;
   if (f->urgent)
-    send_heartbeats (f);
+    send_heartbeats (f, true);
 }
 
 static void
@@ -299,7 +319,7 @@
 {
   int64_t now = clock_now ();
   for (struct peer *p = f->peers; p != NULL; p = p->next)
-    if (is_alive (p, now))
+    if (p->is_voter && is_alive (p, now))
       send_to (f, p, message);
 }
 
@@ -310,21 +330,12 @@
          && directory_has (f->relay->directory, OBJECT_ENDPOINTS);
 }
 
+/* What all heartbeats of this moment say; the rest depends on the receiver. */
 static void
-send_heartbeats (struct fleet *f)
+describe_self (const struct fleet *f, struct packet_heartbeat *h, int64_t now)
 {
-  struct relay *r = f->relay;
-  int64_t now = clock_now ();
-  struct packet *m = talloc_zero (f, struct packet);
-  struct packet_heartbeat *h = &m->heartbeat;
-  if (now - f->last_heartbeat > CONFIRM_US)
-    f->previous_heartbeat = f->last_heartbeat;
-  f->last_heartbeat = now;
-  f->urgent = false;
-  m->kind = PACKET_HEARTBEAT;
-  h->name = bstr_from (r->options->name);
-  h->address = bstr_from (r->options->bus);
-  h->failure_domain = bstr_from (r->options->failure_domain);
+  const struct relay *r = f->relay;
+  h->capacity = (int)(r->options->capacity * 1000);
   h->leaving = r->leaving_since != 0;
   h->ready = is_ready (f);
   h->reaches_store = directory_store_answers (r->directory);
@@ -336,8 +347,17 @@
       h->digest[kind]
           = directory_digest (r->directory, (enum object_kind)kind);
     }
-  h->claim_count = lease_claims (f->leases, h->claims);
+  h->claim_count = lease_claims (f->leases, h->claims, now);
+}
+
+/* Only voters need the grants, the successors and the demand. */
+static void
+describe_leases (struct fleet *f, struct packet_heartbeat *h, int64_t now)
+{
+  struct limits *limits = f->relay->limits;
   h->grant_count = lease_grants (f->leases, h->grants, now);
+  /* Granting itself may have given this daemon a service. */
+  h->claim_count = lease_claims (f->leases, h->claims, now);
   for (int i = 0; i < f->tenure_count; i++)
     if (now < f->tenures[i].release_until)
       h->successors[h->successor_count++]
@@ -345,18 +365,87 @@
                                        f->tenures[i].release_to };
   if (h->claim_count > 0)
     h->demand_count
-        = limits_report (r->limits, h->demand, PACKET_MAX_DEMAND, now);
-  limits_share (r->limits, h->claim_count > 0, LEASE_US, now);
+        = limits_report (limits, h->demand, PACKET_MAX_DEMAND, now);
+  limits_share (limits, h->claim_count > 0, LEASE_US, now);
+}
+
+static void
+send_heartbeat (struct fleet *f, struct peer *p, struct packet *m, int64_t now)
+{
+  const struct relay_options *o = f->relay->options;
+  struct packet_heartbeat *h = &m->heartbeat;
+  if (now - p->last_heartbeat > CONFIRM_US)
+    p->previous_heartbeat = p->last_heartbeat;
+  p->last_heartbeat = now;
+  /* A process that starts again at its address knows nobody. */
+  bool known = p->knows_us && is_alive (p, now);
+  h->echo = lease_echo (f->leases, p->id);
+  h->name = bstr_from (known ? "" : o->name);
+  h->address = bstr_from (known ? "" : o->bus);
+  h->failure_domain = bstr_from (known ? "" : o->failure_domain);
+  send_to (f, p, m);
+}
+
+static uint64_t
+digest_of_held (const struct lease_claim *claims, int count)
+{
+  uint64_t digest = 0;
+  for (int i = 0; i < count; i++)
+    if (claims[i].held)
+      digest ^= claims[i].service;
+  return digest;
+}
+
+static bool
+wants_heartbeat (const struct peer *p, bool urgent, int64_t now)
+{
+  int64_t period = slowness (p) * HEARTBEAT_US - TICK_US / 2;
+  /* Until the voters are known, those that send heartbeats are. */
+  bool are_known = directory_has (p->fleet->relay->directory, OBJECT_MEMBERS);
+  if (!p->is_voter
+      && (p->heard == 0 || (are_known && !lease_is_voter (p->fleet->leases))))
+    return false;
+  if (!p->is_voter && !is_alive (p, now))
+    return now - p->last_heartbeat >= SILENT_HEARTBEAT_US;
+  return urgent || now - p->last_heartbeat >= period;
+}
+
+/* @param urgent a grant or a claim has changed: do not wait for the next
+   period. */
+static void
+send_heartbeats (struct fleet *f, bool urgent)
+{
+  int64_t now = clock_now ();
+  struct packet *m = talloc_zero (f, struct packet);
+  struct packet_heartbeat *h = &m->heartbeat;
+  bool is_voter = lease_is_voter (f->leases);
+  f->urgent = false;
+  m->kind = PACKET_HEARTBEAT;
+  describe_self (f, h, now);
+  if (is_voter)
+    describe_leases (f, h, now);
   for (struct peer *p = f->peers; p != NULL; p = p->next)
-    {
-      if (!p->is_member && !is_alive (p, now))
-        continue;
-      h->echo = lease_echo (f->leases, p->id);
-      send_to (f, p, m);
-    }
+    if (p->is_voter && wants_heartbeat (p, urgent, now))
+      send_heartbeat (f, p, m, now);
+  h->grant_count = h->successor_count = h->demand_count = 0;
+  uint64_t held = digest_of_held (h->claims, h->claim_count);
+  bool tell = held != f->told_held;
+  f->told_held = held;
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    if (!p->is_voter && wants_heartbeat (p, tell, now))
+      send_heartbeat (f, p, m, now);
   talloc_free (m);
 }
 
+/* Observers send their statements to whom they were told of. */
+static bool
+holds_others_than_told (const struct fleet *f, int64_t now)
+{
+  struct lease_claim claims[LEASE_MAX_SERVICES];
+  int count = lease_claims (f->leases, claims, now);
+  return digest_of_held (claims, count) != f->told_held;
+}
+
 static void
 on_heartbeat (struct fleet *f, const struct packet *m)
 {
@@ -366,9 +455,14 @@
   bool was_alive = is_alive (p, now);
   bool is_new = p->incarnation != m->sender.incarnation;
   int64_t delta = now - m->sender.stamp;
-  set_text (p, &p->name, h->name);
-  set_text (p, &p->address, h->address);
-  set_text (p, &p->failure_domain, h->failure_domain);
+  if (h->name.len > 0)
+    {
+      set_text (p, &p->name, h->name);
+      set_text (p, &p->address, h->address);
+      set_text (p, &p->failure_domain, h->failure_domain);
+    }
+  p->capacity = h->capacity;
+  p->knows_us = h->echo >= f->started;
   if (is_new || delta < p->clock_delta)
     p->clock_delta = delta;
   if (is_new)
@@ -381,16 +475,16 @@
   p->heard = now;
   p->ended = false;
   confirm (p, h->echo);
-  if (!is_new && was_alive && h->echo != 0 && h->echo < f->previous_heartbeat
-      && now - f->last_heartbeat > CONFIRM_US)
+  if (!is_new && was_alive && h->echo != 0 && h->echo < p->previous_heartbeat
+      && now - p->last_heartbeat > CONFIRM_US)
     reset_connection (p, now, "heartbeats do not arrive");
   p->reaches_store = h->reaches_store;
   p->leaving = h->leaving;
   p->ready = h->ready;
   p->claim_count = h->claim_count;
   if (!was_alive || is_new)
-    log_info (PART, "event=daemon_heard name=%s restarted=%d", p->name,
-              is_new);
+    log_info (PART, "event=daemon_heard name=%s restarted=%d",
+              p->name != NULL ? p->name : "unknown", is_new);
   for (int i = 0; i < h->successor_count; i++)
     {
       struct tenure *t = find_tenure (f, h->successors[i].service);
@@ -411,11 +505,15 @@
     .grants = h->grants,
     .grant_count = h->grant_count,
   };
-  if (lease_heard (f->leases, &lease, now))
+  bool changed = lease_heard (f->leases, &lease, now);
+  if (lease_is_voter (f->leases)
+      && (changed || holds_others_than_told (f, now)))
     heartbeat_soon (f);
   directory_compare (f->relay->directory, p->id, h);
-  owner_check (f->relay->owner);
-  callers_owners_changed (f->relay->callers);
+  if (p->is_voter)
+    owner_check (f->relay->owner);
+  if (p->is_voter || is_new)
+    callers_owners_changed (f->relay->callers);
 }
 
 /* The clocks of two daemons are not comparable; the fastest heartbeat shows
@@ -511,28 +609,38 @@
   talloc_free (m);
 }
 
-/** A member that may own services. */
+/** A voter that may own services. */
 struct candidate
 {
   uint64_t id;
   const char *failure_domain;
+  int capacity; /**< Thousandths of a core. */
   int owned;
 };
 
+static bool
+may_own (const struct fleet *f, int64_t now)
+{
+  return lease_is_voter (f->leases) && is_ready (f)
+         && lease_in_quorum (f->leases, now);
+}
+
 static int
 list_candidates (const struct fleet *f, struct candidate *out, int64_t now)
 {
   struct lease_claim own[LEASE_MAX_SERVICES];
   int count = 0;
-  if (is_ready (f) && lease_in_quorum (f->leases, now))
-    out[count++] = (struct candidate){ f->relay->self,
-                                       f->relay->options->failure_domain,
-                                       lease_claims (f->leases, own) };
+  if (may_own (f, now))
+    out[count++]
+        = (struct candidate){ f->relay->self,
+                              f->relay->options->failure_domain,
+                              (int)(f->relay->options->capacity * 1000),
+                              lease_claims (f->leases, own, now) };
   for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
        p = p->next)
-    if (is_alive (p, now) && p->is_member && p->ready && !p->leaving)
-      out[count++]
-          = (struct candidate){ p->id, p->failure_domain, p->claim_count };
+    if (is_alive (p, now) && p->is_voter && p->ready && !p->leaving)
+      out[count++] = (struct candidate){ p->id, p->failure_domain, p->capacity,
+                                         p->claim_count };
   return count;
 }
 
@@ -540,8 +648,10 @@
 is_better (const struct candidate *a, const struct candidate *b,
            const char *failure_domain, uint64_t service)
 {
-  if (a->owned != b->owned)
-    return a->owned < b->owned;
+  int64_t a_load = (int64_t)(a->owned + 1) * b->capacity;
+  int64_t b_load = (int64_t)(b->owned + 1) * a->capacity;
+  if (a_load != b_load)
+    return a_load < b_load;
   bool a_near = failure_domain != NULL
                 && strcmp (a->failure_domain, failure_domain) == 0;
   bool b_near = failure_domain != NULL
@@ -551,8 +661,8 @@
   return model_rank (service, a->id) > model_rank (service, b->id);
 }
 
-/* The daemons that own least come first, then those in the failure domain of
-   the service's primary. */
+/* The daemons that own least for their size come first, then those in the
+   failure domain of the service's primary. */
 static struct candidate *
 best_candidate (const struct fleet *f, struct candidate *list, int count,
                 uint64_t service)
@@ -620,8 +730,7 @@
                               || now - t->unowned_since > OTHERS_CLAIM_US);
   if (best != NULL)
     best->owned++;
-  if (self && is_ready (f) && lease_in_quorum (f->leases, now)
-      && now >= t->pause_until)
+  if (self && may_own (f, now) && now >= t->pause_until)
     set_claim (f, t, true, now);
 }
 
@@ -651,21 +760,21 @@
     update_tenure (f, &f->tenures[i], list, count, now);
 }
 
-/* The daemon with the smallest id among those that are heard removes
-   members that are gone, and only as part of a majority. */
+/* The voter with the smallest id among those that are heard removes voters
+   that are gone, and only as part of a majority. */
 static void
-remove_silent_members (void *data)
+remove_silent_members (struct fleet *f)
 {
-  struct fleet *f = data;
   int64_t now = clock_now ();
   int count;
   const struct member_entry *members
       = directory_members (f->relay->directory, &count);
-  if (now - f->started < REMOVE_US || !lease_in_quorum (f->leases, now)
+  if (now - f->started < REMOVE_US || !lease_is_voter (f->leases)
+      || !lease_in_quorum (f->leases, now)
       || !directory_store_answers (f->relay->directory))
     return;
   for (const struct peer *p = f->peers; p != NULL; p = p->next)
-    if (is_alive (p, now) && p->is_member && p->id < f->relay->self)
+    if (is_alive (p, now) && p->is_voter && p->id < f->relay->self)
       return;
   for (int i = 0; i < count; i++)
     {
@@ -680,6 +789,25 @@
     }
 }
 
+/* Large VMs first, as copies are long; then those in the same failure
+   domain; among equals another one for each observer. */
+static bool
+is_better_source (const struct fleet *f, const struct peer *a,
+                  const struct peer *b)
+{
+  const char *own = f->relay->options->failure_domain;
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity;
+  bool a_near
+      = a->failure_domain != NULL && strcmp (a->failure_domain, own) == 0;
+  bool b_near
+      = b->failure_domain != NULL && strcmp (b->failure_domain, own) == 0;
+  if (a_near != b_near)
+    return a_near;
+  return model_rank (f->relay->self, a->id)
+         > model_rank (f->relay->self, b->id);
+}
+
 static void
 process_ended (struct peer *p)
 {
@@ -738,21 +866,53 @@
       int64_t silent = now - p->heard;
       if (p->heard == 0 || p->address == NULL)
         continue;
-      if (silent > SILENT_US)
+      int slow = slowness (p);
+      if (silent > slow * SILENT_US)
         drop_unconfirmed (p);
-      if (silent > CHECK_US && !p->ended && silent < REMOVE_US
+      if (silent > slow * CHECK_US && !p->ended && silent < REMOVE_US
           && now - p->last_check > CHECK_PAUSE_US)
         check_listener (p, now);
-      else if (silent <= CHECK_US && p->check != NULL)
+      else if (silent <= slow * CHECK_US && p->check != NULL)
         {
           stream_abort (p->check);
           p->check = NULL;
         }
-      if (silent > QUIET_US && silent < REMOVE_US)
+      if (silent > slow * QUIET_US && silent < REMOVE_US)
         reset_connection (p, now, "silent");
     }
 }
 
+static void
+forget_peers (struct fleet *f, int64_t now)
+{
+  struct peer **at = &f->peers;
+  while (*at != NULL)
+    {
+      struct peer *p = *at;
+      if (p->is_voter || now - p->heard < FORGET_US
+          || now - f->started < FORGET_US)
+        {
+          at = &p->next;
+          continue;
+        }
+      *at = p->next;
+      lease_forget (f->leases, p->id);
+      if (p->check != NULL)
+        stream_abort (p->check);
+      if (p->address != NULL)
+        bus_reset (f->bus, p->address);
+      talloc_free (p);
+    }
+}
+
+static void
+on_remove_tick (void *data)
+{
+  struct fleet *f = data;
+  remove_silent_members (f);
+  forget_peers (f, clock_now ());
+}
+
 static void
 on_tick (void *data)
 {
@@ -760,8 +920,11 @@
   int64_t now = clock_now ();
   watch_peers (f, now);
   update_tenures (f, now);
-  if (now - f->last_heartbeat >= HEARTBEAT_US - TICK_US / 2)
-    send_heartbeats (f);
+  if (now - f->last_round >= HEARTBEAT_US - TICK_US / 2)
+    {
+      f->last_round = now;
+      send_heartbeats (f, false);
+    }
   owner_check (f->relay->owner);
 }
 
@@ -791,10 +954,28 @@
       return NULL;
     }
   relay_every (r, f, TICK_US, on_tick, f);
-  relay_every (r, f, REMOVE_CHECK_US, remove_silent_members, f);
+  relay_every (r, f, REMOVE_CHECK_US, on_remove_tick, f);
   return f;
 }
 
+/* A VM that was replaced may have left its address to another one. */
+static void
+close_unused_sockets (struct fleet *f)
+{
+  int64_t now = clock_now ();
+  int count = 0;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    count++;
+  const char **addresses = talloc_array (f, const char *, (size_t)count + 1);
+  count = 0;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (p->address != NULL
+        && (p->is_voter || (p->heard > 0 && now - p->heard < FORGET_US)))
+      addresses[count++] = p->address;
+  bus_keep_only (f->bus, addresses, count);
+  talloc_free (addresses);
+}
+
 void
 fleet_members_changed (struct fleet *f)
 {
@@ -802,25 +983,24 @@
   const struct member_entry *members
       = directory_members (f->relay->directory, &count);
   uint64_t ids[LEASE_MAX_MEMBERS];
-  const char *addresses[LEASE_MAX_MEMBERS];
   int id_count = 0;
   for (struct peer *p = f->peers; p != NULL; p = p->next)
-    p->is_member = false;
+    p->is_voter = false;
   for (int i = 0; i < count && id_count < LEASE_MAX_MEMBERS; i++)
     {
-      ids[id_count] = members[i].id;
-      addresses[id_count++] = members[i].address.start;
+      ids[id_count++] = members[i].id;
       if (members[i].id == f->relay->self)
         continue;
       struct peer *p = add_peer (f, members[i].id);
-      p->is_member = true;
+      p->is_voter = true;
       set_text (p, &p->name, members[i].name);
       set_text (p, &p->address, members[i].address);
       set_text (p, &p->failure_domain, members[i].failure_domain);
     }
-  bus_keep_only (f->bus, addresses, id_count);
   lease_set_members (f->leases, ids, id_count);
-  log_info (PART, "event=members count=%d", id_count);
+  log_info (PART, "event=voters count=%d voter=%d", id_count,
+            lease_is_voter (f->leases));
+  close_unused_sockets (f);
   heartbeat_soon (f);
 }
 
@@ -864,6 +1044,24 @@
   return lease_is_changing (f->leases, service);
 }
 
+bool
+fleet_is_voter (const struct fleet *f)
+{
+  return lease_is_voter (f->leases);
+}
+
+uint64_t
+fleet_copy_source (const struct fleet *f)
+{
+  const struct peer *best = NULL;
+  int64_t now = clock_now ();
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (p->is_voter && is_alive (p, now)
+        && (best == NULL || is_better_source (f, p, best)))
+      best = p;
+  return best != NULL ? best->id : 0;
+}
+
 bool
 fleet_in_quorum (const struct fleet *f)
 {
@@ -891,7 +1089,7 @@
   int64_t now = clock_now ();
   int rank = 0;
   for (const struct peer *p = f->peers; p != NULL; p = p->next)
-    rank += is_alive (p, now) && p->reaches_store && !p->leaving
+    rank += p->is_voter && is_alive (p, now) && p->reaches_store && !p->leaving
             && p->id < f->relay->self;
   return rank;
 }
@@ -902,7 +1100,7 @@
   int64_t now = clock_now ();
   const struct peer *best = NULL;
   for (const struct peer *p = f->peers; p != NULL; p = p->next)
-    if (is_alive (p, now) && p->is_member && p->ready && !p->leaving
+    if (is_alive (p, now) && p->is_voter && p->ready && !p->leaving
         && p->reaches_store
         && (best == NULL || p->claim_count < best->claim_count))
       best = p;
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -1,5 +1,9 @@
 /** @file
  * The other daemons: heartbeats, leases on services, and messages.
+ *
+ * A few daemons are voters: they grant leases on services and own them.  The
+ * others are observers; they exchange heartbeats with the voters only, so
+ * that the work of an observer does not grow with the fleet.
  */
 #ifndef SESSION_FLEET_H
 #define SESSION_FLEET_H
@@ -30,13 +34,18 @@
                             int64_t since);
 /** @return whether an earlier owner may have ordered a change. */
 bool fleet_is_changing (const struct fleet *f, uint64_t service);
-/** @return whether this daemon hears a majority of the members. */
+/** @return whether this daemon is a voter. */
+bool fleet_is_voter (const struct fleet *f);
+/** @return the voter that an observer takes copies of the directory from, 0
+ * if none is known. */
+uint64_t fleet_copy_source (const struct fleet *f);
+/** @return whether this daemon hears a majority of the voters. */
 bool fleet_in_quorum (const struct fleet *f);
 /** Give a service up. @param successor 0: whoever ranks first. */
 void fleet_release (struct fleet *f, uint64_t service, uint64_t successor);
-/** Send to all daemons that are heard, this one excluded. */
+/** Send to all voters that are heard, this one excluded. */
 void fleet_broadcast (struct fleet *f, struct packet *message);
-/** @return how many daemons that reach the store come before this one. */
+/** @return how many voters that reach the store come before this one. */
 int fleet_store_rank (const struct fleet *f);
 /** @return a daemon that reaches the store and may own a service, 0 if none
  * is known. */
--- a/session/options.h
+++ b/session/options.h
@@ -20,8 +20,9 @@
   char *store;          /**< IP:PORT of the object store. */
   char *duties;         /**< IP:PORT of the calls of one holder at a time. */
   char *log_level;
-  int grace_ms; /**< From SIGTERM to the forced end. */
-  int drain_ms; /**< An endpoint that leaves gets no work after it. */
+  int grace_ms;    /**< From SIGTERM to the forced end. */
+  int drain_ms;    /**< An endpoint that leaves gets no work after it. */
+  double capacity; /**< Of the VM, in cores. */
   int max_sessions;
 };
 
--- a/session/packet.c
+++ b/session/packet.c
@@ -6,7 +6,9 @@
 #define MAX_DEMAND 1e9
 
 /* Other versions are dropped. */
-#define PACKET_VERSION 1
+#define PACKET_VERSION 2
+/* Thousandths of a core, at most. */
+#define MAX_CAPACITY 1000000
 
 /* Bits of packet_statement and packet_result flags. */
 enum packet_flag
@@ -41,10 +43,11 @@
 static void
 pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
-  pack_array (p, 8 + 2 * OBJECT_KIND_COUNT + 4);
+  pack_array (p, 9 + 2 * OBJECT_KIND_COUNT + 4);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
   pack_bstr (p, h->failure_domain);
+  pack_int (p, h->capacity);
   pack_int (p, h->echo);
   pack_bool (p, h->leaving);
   pack_bool (p, h->ready);
@@ -55,11 +58,12 @@
       pack_uint (p, h->revision[i]);
       pack_uint (p, h->digest[i]);
     }
-  pack_array (p, (unsigned)h->claim_count * 2);
+  pack_array (p, (unsigned)h->claim_count * 3);
   for (int i = 0; i < h->claim_count; i++)
     {
       pack_uint (p, h->claims[i].service);
       pack_uint (p, h->claims[i].state);
+      pack_bool (p, h->claims[i].held);
     }
   pack_array (p, (unsigned)h->grant_count * 4);
   for (int i = 0; i < h->grant_count; i++)
@@ -75,10 +79,11 @@
       pack_uint (p, h->successors[i].service);
       pack_uint (p, h->successors[i].member);
     }
-  pack_array (p, (unsigned)h->demand_count * 2);
+  pack_array (p, (unsigned)h->demand_count * 3);
   for (int i = 0; i < h->demand_count; i++)
     {
       pack_uint (p, h->demand[i].organisation);
+      pack_uint (p, h->demand[i].spent);
       pack_float (p, (float)h->demand[i].per_s);
     }
 }
@@ -86,10 +91,13 @@
 static void
 unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
-  unpack_array (u, 8 + 2 * OBJECT_KIND_COUNT + 4);
+  unpack_array (u, 9 + 2 * OBJECT_KIND_COUNT + 4);
   h->name = unpack_copy (parent, u);
   h->address = unpack_copy (parent, u);
   h->failure_domain = unpack_copy (parent, u);
+  int64_t capacity = unpack_int (u);
+  u->failed |= capacity < 1 || capacity > MAX_CAPACITY;
+  h->capacity = (int)capacity;
   h->echo = unpack_int (u);
   h->leaving = unpack_bool (u);
   h->ready = unpack_bool (u);
@@ -100,13 +108,14 @@
       h->revision[i] = unpack_uint (u);
       h->digest[i] = unpack_uint (u);
     }
-  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
+  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
   for (int i = 0; i < h->claim_count; i++)
     {
       h->claims[i].service = unpack_uint (u);
       uint64_t state = unpack_uint (u);
       u->failed |= state >= LEASE_STATE_COUNT;
       h->claims[i].state = (enum lease_state)state;
+      h->claims[i].held = unpack_bool (u);
     }
   h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 4) / 4;
   for (int i = 0; i < h->grant_count; i++)
@@ -122,10 +131,11 @@
       h->successors[i].service = unpack_uint (u);
       h->successors[i].member = unpack_uint (u);
     }
-  h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 2) / 2;
+  h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 3) / 3;
   for (int i = 0; i < h->demand_count; i++)
     {
       h->demand[i].organisation = unpack_uint (u);
+      h->demand[i].spent = unpack_uint (u);
       h->demand[i].per_s = unpack_double (u);
       u->failed |= h->demand[i].per_s < 0 || h->demand[i].per_s > MAX_DEMAND;
     }
--- a/session/packet.h
+++ b/session/packet.h
@@ -49,9 +49,12 @@
 
 struct packet_heartbeat
 {
+  /** Name, address and failure domain are empty once the receiver has
+   * confirmed that it knows them. */
   struct bstr name;
   struct bstr address;
   struct bstr failure_domain;
+  int capacity; /**< Of the VM, thousandths of a core. */
   int64_t echo;
   bool leaving;
   bool ready; /**< Has what it needs to own a service. */
--- a/session/relay.c
+++ b/session/relay.c
@@ -169,6 +169,7 @@
       = fleet_messages (r->fleet);
   *stats_counter (r->stats, "azurewind_bus_bytes_total", "")
       = fleet_bytes (r->fleet);
+  *stats_counter (r->stats, "azurewind_voter", "") = fleet_is_voter (r->fleet);
   *stats_counter (r->stats, "azurewind_sessions", "")
       = (uint64_t)callers_count (r->callers);
   *stats_counter (r->stats, "azurewind_memory_bytes", "")
@@ -373,6 +374,7 @@
   r->fleet = fleet_create (r, err);
   if (r->fleet == NULL)
     return error_wrap (err, ERROR_UNAVAILABLE, "bus");
+  directory_start (r->directory);
   if (!serve_http (r, o->ready_listen, false, err)
       || !serve_http (r, o->metrics_listen, true, err))
     return error_wrap (err, ERROR_UNAVAILABLE, "HTTP port");
--- a/tests/process.c
+++ b/tests/process.c
@@ -4,6 +4,7 @@
 #include "tests/tests.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
@@ -47,6 +48,27 @@
   return true;
 }
 
+/* AZUREWIND_TEST_LOGS names a folder in which the output of every process is
+   kept. */
+static void
+keep_output (struct process *p)
+{
+  const char *folder = getenv ("AZUREWIND_TEST_LOGS");
+  if (folder == NULL)
+    return;
+  while (read_output (p, 0))
+    ;
+  char *path = talloc_asprintf (p, "%s/%d.log", folder, (int)p->pid);
+  FILE *file = fopen (path, "wb");
+  if (file == NULL)
+    {
+      printf ("%s: %s\n", path, strerror (errno));
+      return;
+    }
+  fwrite (p->output, 1, p->output_len, file);
+  fclose (file);
+}
+
 static int
 process_stop (struct process *p)
 {
@@ -58,6 +80,7 @@
       process_signal (p, SIGKILL);
       process_wait (p, STOP_MS);
     }
+  keep_output (p);
   close (p->out);
   return 0;
 }
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -15,6 +15,10 @@
 #define ANSWER_MS 4000
 #define START_MS 15000
 #define SHORT_GRACE_MS 450
+/* Below the ports that the system gives to outgoing connections (32768 on), so
+   that none of them takes the port of a daemon that starts later or again. */
+#define FIRST_PORT 10000
+#define END_PORT 32000
 
 int64_t
 relay_site_now_ms (void)
@@ -26,9 +30,11 @@
 static int
 find_ports (int count)
 {
-  for (int first = 20000 + getpid () % 20000; first < 60000; first += count)
+  int places = (END_PORT - FIRST_PORT) / count;
+  for (int k = 0; k < places; k++)
     {
       int i = 0;
+      int first = FIRST_PORT + (getpid () + k) % places * count;
       for (; i < count; i++)
         {
           struct sockaddr_in at
@@ -207,9 +213,11 @@
            "listen = \"127.0.0.1:%d\"\nready_listen = \"127.0.0.1:%d\"\n"
            "metrics_listen = \"127.0.0.1:%d\"\n"
            "bus = \"tcp://127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
-           "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\ndrain_ms = 3000\n",
+           "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\ndrain_ms = 3000\n"
+           "capacity = %g\n",
            i, port, port + 1, port + 2, port + 3, process_port (s->platform),
-           process_port (s->platform), s->grace_ms);
+           process_port (s->platform), s->grace_ms,
+           s->large == 0 || i < s->large ? 1 : 0.25);
   fclose (file);
   TALLOC_FREE (s->daemons[i]);
   s->daemons[i] = process_start (s, "azurewind-sessiond",
@@ -260,6 +268,7 @@
   snprintf (services, sizeof services, "%d", o->services);
   snprintf (lag, sizeof lag, "%d", o->lag_ms);
   s->daemon_count = o->daemons;
+  s->large = o->large;
   s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
   s->first_port = find_ports (o->daemons * PORTS_PER_DAEMON);
   s->platform = process_start (
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -10,13 +10,14 @@
 #include <jansson.h>
 #include <stdint.h>
 
-#define SITE_MAX_DAEMONS 8
+#define SITE_MAX_DAEMONS 64
 
 struct relay_site
 {
   struct process *platform;
   struct process *daemons[SITE_MAX_DAEMONS];
   int daemon_count;
+  int large;
   int grace_ms;
   int first_port; /**< Four for each daemon. */
   char *folder;
@@ -31,6 +32,8 @@
   int lag_ms;
   int grace_ms; /**< From SIGTERM to the end; 0: short. */
   double rate;  /**< Of organisation "beta"; 0: plenty. */
+  /** Daemons that come behind this number are on small VMs; 0: none. */
+  int large;
 };
 
 /** Start everything and wait until each daemon serves writes of each
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -79,7 +79,7 @@
   struct member *m = &w->m[from];
   struct lease_claim claims[LEASE_MAX_SERVICES];
   struct lease_grant grants[LEASE_MAX_SERVICES];
-  int claim_count = lease_claims (m->table, claims);
+  int claim_count = lease_claims (m->table, claims, w->now + m->offset);
   int grant_count = lease_grants (m->table, grants, w->now + m->offset);
   for (int to = 0; to < w->members; to++)
     {
@@ -375,6 +375,75 @@
   free_world (w);
 }
 
+static void
+hear (struct lease_table *t, uint64_t member, uint64_t incarnation,
+      const struct lease_claim *claims, int count, int64_t now)
+{
+  lease_heard (t,
+               &(struct lease_heartbeat){ .member = member,
+                                          .incarnation = incarnation,
+                                          .stamp = now,
+                                          .claims = claims,
+                                          .claim_count = count },
+               now);
+}
+
+/* Pattern: an observer sends statements to the voter that holds a service,
+   not to one that only asks for it, and follows it to the next one. */
+static void
+observer_follows_the_owner (void)
+{
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 9, .incarnation = 1, .term_us = TERM, .now = 0 });
+  uint64_t voters[] = { 1, 2, 3 };
+  struct lease_claim wants = { .service = SERVICE };
+  struct lease_claim holds = { .service = SERVICE, .held = true };
+  lease_set_members (t, voters, 3);
+  CU_ASSERT_FALSE (lease_is_voter (t));
+  hear (t, 1, 1, &wants, 1, 10);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 10), 0);
+  CU_ASSERT_FALSE (lease_in_quorum (t, 10));
+  hear (t, 2, 1, &holds, 1, 20);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 20), 2);
+  CU_ASSERT_TRUE (lease_in_quorum (t, 20));
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 20 + 2 * TERM), 0);
+  hear (t, 2, 1, NULL, 0, 30);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 30), 0);
+  hear (t, 2, 1, &holds, 1, 40);
+  hear (t, 3, 1, &holds, 1, 50);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 50), 3);
+  CU_ASSERT_TRUE (lease_ended (t, 3, 1));
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 50), 0);
+  talloc_free (t);
+}
+
+/* Pattern: an observer becomes a voter; what it has heard of an owner does not
+   keep it from granting the service to another one, and it waits one lease as
+   every new voter does. */
+static void
+observer_becomes_a_voter (void)
+{
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 9, .incarnation = 1, .term_us = TERM, .now = 0 });
+  struct lease_grant grants[LEASE_MAX_SERVICES];
+  uint64_t voters[] = { 1, 2, 9 };
+  struct lease_claim wants = { .service = SERVICE };
+  struct lease_claim holds = { .service = SERVICE, .held = true };
+  lease_set_members (t, voters, 2);
+  hear (t, 1, 1, &holds, 1, 100);
+  CU_ASSERT_EQUAL (lease_grants (t, grants, 100), 0);
+  lease_set_members (t, voters, 3);
+  CU_ASSERT_TRUE (lease_is_voter (t));
+  hear (t, 2, 1, &wants, 1, 200);
+  CU_ASSERT_EQUAL (lease_grants (t, grants, 200), 0);
+  hear (t, 2, 1, &wants, 1, 2 * TERM);
+  CU_ASSERT_EQUAL (lease_grants (t, grants, 2 * TERM), 1);
+  CU_ASSERT_EQUAL (grants[0].member, 2);
+  talloc_free (t);
+}
+
 /* Pattern: a process that is not in the list of members decides nothing. */
 static void
 stranger_owns_nothing (void)
@@ -401,6 +470,8 @@
   { "change_is_confirmed_by_a_majority_only",
     change_is_confirmed_by_a_majority_only },
   { "next_owner_hears_of_a_change", next_owner_hears_of_a_change },
+  { "observer_follows_the_owner", observer_follows_the_owner },
+  { "observer_becomes_a_voter", observer_becomes_a_voter },
   { "stranger_owns_nothing", stranger_owns_nothing },
   { NULL, NULL },
 };
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -600,6 +600,53 @@
   talloc_free (s);
 }
 
+/* @return the value of a metric, -1 if there is none. */
+static double
+metric (struct relay_site *s, int daemon, const char *name)
+{
+  char *text = relay_site_metrics (s, daemon);
+  const char *at = text != NULL ? strstr (text, name) : NULL;
+  double value = at != NULL ? atof (at + strlen (name)) : -1;
+  talloc_free (text);
+  return value;
+}
+
+/* Pattern: a fleet with more daemons than voters.  The small VMs are
+   observers: they serve callers, learn a new configuration, outlive a killed
+   owner, and call the store a few times only. */
+static void
+observers_serve_callers (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 13, .services = 2, .large = 9 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  int observers = 0;
+  for (int i = 9; i < 13; i++)
+    observers += metric (s, i, "azurewind_voter ") == 0;
+  CU_ASSERT_EQUAL (observers, 4);
+  double before = metric (s, 12, "azurewind_store_calls_total ");
+  for (int i = 0; i < 5; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  int64_t begin = relay_site_now_ms ();
+  for (int i = 0; i < 4; i++)
+    CU_ASSERT_TRUE (relay_site_start_daemon (s, i));
+  CU_ASSERT_TRUE (relay_site_wait (s, 12, 1, SERVE_MS));
+  CU_ASSERT_TRUE (relay_site_wait (s, 12, 2, SERVE_MS));
+  printf ("[%d ms] ", (int)(relay_site_now_ms () - begin));
+  json_array_remove (json_object_get (s->config, "routes"), 1);
+  CU_ASSERT_TRUE (relay_site_configure (s));
+  usleep (2500000);
+  struct line_answer a;
+  struct line_caller *c = line_open (s, relay_site_port (s, 11));
+  CU_ASSERT_FALSE (line_start (c, "browse1", "key-a1", &a));
+  CU_ASSERT_STRING_EQUAL (a.code, "NODB");
+  CU_ASSERT_TRUE (metric (s, 12, "azurewind_store_calls_total ") - before
+                  <= 3);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Pattern: metrics and readiness of a daemon that serves. */
 static void
 metrics_are_served (void)
@@ -703,6 +750,7 @@
   beat->heartbeat.name = bstr_from ("played");
   beat->heartbeat.address = bstr_from (bus_address (d.bus));
   beat->heartbeat.failure_domain = bstr_from ("zone-a");
+  beat->heartbeat.capacity = 1000;
   play (&d, beat);
   for (uint64_t i = 0; i < 10; i++)
     {
@@ -741,6 +789,7 @@
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
+  { "observers_serve_callers", observers_serve_callers },
   { "metrics_are_served", metrics_are_served },
   { NULL, NULL },
 };
