limits: every owner keeps the bucket of the whole fleet

Cause: an owner spent a share of an organisation's rate and burst. A small organisation before eight owners had less than one token at each of them and was refused far below its rate.

Change: owners tell each other what they have spent. Each keeps the bucket of the fleet and may spend, until the next report, its share of the tokens and a little more. What all together spend too much is missing afterwards.

--- a/core/limits.c
+++ b/core/limits.c
@@ -9,9 +9,16 @@
 /* Share of the rate that a daemon without demand keeps, so that its first
    requests need not wait for the next exchange. */
 #define IDLE_FRACTION 0.02
-/* Part of the limit that is shared out; the rest covers the time in which
-   two daemons use different reports. */
+/* Part of the limit that is spent; the rest covers what others have spent and
+   not told yet. */
 #define SHARED_FRACTION 0.97
+/* What a daemon may spend beyond its share in one period: this many tokens, or
+   this part of the bucket.  Eight owners together stay within the 20 requests
+   and the tenth that the limit tolerates. */
+#define EXTRA_TOKENS 2
+#define EXTRA_FRACTION 0.05
+/* Shortest period; heartbeats may be sent more often. */
+#define PERIOD_US INT64_C (150000)
 #define USEC_PER_S 1e6
 #define MSEC_PER_S 1e3
 
@@ -20,11 +27,13 @@
   uint64_t organisation;
   double rate; /**< Of the organisation, requests per second. */
   double burst;
-  double share; /**< Of this daemon, 0 to 1. */
-  double tokens;
-  int64_t filled; /**< When tokens was computed. */
-  unsigned asked; /**< Since the last report. */
-  double demand;  /**< As reported last. */
+  double share;     /**< Of this daemon, 0 to 1; 0 if it owns nothing. */
+  double tokens;    /**< Of the whole fleet, as known here. */
+  double allowance; /**< What this daemon may spend of them now. */
+  int64_t filled;   /**< When tokens was computed. */
+  uint64_t spent;   /**< Here, since the start. */
+  unsigned asked;   /**< Since the last report. */
+  double demand;    /**< As reported last. */
   bool configured;
 };
 
@@ -43,6 +52,8 @@
   struct report reports[LIMITS_MAX_OWNERS];
   int report_count;
   int64_t reported;
+  int64_t shared; /**< Begin of the period. */
+  bool owns;
 };
 
 struct limits *
@@ -63,12 +74,15 @@
 static void
 fill (struct bucket *b, int64_t now)
 {
-  double most = b->burst * b->share;
   if (now > b->filled)
-    b->tokens += (double)(now - b->filled) / USEC_PER_S * b->rate * b->share;
+    {
+      double fresh = (double)(now - b->filled) / USEC_PER_S * b->rate;
+      b->tokens += fresh;
+      b->allowance += fresh * b->share;
+    }
   b->filled = now;
-  if (b->tokens > most)
-    b->tokens = most;
+  if (b->tokens > b->burst)
+    b->tokens = b->burst;
 }
 
 void
@@ -117,14 +131,16 @@
     }
   b->asked++;
   fill (b, now);
-  if (b->tokens >= 1)
+  if (b->tokens >= 1 && b->allowance >= 1)
     {
       b->tokens -= 1;
+      b->allowance -= 1;
+      b->spent++;
       return true;
     }
-  double rate = b->rate * b->share;
-  double wait = rate > 0 ? (1 - b->tokens) / rate : 1;
-  *retry_ms = (int)ceil ((wait < 1 ? wait : 1) * MSEC_PER_S);
+  double wait = b->rate > 0 ? (1 - b->tokens) / b->rate : 1;
+  wait = fmin (fmax (wait, PERIOD_US / USEC_PER_S), 1);
+  *retry_ms = (int)ceil (wait * MSEC_PER_S);
   return false;
 }
 
@@ -145,11 +161,48 @@
       if (b->demand < IDLE_FRACTION)
         b->demand = 0;
       if (count < most && b->demand > 0)
-        out[count++] = (struct limits_demand){ b->organisation, b->demand };
+        out[count++]
+            = (struct limits_demand){ b->organisation, b->spent, b->demand };
     }
   return count;
 }
 
+static struct limits_demand *
+find_entry (const struct report *r, uint64_t organisation)
+{
+  for (int i = 0; i < r->count; i++)
+    if (r->demand[i].organisation == organisation)
+      return &r->demand[i];
+  return NULL;
+}
+
+static struct limits_demand *
+add_entry (struct limits *l, struct report *r,
+           const struct limits_demand *entry)
+{
+  r->demand = talloc_realloc (l, r->demand, struct limits_demand,
+                              (size_t)r->count + 1);
+  r->demand[r->count] = *entry;
+  return &r->demand[r->count++];
+}
+
+/* Take what another daemon has spent since its last report from the bucket. */
+static void
+subtract_spent (struct limits *l, struct limits_demand *last,
+                const struct limits_demand *entry, int64_t now)
+{
+  struct bucket *b = find_bucket (l, entry->organisation);
+  /* A process that has started again counts from zero. */
+  uint64_t spent = entry->spent >= last->spent ? entry->spent - last->spent
+                                               : entry->spent;
+  last->spent = entry->spent;
+  last->per_s = entry->per_s;
+  if (b == NULL)
+    return;
+  fill (b, now);
+  b->tokens = fmax (b->tokens - (double)spent, -b->burst);
+}
+
 void
 limits_heard (struct limits *l, uint64_t daemon,
               const struct limits_demand *demand, int count, int64_t now)
@@ -166,24 +219,40 @@
       l->report_count++;
     }
   r->heard = now;
-  r->count = count;
-  r->demand
-      = talloc_realloc (l, r->demand, struct limits_demand, (size_t)count + 1);
-  memcpy (r->demand, demand, sizeof demand[0] * (size_t)count);
+  /* What is not mentioned any more has no demand; its count is kept. */
+  for (int k = 0; k < r->count; k++)
+    r->demand[k].per_s = 0;
+  for (int k = 0; k < count; k++)
+    {
+      struct limits_demand *last = find_entry (r, demand[k].organisation);
+      if (last == NULL)
+        last = add_entry (l, r, &demand[k]);
+      subtract_spent (l, last, &demand[k], now);
+    }
 }
 
 static double
 demand_of (const struct report *r, uint64_t organisation)
 {
-  for (int i = 0; i < r->count; i++)
-    if (r->demand[i].organisation == organisation)
-      return r->demand[i].per_s;
-  return 0;
+  const struct limits_demand *entry = find_entry (r, organisation);
+  return entry != NULL ? entry->per_s : 0;
+}
+
+static void
+begin_period (struct bucket *b)
+{
+  double extra = fmax (EXTRA_TOKENS, b->tokens * EXTRA_FRACTION);
+  b->allowance
+      = b->tokens < 1 || b->share <= 0 ? 0 : b->tokens * b->share + extra;
 }
 
 void
 limits_share (struct limits *l, bool owns, int64_t max_age_us, int64_t now)
 {
+  if (owns == l->owns && l->shared != 0 && now - l->shared < PERIOD_US)
+    return;
+  l->owns = owns;
+  l->shared = now;
   for (int i = 0; i < l->bucket_count; i++)
     {
       struct bucket *b = &l->buckets[i];
@@ -195,6 +264,6 @@
           total += fmax (demand_of (&l->reports[k], b->organisation), least);
       fill (b, now);
       b->share = owns && total > 0 ? own / total : 0;
-      fill (b, now);
+      begin_period (b);
     }
 }
--- a/core/limits.h
+++ b/core/limits.h
@@ -1,8 +1,10 @@
 /** @file
- * Rate limits of organisations, counted over all daemons.  Each daemon that
- * owns services spends a share of an organisation's rate and burst; the
- * shares follow the demand that the daemons last told each other, so that
- * all of them compute shares that sum to at most one.
+ * Rate limits of organisations, counted over all daemons.  The daemons that
+ * own services tell each other what they have spent, so that each of them
+ * keeps the token bucket of the whole fleet.  Between two reports a daemon
+ * spends its share of the tokens, which follows the demand, and a little more,
+ * so that a small rate before many owners is not refused too early.  What all
+ * together spend too much is missing from the bucket afterwards.
  */
 #ifndef CORE_LIMITS_H
 #define CORE_LIMITS_H
@@ -14,11 +16,12 @@
 
 struct limits;
 
-/** Demand of one organisation at one daemon. */
+/** One organisation at one daemon. */
 struct limits_demand
 {
   uint64_t organisation;
-  double per_s; /**< Requests that were asked for, refused ones included. */
+  uint64_t spent; /**< Tokens since the daemon's start. */
+  double per_s;   /**< Requests that were asked for, refused ones included. */
 };
 
 struct limits *limits_create (void *parent);
@@ -39,8 +42,9 @@
 /** Another daemon's report.  @p now is when it arrived. */
 void limits_heard (struct limits *l, uint64_t daemon,
                    const struct limits_demand *demand, int count, int64_t now);
-/** Recompute all shares from the reports that are at most @p max_age_us
- * old.  @p owns: this daemon owns services and may spend. */
+/** Begin a new period: recompute what this daemon may spend until the next one
+ * from the reports that are at most @p max_age_us old.  @p owns: this daemon
+ * owns services and may spend. */
 void limits_share (struct limits *l, bool owns, int64_t max_age_us,
                    int64_t now);
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -2,17 +2,21 @@
 #include "core/limits.h"
 #include "tests/tests.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
-#define OWNERS 3
+#define OWNERS 8
+/* Owners that the tests of large rates use. */
+#define FEW 3
 #define ORGANISATION 7
 #define EXCHANGE_US 200000
 #define STEP_US 1000
 #define WINDOW_S 5
-#define MAX_SECONDS 40
+#define MAX_SECONDS 320
 
 struct fleet_limits
 {
+  int owners;
   struct limits *owner[OWNERS];
   bool dead[OWNERS];
   int64_t now;
@@ -33,17 +37,17 @@
 static void
 exchange (struct fleet_limits *f)
 {
-  for (int i = 0; i < OWNERS; i++)
+  for (int i = 0; i < f->owners; i++)
     {
       struct limits_demand report[4];
       if (f->dead[i])
         continue;
       int count = limits_report (f->owner[i], report, 4, f->now);
-      for (int k = 0; k < OWNERS; k++)
+      for (int k = 0; k < f->owners; k++)
         if (k != i && !f->dead[k])
           limits_heard (f->owner[k], (uint64_t)i + 1, report, count, f->now);
     }
-  for (int i = 0; i < OWNERS; i++)
+  for (int i = 0; i < f->owners; i++)
     if (!f->dead[i])
       limits_share (f->owner[i], true, 1000000, f->now);
 }
@@ -58,7 +62,7 @@
       int retry;
       if (f->now % EXCHANGE_US == 0)
         exchange (f);
-      for (int i = 0; i < OWNERS; i++)
+      for (int i = 0; i < f->owners; i++)
         if (!f->dead[i]
             && (double)(rand_r (&f->random) % 1000000) < demand[i] * STEP_US)
           {
@@ -71,11 +75,12 @@
 }
 
 static struct fleet_limits *
-make (double rate, double burst)
+make (int owners, double rate, double burst)
 {
   struct fleet_limits *f = talloc_zero (NULL, struct fleet_limits);
   f->random = 5;
-  for (int i = 0; i < OWNERS; i++)
+  f->owners = owners;
+  for (int i = 0; i < f->owners; i++)
     start_owner (f, i, rate, burst);
   return f;
 }
@@ -83,7 +88,7 @@
 static void
 release (struct fleet_limits *f)
 {
-  for (int i = 0; i < OWNERS; i++)
+  for (int i = 0; i < f->owners; i++)
     talloc_free (f->owner[i]);
   talloc_free (f);
 }
@@ -114,7 +119,7 @@
 static void
 hot_organisation_stays_within_its_limit (void)
 {
-  struct fleet_limits *f = make (100, 100);
+  struct fleet_limits *f = make (FEW, 100, 100);
   run (f, (double[]){ 20, 20, 20 }, 6);
   run (f, (double[]){ 800, 5, 5 }, 6);
   run (f, (double[]){ 5, 800, 800 }, 6);
@@ -128,9 +133,9 @@
 static void
 restarts_give_no_second_burst (void)
 {
-  struct fleet_limits *f = make (100, 100);
+  struct fleet_limits *f = make (FEW, 100, 100);
   run (f, (double[]){ 20, 20, 20 }, 6);
-  for (int i = 0; i < OWNERS; i++)
+  for (int i = 0; i < f->owners; i++)
     {
       run (f, (double[]){ 500, 500, 500 }, 2);
       f->dead[i] = true;
@@ -146,7 +151,7 @@
 static void
 little_is_refused_below_the_rate (void)
 {
-  struct fleet_limits *f = make (100, 100);
+  struct fleet_limits *f = make (FEW, 100, 100);
   run (f, (double[]){ 10, 10, 10 }, 3);
   f->refused = 0;
   run (f, (double[]){ 45, 10, 5 }, 10);
@@ -154,13 +159,80 @@
   release (f);
 }
 
+/* @return requests refused of an organisation with a rate and burst of 4 that
+   sends 2.5 a second for 300 seconds, evenly to all owners. */
+static int
+refused_of_small_rate (int owners)
+{
+  struct fleet_limits *f = make (owners, 4, 4);
+  double demand[OWNERS];
+  for (int i = 0; i < owners; i++)
+    demand[i] = 2.5 / owners;
+  run (f, demand, 4);
+  f->refused = 0;
+  run (f, demand, 300);
+  int refused = f->refused;
+  release (f);
+  return refused;
+}
+
+/* Pattern: a small organisation with less demand than its rate, spread over
+   many owners, is refused little more often than before one owner. */
+static void
+small_rate_before_many_owners (void)
+{
+  int one = refused_of_small_rate (1);
+  int many = refused_of_small_rate (OWNERS);
+  printf ("[of 750: %d refused by one owner, %d by many] ", one, many);
+  CU_ASSERT_TRUE (many <= one + 750 * 3 / 100);
+}
+
+/* Pattern: the same organisation sends many times its rate to all of them. */
+static void
+small_rate_binds_before_many_owners (void)
+{
+  struct fleet_limits *f = make (OWNERS, 4, 4);
+  double calm[OWNERS], hot[OWNERS];
+  for (int i = 0; i < OWNERS; i++)
+    {
+      calm[i] = 2.5 / OWNERS;
+      hot[i] = 30.0 / OWNERS;
+    }
+  run (f, calm, 8);
+  run (f, hot, 8);
+  run (f, calm, 3);
+  run (f, hot, 8);
+  CU_ASSERT_TRUE (worst_window (f) <= allowed (4, 4));
+  release (f);
+}
+
+/* Pattern: a large organisation turns from one owner to all of them at once,
+   again and again, always with a full bucket. */
+static void
+large_rate_binds_before_many_owners (void)
+{
+  struct fleet_limits *f = make (OWNERS, 400, 400);
+  double one[OWNERS] = { 200 }, all[OWNERS], none[OWNERS] = { 0 };
+  for (int i = 0; i < OWNERS; i++)
+    all[i] = 900;
+  for (int i = 0; i < 4; i++)
+    {
+      run (f, one, 3);
+      run (f, none, 2);
+      run (f, all, 3);
+    }
+  printf ("[%d of %d in a window] ", worst_window (f), allowed (400, 400));
+  CU_ASSERT_TRUE (worst_window (f) <= allowed (400, 400));
+  release (f);
+}
+
 /* Pattern: the operator lowers the limit while the organisation presses. */
 static void
 lower_limit_binds (void)
 {
-  struct fleet_limits *f = make (200, 200);
+  struct fleet_limits *f = make (FEW, 200, 200);
   run (f, (double[]){ 300, 300, 300 }, 6);
-  for (int i = 0; i < OWNERS; i++)
+  for (int i = 0; i < f->owners; i++)
     {
       limits_configure (f->owner[i], ORGANISATION, 40, 40, f->now);
       limits_forget_others (f->owner[i]);
@@ -197,6 +269,11 @@
     hot_organisation_stays_within_its_limit },
   { "restarts_give_no_second_burst", restarts_give_no_second_burst },
   { "little_is_refused_below_the_rate", little_is_refused_below_the_rate },
+  { "small_rate_before_many_owners", small_rate_before_many_owners },
+  { "small_rate_binds_before_many_owners",
+    small_rate_binds_before_many_owners },
+  { "large_rate_binds_before_many_owners",
+    large_rate_binds_before_many_owners },
   { "lower_limit_binds", lower_limit_binds },
   { "unknown_organisation_is_refused", unknown_organisation_is_refused },
   { NULL, NULL },
