--- a/Makefile
+++ b/Makefile
@@ -97,6 +97,21 @@
 $(TEST): $(TEST_OBJ) $(TEST_DAEMON_OBJ) $(TEST_CLI_OBJ) $(LIB)
 	$(link) -lcunit
 
+# The fault soak: real daemons, faults from outside, promises checked.
+SOAK = $(BUILD)/azurewind-soak
+SEEDS = 3
+FIRST = 1
+SOAK_SECONDS = 8
+DAEMONS = 5
+
+$(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c)) \
+  $(BUILD)/tests/relay_site.o $(BUILD)/tests/process.o $(LIB)
+	$(link)
+
+soak: programs $(SOAK)
+	AZUREWIND_BUILD=$(BUILD) $(SOAK) --first $(FIRST) --count $(SEEDS) \
+	  --seconds $(SOAK_SECONDS) --daemons $(DAEMONS)
+
 deps:
 	tools/install-deps
 
@@ -109,7 +124,7 @@
 
 FORMATTED := $(wildcard common/*.[ch] core/*.[ch] net/*.[ch] proto/*.[ch] \
   daemon/*.[ch] session/*.[ch] platform/*.[ch] cli/*.[ch] standins/*.[ch] tools/*.[ch] tests/*.[ch] \
-  tests/fuzz/*.[ch] common/*.cc)
+  tests/fuzz/*.[ch] tests/soak/*.[ch] common/*.cc)
 LINTED = $(filter-out tests/%,$(filter %.c,$(FORMATTED)))
 
 # The fuzzers are built by clang, for libFuzzer.  SECONDS bounds each one;
@@ -163,5 +178,6 @@
 clean:
 	rm -rf build
 
-.PHONY: all programs deploy deps test check fuzzers fuzz demo bench capacity results format lint clean
+
+.PHONY: all programs deploy deps test soak check fuzzers fuzz demo bench capacity results format lint clean
 -include $(shell find build target -name '*.d' 2>/dev/null)
--- a/session/directory.c
+++ b/session/directory.c
@@ -248,7 +248,8 @@
   void *scratch = talloc_new (NULL);
   bool same = present != NULL
               && objects_decode_member (scratch, present, &entry, &err)
-              && bstr_equals_text (entry.address, d->relay->options->bus);
+              && bstr_equals_text (entry.address,
+                                   relay_options_bus (d->relay->options));
   bool is_chosen = d->is_chosen;
   talloc_free (scratch);
   d->is_chosen = false;
@@ -276,7 +277,7 @@
   d->registered_at = now;
   store_put (d->relay->store, objects_kind_name (OBJECT_MEMBERS), o->name,
              present != NULL ? objects_revision (present) : 0,
-             objects_encode_member (o->bus, o->failure_domain),
+             objects_encode_member (relay_options_bus (o), o->failure_domain),
              CALL_TIMEOUT_MS, on_registered, d);
 }
 
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -381,7 +381,7 @@
   bool known = p->knows_us && is_alive (p, now);
   h->echo = lease_echo (f->leases, p->id);
   h->name = bstr_from (known ? "" : o->name);
-  h->address = bstr_from (known ? "" : o->bus);
+  h->address = bstr_from (known ? "" : relay_options_bus (o));
   h->failure_domain = bstr_from (known ? "" : o->failure_domain);
   send_to (f, p, m);
 }
--- a/session/options.c
+++ b/session/options.c
@@ -27,8 +27,11 @@
        .help = "Address of metrics and status."),
   OPT (bus, "bus", OPTION_TEXT, .min = 1, .max = MAX_ADDRESS,
        .flags = OPTION_REQUIRED, .pattern = "^tcp://[0-9.]+:[0-9]+$",
-       .form = "tcp://IP:PORT",
-       .help = "Address for the other daemons, as they reach it."),
+       .form = "tcp://IP:PORT", .help = "Address for the other daemons."),
+  OPT (bus_advertise, "bus_advertise", OPTION_TEXT, .max = MAX_ADDRESS,
+       .text = "", .flags = OPTION_MAY_BE_EMPTY,
+       .pattern = "^(tcp://[0-9.]+:[0-9]+)?$", .form = "tcp://IP:PORT",
+       .help = "Address of the bus as other daemons reach it, if it differs."),
   OPT (store, "store", OPTION_LISTEN, .min = 1, .max = MAX_ADDRESS,
        .flags = OPTION_REQUIRED,
        .help = "Address of the platform's object store."),
@@ -58,6 +61,12 @@
   return table;
 }
 
+const char *
+relay_options_bus (const struct relay_options *o)
+{
+  return o->bus_advertise[0] != '\0' ? o->bus_advertise : o->bus;
+}
+
 struct relay_options *
 relay_options_load (void *parent, const char *path, struct error *err)
 {
--- a/session/options.h
+++ b/session/options.h
@@ -17,6 +17,7 @@
   char *ready_listen;   /**< IP:PORT of the readiness probe. */
   char *metrics_listen; /**< IP:PORT of metrics and status. */
   char *bus;            /**< tcp://IP:PORT between daemons. */
+  char *bus_advertise;  /**< As others reach it; empty: bus. */
   char *store;          /**< IP:PORT of the object store. */
   char *duties;         /**< IP:PORT of the calls of one holder at a time. */
   char *log_level;
@@ -29,6 +30,8 @@
 /** @return NULL with ERROR_INVALID and "FILE:LINE: cause". */
 struct relay_options *relay_options_load (void *parent, const char *path,
                                           struct error *err);
+/** @return the address of the bus as the other daemons reach it. */
+const char *relay_options_bus (const struct relay_options *o);
 /** The option table, for the reference page. */
 const struct option_spec *relay_options_table (void);
 
--- a/tests/main.c
+++ b/tests/main.c
@@ -19,13 +19,6 @@
   *at = suite;
 }
 
-const char *
-tests_build_folder (void)
-{
-  const char *folder = getenv ("AZUREWIND_BUILD");
-  return folder != NULL ? folder : "build/release";
-}
-
 static void
 print_first_difference (const char *path, const char *expected,
                         const char *actual)
--- a/tests/process.c
+++ b/tests/process.c
@@ -28,6 +28,13 @@
   size_t output_len;
 };
 
+const char *
+tests_build_folder (void)
+{
+  const char *folder = getenv ("AZUREWIND_BUILD");
+  return folder != NULL ? folder : "build/release";
+}
+
 /* Append what is readable within @p timeout_ms.
    @return false at the end of the output or after the timeout. */
 static bool
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -11,7 +11,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define PORTS_PER_DAEMON 4
 #define ANSWER_MS 4000
 #define START_MS 15000
 #define SHORT_GRACE_MS 450
@@ -56,7 +55,7 @@
 int
 relay_site_port (const struct relay_site *s, int i)
 {
-  return s->first_port + i * PORTS_PER_DAEMON;
+  return s->first_port + i * SITE_PORTS;
 }
 
 static void
@@ -204,6 +203,9 @@
 relay_site_start_daemon (struct relay_site *s, int i)
 {
   int port = relay_site_port (s, i);
+  int store = s->detours[i].store != 0 ? s->detours[i].store
+                                       : process_port (s->platform);
+  int bus = s->detours[i].bus != 0 ? s->detours[i].bus : port + 3;
   char *path = talloc_asprintf (s, "%s/daemon-%d.toml", s->folder, i);
   FILE *file = fopen (path, "w");
   if (file == NULL)
@@ -212,12 +214,12 @@
            "name = \"vm-%d\"\nfailure_domain = \"zone-a\"\n"
            "listen = \"127.0.0.1:%d\"\nready_listen = \"127.0.0.1:%d\"\n"
            "metrics_listen = \"127.0.0.1:%d\"\n"
-           "bus = \"tcp://127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
+           "bus = \"tcp://127.0.0.1:%d\"\n"
+           "bus_advertise = \"tcp://127.0.0.1:%d\"\nstore = \"127.0.0.1:%d\"\n"
            "duties = \"127.0.0.1:%d\"\ngrace_ms = %d\ndrain_ms = 3000\n"
            "capacity = %g\n",
-           i, port, port + 1, port + 2, port + 3, process_port (s->platform),
-           process_port (s->platform), s->grace_ms,
-           s->large == 0 || i < s->large ? 1 : 0.25);
+           i, port, port + 1, port + 2, port + 3, bus, store, store,
+           s->grace_ms, s->large == 0 || i < s->large ? 1 : 0.25);
   fclose (file);
   TALLOC_FREE (s->daemons[i]);
   s->daemons[i] = process_start (s, "azurewind-sessiond",
@@ -270,7 +272,7 @@
   s->daemon_count = o->daemons;
   s->large = o->large;
   s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
-  s->first_port = find_ports (o->daemons * PORTS_PER_DAEMON);
+  s->first_port = find_ports (o->daemons * SITE_PORTS);
   s->platform = process_start (
       s, "standin-site",
       (const char *[]){ "--services", services, "--lag-ms", lag, NULL });
@@ -281,7 +283,8 @@
                             process_port (s->platform));
   s->config = make_config (o);
   talloc_set_destructor (s, remove_folder);
-  if (!relay_site_configure (s))
+  if (!relay_site_configure (s)
+      || (o->prepare != NULL && !o->prepare (s, o->data)))
     goto fail;
   for (int i = 0; i < o->daemons; i++)
     if (!relay_site_start_daemon (s, i))
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -12,6 +12,18 @@
 
 #define SITE_MAX_DAEMONS 64
 
+/** Ports of each daemon: callers, readiness, metrics, bus, and others that are
+ * free for the test. */
+#define SITE_PORTS 8
+
+/** Ports through which a daemon is reached and reaches the platform, when a
+ * proxy lies between; 0: the direct way. */
+struct site_detour
+{
+  int bus;
+  int store;
+};
+
 struct relay_site
 {
   struct process *platform;
@@ -19,7 +31,8 @@
   int daemon_count;
   int large;
   int grace_ms;
-  int first_port; /**< Four for each daemon. */
+  int first_port; /**< SITE_PORTS for each daemon. */
+  struct site_detour detours[SITE_MAX_DAEMONS];
   char *folder;
   char *url; /**< Of the stand-in's control interface. */
   json_t *config;
@@ -34,6 +47,9 @@
   double rate;  /**< Of organisation "beta"; 0: plenty. */
   /** Daemons that come behind this number are on small VMs; 0: none. */
   int large;
+  /** Called before the daemons start, for example to set their detours. */
+  bool (*prepare) (struct relay_site *s, void *data);
+  void *data;
 };
 
 /** Start everything and wait until each daemon serves writes of each
@@ -72,6 +88,7 @@
   char in[65536];
 };
 
+/** Outcome of one statement. */
 struct line_answer
 {
   char id[24];    /**< Of the statement. */
--- /dev/null
+++ b/tests/soak/check.c
@@ -0,0 +1,193 @@
+#include "tests/soak/check.h"
+
+#include "tests/soak/caller.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+/* max-staleness-ms of the routes of the stand-in's configuration. */
+#define BROWSE_STALE_MS 1500
+#define OWN_STALE_MS 2500
+
+/** Final log of one service. */
+struct service_log
+{
+  json_t *ids; /**< How often each id is in it. */
+  json_int_t term;
+};
+
+#define MAX_SERVICES 16
+
+struct check
+{
+  struct check_result result;
+  struct service_log logs[MAX_SERVICES + 1];
+  struct caller_record *records; /**< Of one caller. */
+  int count;
+};
+
+static void
+violation (struct check *c, const char *rule, const struct caller_record *r,
+           const char *other)
+{
+  c->result.violations++;
+  printf ("violation: %s: id=%s item=%s service=%d session=%d kind=%c "
+          "begin_ms=%lld end_ms=%lld %s\n",
+          rule, r->id, r->item, r->service, r->session, r->kind,
+          (long long)r->begin_ms, (long long)r->end_ms, other);
+}
+
+/* The primary with the highest term has the final log. */
+static void
+read_logs (struct check *c, const json_t *observed)
+{
+  const json_t *database, *entry;
+  size_t i, k;
+  json_array_foreach (json_object_get (observed, "databases"), i, database)
+  {
+    const char *name
+        = json_string_value (json_object_get (database, "service"));
+    int service = atoi (name + strlen ("ledger-"));
+    json_int_t term = json_integer_value (json_object_get (database, "term"));
+    if (service < 1 || service > MAX_SERVICES
+        || !json_is_true (json_object_get (database, "primary"))
+        || term < c->logs[service].term)
+      continue;
+    struct service_log *log = &c->logs[service];
+    json_decref (log->ids);
+    *log = (struct service_log){ json_object (), term };
+    json_array_foreach (json_object_get (database, "log"), k, entry)
+    {
+      const char *id = json_string_value (entry);
+      json_int_t seen
+          = json_integer_value (json_object_get (log->ids, id)) + 1;
+      json_object_set_new (log->ids, id, json_integer (seen));
+    }
+  }
+}
+
+static json_int_t
+times_in_log (const struct check *c, const struct caller_record *r)
+{
+  return json_integer_value (json_object_get (c->logs[r->service].ids, r->id));
+}
+
+static void
+read_records (struct check *c, const char *path)
+{
+  FILE *file = fopen (path, "r");
+  struct caller_record r;
+  int outcome;
+  long long begin, end;
+  c->count = 0;
+  if (file == NULL)
+    {
+      printf ("%s cannot be read\n", path);
+      c->result.violations++;
+      return;
+    }
+  while (fscanf (file, "%c %d %23s %23s %d %d %lld %lld %23s\n", &r.kind,
+                 &r.service, r.id, r.item, &r.session, &outcome, &begin, &end,
+                 r.row)
+         == 9)
+    {
+      r.outcome = (enum caller_outcome)outcome;
+      r.begin_ms = begin;
+      r.end_ms = end;
+      c->records = talloc_realloc (NULL, c->records, struct caller_record,
+                                   (size_t)c->count + 1);
+      c->records[c->count++] = r;
+    }
+  fclose (file);
+}
+
+static void
+check_write (struct check *c, const struct caller_record *r)
+{
+  json_int_t times = times_in_log (c, r);
+  c->result.acknowledged += r->outcome == CALLER_OK;
+  c->result.refused += r->outcome == CALLER_NOT_KEPT;
+  c->result.unknown += r->outcome == CALLER_UNKNOWN;
+  if (times > 1)
+    violation (c, "a write took effect twice", r, "");
+  if (r->outcome == CALLER_NOT_KEPT && times > 0)
+    violation (c, "a write is kept although it was refused", r, "");
+  if (r->outcome != CALLER_OK || times > 0)
+    return;
+  c->result.rolled_back++;
+  if (c->logs[r->service].term <= 1)
+    violation (c, "an acknowledged write is gone without a promotion", r, "");
+}
+
+static bool
+must_see (const struct caller_record *read, const struct caller_record *write)
+{
+  int64_t before = read->begin_ms - write->end_ms;
+  if (write->kind != 'W' || write->outcome != CALLER_OK
+      || write->service != read->service
+      || strcmp (write->item, read->item) != 0 || before < 0)
+    return false;
+  switch (read->kind)
+    {
+    case 'M':
+      return true;
+    case 'O':
+      return write->session == read->session || before > OWN_STALE_MS;
+    default:
+      return before > BROWSE_STALE_MS;
+    }
+}
+
+/* A caller writes its items in the order of its records. */
+static void
+check_read (struct check *c, int index)
+{
+  const struct caller_record *r = &c->records[index];
+  int required = -1, seen = -1;
+  if (r->outcome != CALLER_OK)
+    return;
+  for (int i = 0; i < c->count; i++)
+    {
+      const struct caller_record *w = &c->records[i];
+      if (must_see (r, w) && times_in_log (c, w) > 0 && i > required)
+        required = i;
+      if (w->kind == 'W' && strcmp (w->id, r->row) == 0)
+        seen = i;
+    }
+  if (required >= 0 && seen < required)
+    violation (c, "a read is stale", r, c->records[required].id);
+}
+
+struct check_result
+check_records (const json_t *observed, const char *const *paths, int count)
+{
+  struct check c = { 0 };
+  const json_t *violations = json_object_get (observed, "violations");
+  const json_t *entry;
+  size_t k;
+  read_logs (&c, observed);
+  json_array_foreach (violations, k, entry)
+  {
+    char *text = json_dumps (entry, JSON_COMPACT | JSON_ENCODE_ANY);
+    printf ("violation: %s\n", text);
+    free (text);
+    c.result.violations++;
+  }
+  for (int i = 0; i < count; i++)
+    {
+      read_records (&c, paths[i]);
+      c.result.records += c.count;
+      for (int n = 0; n < c.count; n++)
+        if (c.records[n].kind == 'W')
+          check_write (&c, &c.records[n]);
+        else
+          check_read (&c, n);
+    }
+  for (int i = 0; i <= MAX_SERVICES; i++)
+    json_decref (c.logs[i].ids);
+  talloc_free (c.records);
+  return c.result;
+}
