session: daemons without a majority let their callers go earlier

An observer missed the voters only after two leases, and idle callers were closed a quarter at a time.

Change: an observer misses a voter after 1.3 s, three of its heartbeats; half of the idle callers are closed each second once the balancer knows.

--- a/core/lease.c
+++ b/core/lease.c
@@ -10,8 +10,11 @@
 /* Leases after which a list of voters is known: the last one that was
    granted by an older list, and its margin. */
 #define KNOWN_TERMS 2
-/* Leases for which an observer believes what it heard last. */
+/* Leases for which an observer believes what it heard last of an owner. */
 #define OBSERVER_TERMS 2
+/* Time in percent of a lease after which an observer misses a voter: three
+   heartbeats to observers. */
+#define OBSERVER_SILENCE_PERCENT 130
 
 struct peer
 {
@@ -493,7 +496,9 @@
 lease_in_quorum (const struct lease_table *t, int64_t now)
 {
   int votes = t->is_member ? votes_of (t, t->options.self) : 0;
-  int64_t limit = t->options.term_us * (t->is_member ? 1 : OBSERVER_TERMS);
+  int64_t limit = t->options.term_us;
+  if (!t->is_member)
+    limit = limit * OBSERVER_SILENCE_PERCENT / 100;
   for (int i = 0; i < t->peer_count; i++)
     if (t->peers[i].is_member && t->peers[i].heard > 0
         && now - t->peers[i].heard <= limit)
--- a/session/relay.c
+++ b/session/relay.c
@@ -277,7 +277,7 @@
   if (r->unready_since == 0)
     r->unready_since = now;
   if (now - r->unready_since > BALANCER_US)
-    callers_close_idle (r->callers, callers_count (r->callers) / 4 + 1);
+    callers_close_idle (r->callers, callers_count (r->callers) / 2 + 1);
 }
 
 /* Settings. */
