pack: texts whose length needs 32 bits

Observers, which have no watch, would never have learned such a configuration.

Change: the reader accepts the longer form. long_text_survives_a_round_trip and observers_serve_callers, now with 700 routes more, were red before.

--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,8 @@
 $(TEST): $(TEST_OBJ) $(TEST_DAEMON_OBJ) $(TEST_CLI_OBJ) $(LIB)
 	$(link) -lcunit
 
-# The fault soak: real daemons, faults from outside, promises checked.
+# The fault soak: real daemons, faults from outside, promises checked.  Do not
+# build in the same folder while it runs.
 SOAK = $(BUILD)/azurewind-soak
 SEEDS = 3
 FIRST = 1
@@ -109,7 +110,7 @@
 	$(link)
 
 soak: programs $(SOAK)
-	AZUREWIND_BUILD=$(BUILD) $(SOAK) --first $(FIRST) --count $(SEEDS) \
+	AZUREWIND_BUILD=$(BUILD) $(SOAK) --seeds tests/soak/seeds.txt --first $(FIRST) --count $(SEEDS) \
 	  --seconds $(SOAK_SECONDS) --daemons $(DAEMONS)
 
 deps:
--- a/proto/pack.c
+++ b/proto/pack.c
@@ -73,8 +73,8 @@
   msgpack_sbuffer_write (&p->buffer, bytes, len);
 }
 
-/* Whether @p bytes hold only the types that the writer above uses.  A count
-   of 32 bits would make msgpack reserve up to 96 GiB for the array before it
+/* Whether @p bytes hold only the types that the writer above uses.  An array
+   with a count of 32 bits would make msgpack reserve up to 96 GiB before it
    looks for the elements; nothing that fits into a message has one. */
 static bool
 has_known_types (struct bstr bytes)
@@ -95,6 +95,10 @@
         size += 1 + (size_t)at[1];
       else if (type == 0xDA && left >= 3)
         size += 2 + ((size_t)at[1] << 8 | at[2]);
+      else if (type == 0xDB && left >= 5)
+        size += 4
+                + ((size_t)at[1] << 24 | (size_t)at[2] << 16
+                   | (size_t)at[3] << 8 | at[4]);
       else if (type == 0xDC)
         size += 2;
       else if (!(type <= 0x7F || type >= 0xE0 || (type & 0xF0) == 0x90
--- a/session/packet.h
+++ b/session/packet.h
@@ -55,12 +55,12 @@
   struct bstr address;
   struct bstr failure_domain;
   int capacity; /**< Of the VM, thousandths of a core. */
-  int64_t echo;
   bool leaving;
   bool ready;      /**< Has what it needs to own a service. */
   bool wants_vote; /**< An observer that a place is free for. */
-  uint64_t epoch;  /**< Of the list of voters. */
   bool reaches_store;
+  int64_t echo;
+  uint64_t epoch; /**< Of the list of voters. */
   uint64_t config_version;
   uint64_t revision[OBJECT_KIND_COUNT];
   uint64_t digest[OBJECT_KIND_COUNT];
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -363,7 +363,7 @@
 {
   int64_t next = 0;
   s->begin_ms = relay_site_now_ms ();
-  int64_t end = s->begin_ms + s->o->seconds * 1000;
+  int64_t end = s->begin_ms + (int64_t)s->o->seconds * 1000;
   start_callers (s, end);
   while (relay_site_now_ms () < end)
     {
@@ -418,6 +418,29 @@
   return passed;
 }
 
+/* Seeds that failed once, one at the begin of each line. */
+static bool
+run_file (const struct soak_options *o, const char *path, int *passed,
+          int *failed)
+{
+  FILE *file = fopen (path, "r");
+  char line[400];
+  if (file == NULL)
+    {
+      printf ("%s cannot be read\n", path);
+      return false;
+    }
+  while (fgets (line, sizeof line, file) != NULL)
+    {
+      char *end;
+      unsigned long seed = strtoul (line, &end, 10);
+      if (end != line)
+        ++*(run_seed (o, (unsigned)seed) ? passed : failed);
+    }
+  fclose (file);
+  return true;
+}
+
 int
 main (int argc, const char **argv)
 {
@@ -427,8 +450,11 @@
                             .daemons = 5,
                             .services = 2,
                             .callers = 10 };
+  char *file = NULL;
   const struct poptOption table[]
-      = { { "first", '\0', POPT_ARG_INT, &o.first, 0, "First seed", "N" },
+      = { { "seeds", '\0', POPT_ARG_STRING, &file, 0,
+            "File of seeds to run before the others", "FILE" },
+          { "first", '\0', POPT_ARG_INT, &o.first, 0, "First seed", "N" },
           { "count", '\0', POPT_ARG_INT, &o.count, 0, "Seeds", "N" },
           { "seconds", '\0', POPT_ARG_INT, &o.seconds, 0, "Length of one",
             "S" },
@@ -454,12 +480,15 @@
   setvbuf (stdout, NULL, _IOLBF, 0);
   signal (SIGPIPE, SIG_IGN);
   curl_global_init (CURL_GLOBAL_DEFAULT);
+  if (file != NULL && !run_file (&o, file, &passed, &failed))
+    failed++;
   for (int i = 0; i < o.count; i++)
     if (run_seed (&o, (unsigned)(o.first + i)))
       passed++;
     else
       failed++;
   curl_global_cleanup ();
+  free (file);
   printf ("%d passed, %d failed\n", passed, failed);
   return failed == 0 && passed > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -1,4 +1,5 @@
 #include "proto/pack.h"
+#include "session/packet.h"
 #include "tests/tests.h"
 
 #include <math.h>
@@ -163,11 +164,38 @@
   unpack_end (&u);
 }
 
+/* Pattern: a copy of a configuration with hundreds of routes; its length needs
+   32 bits. */
+static void
+long_text_survives_a_round_trip (void)
+{
+  void *scratch = talloc_new (NULL);
+  static const size_t lengths[] = { 65535, 65536, 300000 };
+  for (size_t i = 0; i < sizeof lengths / sizeof lengths[0]; i++)
+    {
+      char *text = talloc_zero_array (scratch, char, lengths[i]);
+      memset (text, 'x', lengths[i]);
+      struct packet m = { .kind = PACKET_COPY };
+      struct packet out = { .kind = PACKET_HEARTBEAT };
+      m.copy.items = (struct bstr){ text, lengths[i] };
+      CU_ASSERT_TRUE (
+          packet_decode (scratch, packet_encode (scratch, &m), &out));
+      CU_ASSERT_EQUAL (out.kind, PACKET_COPY);
+      CU_ASSERT_TRUE (out.kind == PACKET_COPY
+                      && bstr_equals (out.copy.items, m.copy.items));
+    }
+  CU_ASSERT_FALSE (packet_decode (scratch,
+                                  (struct bstr){ "\xDB\xFF\xFF\xFF\xFFx", 6 },
+                                  &(struct packet){ 0 }));
+  talloc_free (scratch);
+}
+
 static const struct test_case cases[] = {
   { "limits_survive_a_round_trip", limits_survive_a_round_trip },
   { "foreign_bytes_are_refused", foreign_bytes_are_refused },
   { "values_out_of_range_fail", values_out_of_range_fail },
   { "nesting_is_bounded", nesting_is_bounded },
+  { "long_text_survives_a_round_trip", long_text_survives_a_round_trip },
   { NULL, NULL },
 };
 TEST_SUITE (pack, cases)
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -634,7 +634,19 @@
   CU_ASSERT_TRUE (relay_site_wait (s, 12, 1, SERVE_MS));
   CU_ASSERT_TRUE (relay_site_wait (s, 12, 2, SERVE_MS));
   printf ("[%d ms] ", (int)(relay_site_now_ms () - begin));
-  json_array_remove (json_object_get (s->config, "routes"), 1);
+  json_t *routes = json_object_get (s->config, "routes");
+  json_t *route = json_incref (json_array_get (routes, 1));
+  json_array_remove (routes, 1);
+  for (int i = 0; i < 700; i++)
+    {
+      char host[16];
+      snprintf (host, sizeof host, "more%d", i);
+      json_t *copy = json_copy (route);
+      json_object_set_new (copy, "name", json_string (host));
+      json_object_set_new (copy, "host", json_string (host));
+      json_array_append_new (routes, copy);
+    }
+  json_decref (route);
   CU_ASSERT_TRUE (relay_site_configure (s));
   usleep (2500000);
   struct line_answer a;
