callers: do not deny what a newer configuration may contain

Change: a daemon that hears no majority of the voters, or knows that another one has a newer configuration, refuses keys and databases that it does not know with BUSY and a time to come back; after a second of doubt it refuses everything, as it could not serve it truly.

Test: isolated_observer_denies_nothing; it was not run without the change.

--- a/session/callers.c
+++ b/session/callers.c
@@ -4,6 +4,7 @@
 #include "core/session.h"
 #include "net/stream.h"
 #include "platform/wire.h"
+#include "session/directory.h"
 #include "session/fleet.h"
 
 #include <inttypes.h>
@@ -16,6 +17,10 @@
 #define HOLD_US (300 * USEC_PER_MSEC)
 /* What a caller is told when no owner is known: about one lease. */
 #define NO_OWNER_RETRY_MS 700
+/* A configuration that may be old is used for this time; a new one reaches all
+   daemons sooner.  What it does not contain is not denied meanwhile. */
+#define DOUBT_US (1 * USEC_PER_SEC)
+#define DOUBT_RETRY_MS 500
 /* The owner keeps the time-out; this is for its answer's way back. */
 #define TIMEOUT_MARGIN_US (120 * USEC_PER_MSEC)
 #define TICK_US (50 * USEC_PER_MSEC)
@@ -372,6 +377,11 @@
       = config != NULL ? config_find_key (config, c->key) : NULL;
   if (config == NULL)
     return OUTCOME_BUSY;
+  int64_t doubt = directory_config_doubt (c->front->relay->directory);
+  bool is_unknown
+      = route == NULL || (organisation == NULL && !route->is_public);
+  if (doubt > DOUBT_US || (doubt > 0 && is_unknown))
+    return OUTCOME_BUSY;
   if (route == NULL)
     return OUTCOME_NO_ROUTE;
   if (organisation == NULL && !route->is_public)
@@ -400,7 +410,7 @@
     case OUTCOME_NO_KEY:
       return "unknown key";
     default:
-      return "no configuration yet";
+      return "the configuration may be old";
     }
 }
 
@@ -477,7 +487,8 @@
           relay_trace (PART, "event=refused id=%.*s database=%.*s outcome=%s",
                        BSTR_ARG (request->id), BSTR_ARG (c->host),
                        wire_outcome_name (outcome));
-          answer_error (c, outcome, admit_text (outcome), 0);
+          answer_error (c, outcome, admit_text (outcome),
+                        outcome == OUTCOME_BUSY ? DOUBT_RETRY_MS : 0);
           return;
         }
       c->begin_outcome = OUTCOME_OK;
--- a/session/directory.c
+++ b/session/directory.c
@@ -24,6 +24,7 @@
 /* Another daemon's newer copy is fetched if ours has not caught up by
    then. */
 #define FETCH_AFTER_US (150 * USEC_PER_MSEC)
+#define DOUBT_TICK_US (100 * USEC_PER_MSEC)
 /* An observer waits this long for the voter that it takes copies from before
    it asks another one, and for a copy that it has asked for. */
 #define SOURCE_WAIT_US (900 * USEC_PER_MSEC)
@@ -53,6 +54,7 @@
   void *endpoint_memory;
   const struct config *config;
   bool store_answers;
+  int64_t doubt_since; /**< Of the configuration; 0: it is the newest. */
 };
 
 static void watch (struct collection *c);
@@ -366,6 +368,8 @@
   return 0;
 }
 
+static void on_doubt_tick (void *data);
+
 struct directory *
 directory_create (struct relay *r)
 {
@@ -381,6 +385,7 @@
       c->items = json_object ();
     }
   list (&d->collections[OBJECT_VOTERS], NULL);
+  relay_every (r, d, DOUBT_TICK_US, on_doubt_tick, d);
   return d;
 }
 
@@ -391,6 +396,34 @@
   return d->endpoints;
 }
 
+/* Another daemon has a newer one, or there is no majority that would tell. */
+static bool
+is_config_doubtful (const struct directory *d)
+{
+  return d->collections[OBJECT_CONFIG].behind_since != 0
+         || !fleet_in_quorum (d->relay->fleet);
+}
+
+static void
+on_doubt_tick (void *data)
+{
+  struct directory *d = data;
+  if (!is_config_doubtful (d))
+    d->doubt_since = 0;
+  else if (d->doubt_since == 0)
+    d->doubt_since = clock_now ();
+}
+
+int64_t
+directory_config_doubt (const struct directory *d)
+{
+  int64_t now = clock_now ();
+  if (!is_config_doubtful (d))
+    return 0;
+  return d->doubt_since != 0 && now > d->doubt_since ? now - d->doubt_since
+                                                     : 1;
+}
+
 bool
 directory_has (const struct directory *d, enum object_kind kind)
 {
--- a/session/directory.h
+++ b/session/directory.h
@@ -20,6 +20,9 @@
                                                   int *count);
 /** @return whether the collection was read once. */
 bool directory_has (const struct directory *d, enum object_kind kind);
+/** @return for how long it has been unknown whether the configuration is the
+ * newest, microseconds; 0: it is. */
+int64_t directory_config_doubt (const struct directory *d);
 /** @return whether the last call to the store succeeded. */
 bool directory_store_answers (const struct directory *d);
 uint64_t directory_revision (const struct directory *d, enum object_kind kind);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -659,6 +659,38 @@
   talloc_free (s);
 }
 
+/* @return the code with which a session of an unknown database is refused. */
+static const char *
+refusal (struct relay_site *s, int daemon, struct line_answer *a)
+{
+  struct line_caller *c = line_open (s, relay_site_port (s, daemon));
+  CU_ASSERT_FALSE (c == NULL || line_start (c, "none", "key-a1", a));
+  talloc_free (c);
+  return a->code;
+}
+
+/* Pattern: an observer reaches the store but no voter, so that it does not
+   learn a new configuration; it does not deny what that may contain. */
+static void
+isolated_observer_denies_nothing (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 10, .services = 1, .large = 9 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_STRING_EQUAL (refusal (s, 9, &a), "NODB");
+  for (int i = 0; i < 9; i++)
+    process_signal (s->daemons[i], SIGSTOP);
+  usleep (2000000);
+  CU_ASSERT_STRING_EQUAL (refusal (s, 9, &a), "BUSY");
+  for (int i = 0; i < 9; i++)
+    process_signal (s->daemons[i], SIGCONT);
+  CU_ASSERT_TRUE (relay_site_wait (s, 9, 1, SERVE_MS));
+  CU_ASSERT_STRING_EQUAL (refusal (s, 9, &a), "NODB");
+  talloc_free (s);
+}
+
 /* Pattern: metrics and readiness of a daemon that serves. */
 static void
 metrics_are_served (void)
@@ -802,6 +834,7 @@
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "observers_serve_callers", observers_serve_callers },
+  { "isolated_observer_denies_nothing", isolated_observer_denies_nothing },
   { "metrics_are_served", metrics_are_served },
   { NULL, NULL },
 };
