--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -480,12 +480,14 @@
 hear (struct lease_table *t, uint64_t member, uint64_t incarnation,
       const struct lease_claim *claims, int count, int64_t now)
 {
+  static const struct lease_grant none[1];
   lease_heard (t,
                &(struct lease_heartbeat){ .member = member,
                                           .incarnation = incarnation,
                                           .stamp = now,
                                           .claims = claims,
-                                          .claim_count = count },
+                                          .claim_count = count,
+                                          .grants = none },
                now);
 }
 
@@ -513,7 +515,7 @@
   CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 20), 2);
   CU_ASSERT_TRUE (lease_in_quorum (t, 20));
   CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 20 + 2 * TERM), 0);
-  hear (t, 2, 1, NULL, 0, 30);
+  hear (t, 2, 1, &holds, 0, 30);
   CU_ASSERT_EQUAL (lease_owner (t, SERVICE, 30), 0);
   hear (t, 2, 1, &holds, 1, 40);
   hear (t, 3, 1, &holds, 1, 50);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -677,7 +677,7 @@
   struct relay_site *s = relay_site_start (
       NULL, &(struct relay_site_options){
                 .daemons = 10, .services = 1, .large = 9 });
-  struct line_answer a;
+  struct line_answer a = { .code = "" };
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   CU_ASSERT_STRING_EQUAL (refusal (s, 9, &a), "NODB");
   for (int i = 0; i < 9; i++)
