--- a/core/lease.c
+++ b/core/lease.c
@@ -506,13 +506,6 @@
   return t->member_count > 0 && votes >= votes_needed (t);
 }
 
-int64_t
-lease_last_heard (const struct lease_table *t, uint64_t member)
-{
-  const struct peer *p = find_peer (t, member);
-  return p != NULL ? p->heard : 0;
-}
-
 int
 lease_claims (const struct lease_table *t, struct lease_claim *out,
               int64_t now)
--- a/core/lease.h
+++ b/core/lease.h
@@ -132,8 +132,6 @@
 /** @return whether a majority of the voters was heard: by a voter within one
  * lease, by an observer within a little more, as it hears them less often. */
 bool lease_in_quorum (const struct lease_table *t, int64_t now);
-/** @return when the member was heard last, 0 if never. */
-int64_t lease_last_heard (const struct lease_table *t, uint64_t member);
 
 /* What this member's own heartbeat has to say. */
 int lease_claims (const struct lease_table *t, struct lease_claim *claims,
--- a/session/voters.c
+++ b/session/voters.c
@@ -46,8 +46,6 @@
   return NULL;
 }
 
-static void consider_self (struct voters *v);
-
 static void
 on_turn (struct tevent_context *ev, struct tevent_timer *timer,
          struct timeval at, void *data)
