limits: count what an owner's first report of an organisation says it spent

A daemon that heard of an organisation for the first time took the reported count as a baseline, so the first burst of every owner was missing from the bucket of the others; a daemon that lost its last service never told what it had spent last; and two reports close to each other made a very high demand of one request.

Change: an organisation that a report leaves out counts from zero when it is mentioned again, so its first mention counts whole; former owners report what they have not told; demand is smoothed by time.

--- a/core/limits.c
+++ b/core/limits.c
@@ -4,8 +4,8 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Weight of the newest period in the reported demand. */
-#define DEMAND_WEIGHT 0.4
+/* Time constant of the reported demand: two heartbeats of 200 ms. */
+#define DEMAND_TIME_S 0.4
 /* Share of the rate that a daemon without demand keeps, so that its first
    requests need not wait for the next exchange. */
 #define IDLE_FRACTION 0.02
@@ -31,7 +31,8 @@
   double tokens;    /**< Of the whole fleet, as known here. */
   double allowance; /**< What this daemon may spend of them now. */
   int64_t filled;   /**< When tokens was computed. */
-  uint64_t spent;   /**< Here, since the start. */
+  uint64_t spent;   /**< Here, since the reports mention the organisation. */
+  uint64_t told;    /**< Of that, what the last report said. */
   unsigned asked;   /**< Since the last report. */
   double demand;    /**< As reported last. */
   bool configured;
@@ -40,7 +41,8 @@
 struct report
 {
   uint64_t daemon;
-  int64_t heard;
+  uint64_t incarnation;
+  int64_t heard; /**< 0: it owned nothing when it was heard last. */
   struct limits_demand *demand;
   int count;
 };
@@ -150,19 +152,30 @@
 {
   double seconds = (double)(now - l->reported) / USEC_PER_S;
   int count = 0;
-  if (l->reported == 0 || seconds <= 0)
+  if (l->reported == 0)
     seconds = 1;
+  /* Reports may follow each other closely. */
+  double weight = 1 - exp (-seconds / DEMAND_TIME_S);
   l->reported = now;
-  for (int i = 0; i < l->bucket_count; i++)
+  for (int i = 0; i < l->bucket_count && count < most; i++)
     {
       struct bucket *b = &l->buckets[i];
-      b->demand += DEMAND_WEIGHT * (b->asked / seconds - b->demand);
-      b->asked = 0;
+      if (seconds > 0)
+        {
+          b->demand += weight * (b->asked / seconds - b->demand);
+          b->asked = 0;
+        }
       if (b->demand < IDLE_FRACTION)
         b->demand = 0;
-      if (count < most && b->demand > 0)
-        out[count++]
-            = (struct limits_demand){ b->organisation, b->spent, b->demand };
+      if (b->demand <= 0 && b->spent == b->told)
+        {
+          /* Not mentioned: the others count from zero the next time. */
+          b->spent = b->told = 0;
+          continue;
+        }
+      b->told = b->spent;
+      out[count++]
+          = (struct limits_demand){ b->organisation, b->spent, b->demand };
     }
   return count;
 }
@@ -176,27 +189,25 @@
   return NULL;
 }
 
-static struct limits_demand *
-add_entry (struct limits *l, struct report *r,
-           const struct limits_demand *entry)
+static struct report *
+find_report (struct limits *l, uint64_t daemon)
 {
-  r->demand = talloc_realloc (l, r->demand, struct limits_demand,
-                              (size_t)r->count + 1);
-  r->demand[r->count] = *entry;
-  return &r->demand[r->count++];
+  for (int i = 0; i < l->report_count; i++)
+    if (l->reports[i].daemon == daemon)
+      return &l->reports[i];
+  return NULL;
 }
 
 /* Take what another daemon has spent since its last report from the bucket. */
 static void
-subtract_spent (struct limits *l, struct limits_demand *last,
+subtract_spent (struct limits *l, const struct limits_demand *last,
                 const struct limits_demand *entry, int64_t now)
 {
   struct bucket *b = find_bucket (l, entry->organisation);
-  /* A process that has started again counts from zero. */
-  uint64_t spent = entry->spent >= last->spent ? entry->spent - last->spent
-                                               : entry->spent;
-  last->spent = entry->spent;
-  last->per_s = entry->per_s;
+  uint64_t before = last != NULL ? last->spent : 0;
+  /* A count that is smaller than before began at zero again. */
+  uint64_t spent
+      = entry->spent >= before ? entry->spent - before : entry->spent;
   if (b == NULL)
     return;
   fill (b, now);
@@ -204,31 +215,31 @@
 }
 
 void
-limits_heard (struct limits *l, uint64_t daemon,
+limits_heard (struct limits *l, const struct limits_sender *sender,
               const struct limits_demand *demand, int count, int64_t now)
 {
-  int i = 0;
-  while (i < l->report_count && l->reports[i].daemon != daemon)
-    i++;
-  if (i == LIMITS_MAX_OWNERS)
-    return;
-  struct report *r = &l->reports[i];
-  if (i == l->report_count)
+  struct report *r = find_report (l, sender->daemon);
+  bool is_first = r == NULL;
+  if (is_first)
     {
-      *r = (struct report){ .daemon = daemon };
-      l->report_count++;
-    }
-  r->heard = now;
-  /* What is not mentioned any more has no demand; its count is kept. */
-  for (int k = 0; k < r->count; k++)
-    r->demand[k].per_s = 0;
-  for (int k = 0; k < count; k++)
-    {
-      struct limits_demand *last = find_entry (r, demand[k].organisation);
-      if (last == NULL)
-        last = add_entry (l, r, &demand[k]);
-      subtract_spent (l, last, &demand[k], now);
+      if (l->report_count == LIMITS_MAX_OWNERS)
+        return;
+      r = &l->reports[l->report_count++];
+      *r = (struct report){ .daemon = sender->daemon };
     }
+  if (r->incarnation != sender->incarnation)
+    r->count = 0;
+  r->incarnation = sender->incarnation;
+  r->heard = sender->owns ? now : 0;
+  /* What was spent before the sender was first heard of is not known. */
+  for (int k = 0; !is_first && k < count; k++)
+    subtract_spent (l, find_entry (r, demand[k].organisation), &demand[k],
+                    now);
+  r->demand
+      = talloc_realloc (l, r->demand, struct limits_demand, (size_t)count + 1);
+  if (count > 0)
+    memcpy (r->demand, demand, (size_t)count * sizeof *demand);
+  r->count = count;
 }
 
 static double
@@ -260,10 +271,13 @@
       double own = fmax (b->demand, least);
       double total = own;
       for (int k = 0; k < l->report_count; k++)
-        if (now - l->reports[k].heard <= max_age_us)
+        if (l->reports[k].heard != 0
+            && now - l->reports[k].heard <= max_age_us)
           total += fmax (demand_of (&l->reports[k], b->organisation), least);
       fill (b, now);
       b->share = owns && total > 0 ? own / total : 0;
+      if (!owns)
+        b->demand = 0;
       begin_period (b);
     }
 }
--- a/core/limits.h
+++ b/core/limits.h
@@ -20,10 +20,18 @@
 struct limits_demand
 {
   uint64_t organisation;
-  uint64_t spent; /**< Tokens since the daemon's start. */
+  uint64_t spent; /**< Tokens, since the reports mention the organisation. */
   double per_s;   /**< Requests that were asked for, refused ones included. */
 };
 
+/** Who sent a report. */
+struct limits_sender
+{
+  uint64_t daemon;
+  uint64_t incarnation; /**< Of its process. */
+  bool owns;            /**< It owns services and may spend. */
+};
+
 struct limits *limits_create (void *parent);
 /** Add an organisation or change its limit; its bucket starts empty. */
 void limits_configure (struct limits *l, uint64_t organisation, double rate,
@@ -35,12 +43,14 @@
 bool limits_take (struct limits *l, uint64_t organisation, int64_t now,
                   int *retry_ms);
 /** Close a period of measurement: fold the requests since the last call
- * into the demand that is reported.
+ * into the demand that is reported.  To be sent also by a daemon that owns
+ * nothing any more, for what it spent last.
  * @return the number of entries written to @p out. */
 int limits_report (struct limits *l, struct limits_demand *out, int most,
                    int64_t now);
-/** Another daemon's report.  @p now is when it arrived. */
-void limits_heard (struct limits *l, uint64_t daemon,
+/** Another daemon's report.  @p now is when it arrived.  An organisation that
+ * it does not mention counts from zero when it is mentioned again. */
+void limits_heard (struct limits *l, const struct limits_sender *sender,
                    const struct limits_demand *demand, int count, int64_t now);
 /** Begin a new period: recompute what this daemon may spend until the next one
  * from the reports that are at most @p max_age_us old.  @p owns: this daemon
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -367,9 +367,7 @@
       h->successors[h->successor_count++]
           = (struct packet_successor){ f->tenures[i].service,
                                        f->tenures[i].release_to };
-  if (h->claim_count > 0)
-    h->demand_count
-        = limits_report (limits, h->demand, PACKET_MAX_DEMAND, now);
+  h->demand_count = limits_report (limits, h->demand, PACKET_MAX_DEMAND, now);
   limits_share (limits, h->claim_count > 0, LEASE_US, now);
 }
 
@@ -498,8 +496,11 @@
       t->successor = h->successors[i].member;
       t->successor_until = now + SUCCESSOR_US;
     }
-  if (h->claim_count > 0)
-    limits_heard (f->relay->limits, p->id, h->demand, h->demand_count, now);
+  if (p->is_voter)
+    limits_heard (
+        f->relay->limits,
+        &(struct limits_sender){ p->id, p->incarnation, h->claim_count > 0 },
+        h->demand, h->demand_count, now);
   struct lease_heartbeat lease = {
     .member = m->sender.member,
     .incarnation = m->sender.incarnation,
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -18,6 +18,7 @@
 {
   int owners;
   struct limits *owner[OWNERS];
+  uint64_t incarnation[OWNERS];
   bool dead[OWNERS];
   int64_t now;
   unsigned random;
@@ -31,6 +32,7 @@
   talloc_free (f->owner[i]);
   f->owner[i] = limits_create (NULL);
   limits_configure (f->owner[i], ORGANISATION, rate, burst, f->now);
+  f->incarnation[i]++;
   f->dead[i] = false;
 }
 
@@ -45,7 +47,10 @@
       int count = limits_report (f->owner[i], report, 4, f->now);
       for (int k = 0; k < f->owners; k++)
         if (k != i && !f->dead[k])
-          limits_heard (f->owner[k], (uint64_t)i + 1, report, count, f->now);
+          limits_heard (f->owner[k],
+                        &(struct limits_sender){ (uint64_t)i + 1,
+                                                 f->incarnation[i], true },
+                        report, count, f->now);
     }
   for (int i = 0; i < f->owners; i++)
     if (!f->dead[i])
@@ -226,6 +231,59 @@
   release (f);
 }
 
+/* Pattern: callers of an organisation come to all owners in the same moment,
+   after a time without requests; every first report counts. */
+static void
+first_burst_is_spent_once (void)
+{
+  struct fleet_limits *f = make (FEW, 60, 60);
+  run (f, (double[]){ 0, 0, 0 }, 6);
+  run (f, (double[]){ 4000, 4000, 4000 }, 3);
+  int served = 0;
+  for (int i = 60; i < 90; i++)
+    served += f->served[i];
+  printf ("[%d served] ", served);
+  CU_ASSERT_TRUE (served <= 60 * 3 + 60);
+  /* The same once more, after the reports have left it out. */
+  run (f, (double[]){ 0, 0, 0 }, 8);
+  run (f, (double[]){ 4000, 4000, 4000 }, 3);
+  served = 0;
+  for (int i = 170; i < 200; i++)
+    served += f->served[i];
+  printf ("[%d served] ", served);
+  CU_ASSERT_TRUE (served <= 60 * 3 + 60);
+  release (f);
+}
+
+/* Pattern: a daemon spends and then loses its last service; the others learn
+   of what it had spent. */
+static void
+former_owner_tells_what_it_spent (void)
+{
+  struct limits_demand report[4];
+  struct limits *a = limits_create (NULL), *b = limits_create (NULL);
+  struct limits_sender sender = { 1, 1, true };
+  int retry, served = 0, count;
+  limits_configure (a, ORGANISATION, 60, 60, 1);
+  limits_configure (b, ORGANISATION, 60, 60, 1);
+  count = limits_report (a, report, 4, 1);
+  limits_heard (b, &sender, report, count, 1);
+  limits_share (a, true, 1000000, 2000000);
+  for (int i = 0; i < 200; i++)
+    served += limits_take (a, ORGANISATION, 2000000, &retry);
+  CU_ASSERT_TRUE (served > 50);
+  limits_share (a, false, 1000000, 2100000);
+  sender.owns = false;
+  count = limits_report (a, report, 4, 2100000);
+  limits_heard (b, &sender, report, count, 2100000);
+  limits_share (b, true, 1000000, 2100000);
+  for (int i = 0; i < 200; i++)
+    served += limits_take (b, ORGANISATION, 2100000, &retry);
+  CU_ASSERT_TRUE (served <= 60 + 6 + 1);
+  talloc_free (a);
+  talloc_free (b);
+}
+
 /* Pattern: the operator lowers the limit while the organisation presses. */
 static void
 lower_limit_binds (void)
@@ -274,6 +332,8 @@
     small_rate_binds_before_many_owners },
   { "large_rate_binds_before_many_owners",
     large_rate_binds_before_many_owners },
+  { "first_burst_is_spent_once", first_burst_is_spent_once },
+  { "former_owner_tells_what_it_spent", former_owner_tells_what_it_spent },
   { "lower_limit_binds", lower_limit_binds },
   { "unknown_organisation_is_refused", unknown_organisation_is_refused },
   { NULL, NULL },
