owner: a former owner asks the present one before it acknowledges a commit

Cause, found by reading: on SIGTERM a daemon gives its services up at once and lets open transactions end. A commit that it got through then was told as a success, although the next owner might already have promoted a replica, and the next owner's history of positions lacked it.

Change: session/former.c asks the present owner with the commit's position; it notes the position while the primary leads and no promotion is recorded. Else the caller is told that the outcome is unknown. With no daemon to take a service over, the leaving one keeps it until its transactions have ended. New gauge azurewind_owned_services.

--- a/session/fleet.c
+++ b/session/fleet.c
@@ -6,6 +6,7 @@
 #include "net/stream.h"
 #include "session/callers.h"
 #include "session/directory.h"
+#include "session/former.h"
 #include "session/owner.h"
 #include "session/voters.h"
 
@@ -608,6 +609,12 @@
     case PACKET_PROBE:
       owner_probe (f->relay->owner, m);
       break;
+    case PACKET_COMMIT:
+      owner_commit (f->relay->owner, m);
+      break;
+    case PACKET_COMMIT_ANSWER:
+      former_answered (f->relay->former, m);
+      break;
     default:
       owner_probed (f->relay->owner, m);
       break;
@@ -1080,6 +1087,16 @@
   return lease_owner (f->leases, service, clock_now ());
 }
 
+bool
+fleet_has_successor (const struct fleet *f)
+{
+  int64_t now = clock_now ();
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (is_alive (p, now) && p->is_voter && p->ready && !p->leaving)
+      return true;
+  return false;
+}
+
 uint64_t
 fleet_alive (const struct fleet *f, uint64_t member)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -43,6 +43,8 @@
 bool fleet_in_quorum (const struct fleet *f);
 /** Give a service up. @param successor 0: whoever ranks first. */
 void fleet_release (struct fleet *f, uint64_t service, uint64_t successor);
+/** @return whether another daemon may own services. */
+bool fleet_has_successor (const struct fleet *f);
 /** Send to all voters that are heard, this one excluded. */
 void fleet_broadcast (struct fleet *f, struct packet *message);
 /** @return how many voters that reach the store come before this one. */
--- a/session/owner.c
+++ b/session/owner.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "session/directory.h"
 #include "session/fleet.h"
+#include "session/former.h"
 #include "session/service.h"
 
 #include <inttypes.h>
@@ -257,6 +258,21 @@
     e->reached_by = m->sender.member;
 }
 
+void
+owner_commit (struct owner *o, const struct packet *m)
+{
+  struct service *s = o->services;
+  struct packet answer = { .kind = PACKET_COMMIT_ANSWER, .commit = m->commit };
+  while (s != NULL && s->id != m->commit.service)
+    s = s->next;
+  /* Not known yet; the former owner asks again. */
+  if (s == NULL || s->leaving || s->phase == SERVICE_FOREIGN
+      || s->phase == SERVICE_TAKEOVER || !service_is_owned (s))
+    return;
+  answer.commit.noted = service_note_commit (s, m->commit.position);
+  fleet_send (o->relay->fleet, m->sender.member, &answer);
+}
+
 void
 owner_leave (struct owner *o)
 {
@@ -276,6 +292,15 @@
   return NULL;
 }
 
+int
+owner_count (const struct owner *o)
+{
+  int count = 0;
+  for (const struct service *s = o->services; s != NULL; s = s->next)
+    count += s->phase != SERVICE_FOREIGN && service_is_owned (s);
+  return count;
+}
+
 int
 owner_pending (const struct owner *o)
 {
@@ -296,7 +321,11 @@
       int64_t patience = o->relay->options->grace_ms * USEC_PER_MSEC / 2;
       if (s->leaving
           && (service_pending (s) == 0 || now - s->leaving_since > patience))
-        service_stop (s, "given up");
+        {
+          if (service_is_owned (s))
+            fleet_release (o->relay->fleet, s->id, 0);
+          service_stop (s, "given up");
+        }
     }
 }
 
--- a/session/owner.h
+++ b/session/owner.h
@@ -20,10 +20,14 @@
 /** Another daemon asks whether this one reaches an endpoint. */
 void owner_probe (struct owner *o, const struct packet *m);
 void owner_probed (struct owner *o, const struct packet *m);
+/** A former owner of a service asks whether its commit counts. */
+void owner_commit (struct owner *o, const struct packet *m);
 /** Give all services up; open transactions go on. */
 void owner_leave (struct owner *o);
 /** @return the failure domain of the service's primary, NULL if unknown. */
 const char *owner_primary_domain (const struct owner *o, uint64_t service);
+/** @return services that this daemon owns. */
+int owner_count (const struct owner *o);
 /** @return statements and transactions that are not finished. */
 int owner_pending (const struct owner *o);
 
--- a/session/packet.c
+++ b/session/packet.c
@@ -277,6 +277,26 @@
   probe->reached = unpack_bool (u);
 }
 
+static void
+pack_commit (struct pack *p, const struct packet_commit *c)
+{
+  pack_array (p, 5);
+  pack_uint (p, c->service);
+  pack_uint (p, c->number);
+  pack_position (p, c->position);
+  pack_bool (p, c->noted);
+}
+
+static void
+unpack_commit (struct unpack *u, struct packet_commit *c)
+{
+  unpack_array (u, 5);
+  c->service = unpack_uint (u);
+  c->number = unpack_uint (u);
+  c->position = unpack_position (u);
+  c->noted = unpack_bool (u);
+}
+
 struct bstr
 packet_encode (void *parent, const struct packet *message)
 {
@@ -313,6 +333,10 @@
       pack_uint (&p, message->copy.revision);
       pack_bstr (&p, message->copy.items);
       break;
+    case PACKET_COMMIT:
+    case PACKET_COMMIT_ANSWER:
+      pack_commit (&p, &message->commit);
+      break;
     default:
       pack_probe (&p, &message->probe);
       break;
@@ -349,6 +373,10 @@
       message->copy.revision = unpack_uint (u);
       message->copy.items = unpack_copy (parent, u);
       return kind < OBJECT_KIND_COUNT;
+    case PACKET_COMMIT:
+    case PACKET_COMMIT_ANSWER:
+      unpack_commit (u, &message->commit);
+      return true;
     default:
       unpack_probe (parent, u, &message->probe);
       return true;
--- a/session/packet.h
+++ b/session/packet.h
@@ -25,6 +25,8 @@
   PACKET_COPY,
   PACKET_PROBE, /**< Ask whether the receiver reaches an endpoint. */
   PACKET_PROBED,
+  PACKET_COMMIT, /**< Former owner to present owner. */
+  PACKET_COMMIT_ANSWER,
   PACKET_KIND_COUNT
 };
 
@@ -132,6 +134,15 @@
   bool reached; /**< PACKET_PROBED only. */
 };
 
+/** A commit at the primary by a daemon that no longer owns the service. */
+struct packet_commit
+{
+  uint64_t service;
+  uint64_t number; /**< Of the question. */
+  struct position position;
+  bool noted; /**< PACKET_COMMIT_ANSWER: the present owner counts it. */
+};
+
 struct packet
 {
   enum packet_kind kind;
@@ -144,6 +155,7 @@
     uint64_t session;        /**< PACKET_ABANDON. */
     struct packet_copy copy; /**< PACKET_FETCH: kind only. */
     struct packet_probe probe;
+    struct packet_commit commit;
   };
 };
 
--- a/session/relay.c
+++ b/session/relay.c
@@ -10,6 +10,7 @@
 #include "session/callers.h"
 #include "session/directory.h"
 #include "session/fleet.h"
+#include "session/former.h"
 #include "session/owner.h"
 #include "session/run.h"
 #include "session/voters.h"
@@ -171,6 +172,8 @@
   *stats_counter (r->stats, "azurewind_bus_bytes_total", "")
       = fleet_bytes (r->fleet);
   *stats_counter (r->stats, "azurewind_voter", "") = fleet_is_voter (r->fleet);
+  *stats_counter (r->stats, "azurewind_owned_services", "")
+      = (uint64_t)owner_count (r->owner);
   *stats_counter (r->stats, "azurewind_sessions", "")
       = (uint64_t)callers_count (r->callers);
   *stats_counter (r->stats, "azurewind_memory_bytes", "")
@@ -367,6 +370,7 @@
                            err);
   if (r->store == NULL)
     return error_wrap (err, ERROR_UNAVAILABLE, "platform");
+  r->former = former_create (r);
   r->owner = owner_create (r);
   r->voters = voters_create (r);
   r->directory = directory_create (r);
--- a/session/relay.h
+++ b/session/relay.h
@@ -27,6 +27,7 @@
   struct voters *voters;
   struct fleet *fleet;
   struct owner *owner;
+  struct former_commits *former;
   struct callers *callers;
   struct limits *limits;
   const struct config *config; /**< NULL until the first one is known. */
--- a/session/service.c
+++ b/session/service.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "platform/wire.h"
 #include "session/fleet.h"
+#include "session/former.h"
 
 #include <inttypes.h>
 
@@ -70,8 +71,8 @@
   fleet_send (s->relay->fleet, to->sender.member, &m);
 }
 
-static void
-end_work (struct work *w, struct packet_result *result)
+void
+service_give (struct work *w, struct packet_result *result)
 {
   struct service *s = w->service;
   int64_t now = clock_now ();
@@ -98,7 +99,7 @@
   struct packet_result r = { .outcome = outcome,
                              .text = bstr_from (reason),
                              .retry_ms = retry_ms };
-  end_work (w, &r);
+  service_give (w, &r);
 }
 
 /* Transactions. */
@@ -456,16 +457,21 @@
   if (commits && r.outcome == OUTCOME_OK)
     {
       /* Another owner may have replaced the primary meanwhile. */
-      if (!service_is_owned (s) && !s->leaving)
+      if (service_is_owned (s))
+        history_note (&s->history, answer->position, clock_now ());
+      else if (s->leaving)
+        {
+          former_ask (s->relay->former, w, &r);
+          return;
+        }
+      else
         {
           r.outcome = OUTCOME_UNKNOWN;
           r.text = bstr_from ("ownership was lost before the answer");
           r.row_count = 0;
         }
-      else
-        history_note (&s->history, answer->position, clock_now ());
     }
-  end_work (w, &r);
+  service_give (w, &r);
 }
 
 static void
@@ -823,7 +829,7 @@
   if (s->phase == SERVICE_FOREIGN || s->leaving || !service_is_owned (s))
     {
       struct packet_result r = { .moved = true };
-      end_work (w, &r);
+      service_give (w, &r);
       return;
     }
   if (w->s->verb == VERB_BEGIN)
@@ -849,7 +855,7 @@
   struct transaction *t = w->transaction;
   struct packet_result moved = { .moved = true };
   w->pooled = NULL;
-  end_work (w, &moved);
+  service_give (w, &moved);
   if (t != NULL)
     free_transaction (t);
 }
@@ -920,6 +926,18 @@
   memset (&s->history, 0, sizeof s->history);
 }
 
+bool
+service_note_commit (struct service *s, struct position position)
+{
+  bool is_kept
+      = s->phase == SERVICE_SERVING
+        || (s->phase == SERVICE_HANDOFF && s->step == PROMOTION_SURVEY);
+  if (!is_kept || position.term != s->term)
+    return false;
+  history_note (&s->history, position, clock_now ());
+  return true;
+}
+
 void
 service_leave (struct service *s)
 {
@@ -928,14 +946,16 @@
   s->leaving = true;
   s->leaving_since = clock_now ();
   promotion_cancel (s);
-  fleet_release (s->relay->fleet, s->id, 0);
+  /* With nobody to take it over it is kept until the transactions end. */
+  if (fleet_has_successor (s->relay->fleet))
+    fleet_release (s->relay->fleet, s->id, 0);
   move_queue (s);
 }
 
 int
 service_pending (const struct service *s)
 {
-  int count = 0;
+  int count = former_pending (s->relay->former, s);
   for (const struct work *w = s->queue; w != NULL; w = w->next)
     count++;
   for (const struct transaction *t = s->transactions; t != NULL; t = t->next)
--- a/session/service.h
+++ b/session/service.h
@@ -170,6 +170,11 @@
 void service_set_phase (struct service *s, enum service_phase phase,
                         const char *reason);
 bool service_is_owned (const struct service *s);
+/** Give the caller a result and release the statement. */
+void service_give (struct work *w, struct packet_result *result);
+/** A former owner got a commit through. @return whether it counts: the
+ * primary that has it is not being replaced. */
+bool service_note_commit (struct service *s, struct position position);
 void service_dispatch (struct service *s);
 /** Give new work no more to the endpoint and repeat what did not run. */
 void service_endpoint_failed (struct endpoint *e, const char *reason);
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -190,12 +190,32 @@
   talloc_free (scratch);
 }
 
+/* Guards against a question of a former owner that the present one drops. */
+static void
+commit_survives_a_round_trip (void)
+{
+  void *scratch = talloc_new (NULL);
+  struct packet out, m = { .kind = PACKET_COMMIT };
+  m.commit = (struct packet_commit){
+    .service = UINT64_MAX, .number = 3, .position = { 4, 5 }, .noted = true
+  };
+  CU_ASSERT_TRUE (packet_decode (scratch, packet_encode (scratch, &m), &out));
+  CU_ASSERT_EQUAL (out.kind, PACKET_COMMIT);
+  CU_ASSERT_EQUAL (out.commit.service, UINT64_MAX);
+  CU_ASSERT_EQUAL (out.commit.number, 3);
+  CU_ASSERT_EQUAL (out.commit.position.term, 4);
+  CU_ASSERT_EQUAL (out.commit.position.number, 5);
+  CU_ASSERT_TRUE (out.commit.noted);
+  talloc_free (scratch);
+}
+
 static const struct test_case cases[] = {
   { "limits_survive_a_round_trip", limits_survive_a_round_trip },
   { "foreign_bytes_are_refused", foreign_bytes_are_refused },
   { "values_out_of_range_fail", values_out_of_range_fail },
   { "nesting_is_bounded", nesting_is_bounded },
   { "long_text_survives_a_round_trip", long_text_survives_a_round_trip },
+  { "commit_survives_a_round_trip", commit_survives_a_round_trip },
   { NULL, NULL },
 };
 TEST_SUITE (pack, cases)
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -611,6 +611,67 @@
   return value;
 }
 
+/* @return the daemon that owns most services, -1: none is owned. */
+static int
+find_owner (struct relay_site *s)
+{
+  int found = -1;
+  double most = 0;
+  for (int i = 0; i < s->daemon_count; i++)
+    {
+      double owned = metric (s, i, "azurewind_owned_services ");
+      if (owned > most)
+        {
+          most = owned;
+          found = i;
+        }
+    }
+  return found;
+}
+
+/* Pattern: the owner is stopped while a transaction is open, and the next
+   owner replaces the primary.  A commit that the old owner still gets through
+   is acknowledged only if the new primary has it. */
+static void
+commit_of_a_former_owner (int wait_ms, bool replace)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 3, .services = 1, .grace_ms = 6000 });
+  struct line_answer a, commit;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  int owner = find_owner (s);
+  CU_ASSERT_FATAL (owner >= 0);
+  struct line_caller *c = start (s, (owner + 1) % 3, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE one x"));
+  process_signal (s->daemons[owner], SIGTERM);
+  CU_ASSERT_TRUE (relay_site_wait (s, (owner + 2) % 3, 1, SERVE_MS));
+  if (replace)
+    CU_ASSERT_TRUE (relay_site_fault (s, "db-1-a", "drain"));
+  usleep ((useconds_t)wait_ms * 1000);
+  bool acknowledged = line_query (c, &commit, "COMMIT");
+  printf ("[%d ms: %s] ", wait_ms, acknowledged ? "ok" : commit.code);
+  CU_ASSERT_TRUE (replace || acknowledged);
+  bool in_doubt = !acknowledged && strcmp (commit.code, "INDOUBT") == 0;
+  CU_ASSERT_TRUE (acknowledged || in_doubt
+                  || strcmp (commit.code, "READONLY") == 0
+                  || strcmp (commit.code, "ABORTED") == 0);
+  CU_ASSERT_TRUE (relay_site_wait (s, (owner + 2) % 3, 1, SERVE_MS));
+  usleep (1200000);
+  CU_ASSERT_TRUE (in_doubt || relay_site_committed (s, a.id) == acknowledged);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+static void
+former_owner_acknowledges_no_lost_commit (void)
+{
+  commit_of_a_former_owner (0, false);
+  for (int wait_ms = 0; wait_ms <= 1800; wait_ms += 600)
+    commit_of_a_former_owner (wait_ms, true);
+}
+
 /* Pattern: a fleet with more daemons than voters.  The small VMs are
    observers: they serve callers, learn a new configuration, outlive a killed
    owner, and call the store a few times only. */
@@ -833,6 +894,8 @@
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
+  { "former_owner_acknowledges_no_lost_commit",
+    former_owner_acknowledges_no_lost_commit },
   { "observers_serve_callers", observers_serve_callers },
   { "isolated_observer_denies_nothing", isolated_observer_denies_nothing },
   { "metrics_are_served", metrics_are_served },
