placement: services are spread at the start of a fleet, and moved to balance load

A daemon that becomes ready told so with its next heartbeat only, and candidates that were not ready yet did not count. Ruled out: connections, positions, limits (owners and refusals in the log).

Change: core/placement.c decides who owns what, without I/O; readiness is told at once; for 250 ms after its own readiness a daemon leaves services to voters that are not ready yet; an owner with one and a half times the load that another would have gives a service away every two seconds, with its open transactions.

--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,70 @@
+#include "core/placement.h"
+
+#include <string.h>
+
+/* A service is moved only if its owner has this much more load than the new
+   one will have, in percent: a move costs some ten milliseconds of the
+   service's time, and two daemons may choose the same target. */
+#define RELIEF_PERCENT 150
+
+/* @return whether @p a with one more service has less load than @p b with one
+   more: -1 less, 0 the same, 1 more. */
+static int
+compare_load (const struct placement_daemon *a,
+              const struct placement_daemon *b)
+{
+  int64_t x = (int64_t)(a->owned + 1) * b->capacity;
+  int64_t y = (int64_t)(b->owned + 1) * a->capacity;
+  return (x > y) - (x < y);
+}
+
+static bool
+is_near (const struct placement_daemon *d,
+         const struct placement_service *service)
+{
+  return service->failure_domain != NULL && d->failure_domain != NULL
+         && strcmp (d->failure_domain, service->failure_domain) == 0;
+}
+
+static bool
+is_better (const struct placement_daemon *a, const struct placement_daemon *b,
+           const struct placement_service *service)
+{
+  int order = compare_load (a, b);
+  if (order != 0)
+    return order < 0;
+  if (is_near (a, service) != is_near (b, service))
+    return is_near (a, service);
+  return service->rank (service->id, a->id)
+         > service->rank (service->id, b->id);
+}
+
+int
+placement_best (const struct placement_daemon *daemons, int count,
+                const struct placement_service *service)
+{
+  int best = -1;
+  for (int i = 0; i < count; i++)
+    if (best < 0 || is_better (&daemons[i], &daemons[best], service))
+      best = i;
+  return best;
+}
+
+int
+placement_relief (const struct placement_daemon *daemons, int count, int self)
+{
+  const struct placement_daemon *own = &daemons[self];
+  int best = -1;
+  if (own->owned < 1)
+    return -1;
+  for (int i = 0; i < count; i++)
+    if (i != self
+        && (best < 0 || compare_load (&daemons[i], &daemons[best]) < 0))
+      best = i;
+  if (best < 0)
+    return -1;
+  const struct placement_daemon *to = &daemons[best];
+  int64_t before = (int64_t)own->owned * to->capacity * 100;
+  int64_t after = (int64_t)(to->owned + 1) * own->capacity * RELIEF_PERCENT;
+  return before >= after ? best : -1;
+}
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "core/lease.h"
+#include "core/placement.h"
 #include "net/bus.h"
 #include "net/stream.h"
 #include "session/callers.h"
@@ -30,6 +31,12 @@
 #define CLAIM_US (300 * USEC_PER_MSEC)
 /* Only the best candidate claims a service at first, the others later. */
 #define OTHERS_CLAIM_US (400 * USEC_PER_MSEC)
+/* Time from a daemon's readiness in which it leaves services to voters that
+   are not ready yet: a heartbeat, and a copy of the configuration. */
+#define OTHERS_READY_US (250 * USEC_PER_MSEC)
+/* A service is moved to balance load only if this daemon owns the same ones
+   for this time. */
+#define RELIEF_PAUSE_US (2 * USEC_PER_SEC)
 /* A named successor is the only one to claim for this time. */
 #define SUCCESSOR_US (400 * USEC_PER_MSEC)
 /* A voter that a majority has not heard for this time is removed. */
@@ -121,6 +128,9 @@
   int tenure_count;
   int64_t last_round; /**< Of heartbeats. */
   int64_t started;
+  int64_t ready_since; /**< 0: not ready. */
+  uint64_t held;       /**< Digest of the services owned. */
+  int64_t held_since;
   bool urgent;        /**< Send heartbeats at the next turn of the loop. */
   uint64_t told_held; /**< Digest of the services told to observers. */
   struct tevent_immediate *soon;
@@ -623,15 +633,6 @@
   talloc_free (m);
 }
 
-/** A voter that may own services. */
-struct candidate
-{
-  uint64_t id;
-  const char *failure_domain;
-  int capacity; /**< Thousandths of a core. */
-  int owned;
-};
-
 static bool
 may_own (const struct fleet *f, int64_t now)
 {
@@ -639,56 +640,42 @@
          && lease_in_quorum (f->leases, now);
 }
 
+/* In a fleet that starts, the first daemon that is ready would own all
+   services.  Others that are about to be ready count too for a while. */
+static bool
+others_are_starting (const struct fleet *f, int64_t now)
+{
+  return f->ready_since != 0 && now - f->ready_since < OTHERS_READY_US;
+}
+
+/* The voters that may own services.
+   @param self where this daemon is among them, -1: it may not. */
 static int
-list_candidates (const struct fleet *f, struct candidate *out, int64_t now)
+list_daemons (const struct fleet *f, struct placement_daemon *out, int *self,
+              int64_t now)
 {
   struct lease_claim own[LEASE_MAX_SERVICES];
+  bool starting = others_are_starting (f, now);
   int count = 0;
+  *self = -1;
   if (may_own (f, now))
-    out[count++]
-        = (struct candidate){ f->relay->self,
-                              f->relay->options->failure_domain,
-                              (int)(f->relay->options->capacity * 1000),
-                              lease_claims (f->leases, own, now) };
+    {
+      *self = count;
+      out[count++] = (struct placement_daemon){
+        f->relay->self, f->relay->options->failure_domain,
+        (int)(f->relay->options->capacity * 1000),
+        lease_claims (f->leases, own, now)
+      };
+    }
   for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
        p = p->next)
-    if (is_alive (p, now) && p->is_voter && p->ready && !p->leaving)
-      out[count++] = (struct candidate){ p->id, p->failure_domain, p->capacity,
-                                         p->claim_count };
+    if (is_alive (p, now) && p->is_voter && !p->leaving
+        && (p->ready || starting))
+      out[count++] = (struct placement_daemon){ p->id, p->failure_domain,
+                                                p->capacity, p->claim_count };
   return count;
 }
 
-static bool
-is_better (const struct candidate *a, const struct candidate *b,
-           const char *failure_domain, uint64_t service)
-{
-  int64_t a_load = (int64_t)(a->owned + 1) * b->capacity;
-  int64_t b_load = (int64_t)(b->owned + 1) * a->capacity;
-  if (a_load != b_load)
-    return a_load < b_load;
-  bool a_near = failure_domain != NULL
-                && strcmp (a->failure_domain, failure_domain) == 0;
-  bool b_near = failure_domain != NULL
-                && strcmp (b->failure_domain, failure_domain) == 0;
-  if (a_near != b_near)
-    return a_near;
-  return model_rank (service, a->id) > model_rank (service, b->id);
-}
-
-/* The daemons that own least for their size come first, then those in the
-   failure domain of the service's primary. */
-static struct candidate *
-best_candidate (const struct fleet *f, struct candidate *list, int count,
-                uint64_t service)
-{
-  struct candidate *best = NULL;
-  const char *failure_domain = owner_primary_domain (f->relay->owner, service);
-  for (int i = 0; i < count; i++)
-    if (best == NULL || is_better (&list[i], best, failure_domain, service))
-      best = &list[i];
-  return best;
-}
-
 static void
 set_claim (struct fleet *f, struct tenure *t, bool wanted, int64_t now)
 {
@@ -712,8 +699,8 @@
 }
 
 static void
-update_tenure (struct fleet *f, struct tenure *t, struct candidate *list,
-               int count, int64_t now)
+update_tenure (struct fleet *f, struct tenure *t,
+               struct placement_daemon *daemons, int count, int64_t now)
 {
   uint64_t owner = lease_owner (f->leases, t->service, now);
   log_owner (f, t, owner);
@@ -736,14 +723,16 @@
   if (t->unowned_since == 0)
     t->unowned_since = now;
   bool named = now < t->successor_until && t->successor != 0;
-  struct candidate *best
-      = named ? NULL : best_candidate (f, list, count, t->service);
+  struct placement_service service
+      = { t->service, owner_primary_domain (f->relay->owner, t->service),
+          model_rank };
+  int best = named ? -1 : placement_best (daemons, count, &service);
   bool self = named ? t->successor == f->relay->self
-                    : best != NULL
-                          && (best->id == f->relay->self
+                    : best >= 0
+                          && (daemons[best].id == f->relay->self
                               || now - t->unowned_since > OTHERS_CLAIM_US);
-  if (best != NULL)
-    best->owned++;
+  if (best >= 0)
+    daemons[best].owned++;
   if (self && may_own (f, now) && now >= t->pause_until)
     set_claim (f, t, true, now);
 }
@@ -759,7 +748,8 @@
 static void
 update_tenures (struct fleet *f, int64_t now)
 {
-  struct candidate list[LEASE_MAX_MEMBERS];
+  struct placement_daemon daemons[LEASE_MAX_MEMBERS];
+  int self;
   const struct config *config = f->relay->config;
   if (config == NULL)
     return;
@@ -769,9 +759,9 @@
      come to the same distribution. */
   qsort (f->tenures, (size_t)f->tenure_count, sizeof f->tenures[0],
          compare_tenures);
-  int count = list_candidates (f, list, now);
+  int count = list_daemons (f, daemons, &self, now);
   for (int i = 0; i < f->tenure_count; i++)
-    update_tenure (f, &f->tenures[i], list, count, now);
+    update_tenure (f, &f->tenures[i], daemons, count, now);
 }
 
 /* @return a voter that was silent for long, NULL if there is none. */
@@ -978,11 +968,37 @@
     }
 }
 
+/* Give a service to a daemon that has less to do. */
+static void
+relieve_self (struct fleet *f, int64_t now)
+{
+  struct placement_daemon daemons[LEASE_MAX_MEMBERS];
+  struct lease_claim claims[LEASE_MAX_SERVICES];
+  int self;
+  int claim_count = lease_claims (f->leases, claims, now);
+  uint64_t held = digest_of_held (claims, claim_count);
+  if (held != f->held)
+    {
+      f->held = held;
+      f->held_since = now;
+    }
+  int count = list_daemons (f, daemons, &self, now);
+  if (self < 0 || now - f->held_since < RELIEF_PAUSE_US)
+    return;
+  int target = placement_relief (daemons, count, self);
+  /* Not all of those with too much move at the same moment. */
+  if (target < 0 || relay_random (2) == 0)
+    return;
+  owner_give_one (f->relay->owner, daemons[target].id);
+  f->held_since = now;
+}
+
 static void
 on_slow_tick (void *data)
 {
   struct fleet *f = data;
   change_voters (f, clock_now ());
+  relieve_self (f, clock_now ());
   forget_peers (f, clock_now ());
 }
 
@@ -991,6 +1007,13 @@
 {
   struct fleet *f = data;
   int64_t now = clock_now ();
+  if (!is_ready (f))
+    f->ready_since = 0;
+  else if (f->ready_since == 0)
+    {
+      f->ready_since = now;
+      heartbeat_soon (f);
+    }
   watch_peers (f, now);
   update_tenures (f, now);
   if (now - f->last_round >= HEARTBEAT_US - TICK_US / 2)
--- a/session/owner.c
+++ b/session/owner.c
@@ -277,7 +277,23 @@
 owner_leave (struct owner *o)
 {
   for (struct service *s = o->services; s != NULL; s = s->next)
-    service_leave (s);
+    service_leave (s, 0);
+}
+
+/* The one with the least to do, and none whose primary is being replaced. */
+void
+owner_give_one (struct owner *o, uint64_t successor)
+{
+  struct service *least = NULL;
+  for (struct service *s = o->services; s != NULL; s = s->next)
+    if (s->phase == SERVICE_SERVING && !s->leaving && service_is_owned (s)
+        && (least == NULL || service_pending (s) < service_pending (least)))
+      least = s;
+  if (least == NULL)
+    return;
+  log_info (PART, "event=given service=%s pending=%d reason=\"balance\"",
+            least->name, service_pending (least));
+  service_leave (least, successor);
 }
 
 const char *
--- a/session/owner.h
+++ b/session/owner.h
@@ -24,6 +24,8 @@
 void owner_commit (struct owner *o, const struct packet *m);
 /** Give all services up; open transactions go on. */
 void owner_leave (struct owner *o);
+/** Give one service to another daemon; its open transactions go on here. */
+void owner_give_one (struct owner *o, uint64_t successor);
 /** @return the failure domain of the service's primary, NULL if unknown. */
 const char *owner_primary_domain (const struct owner *o, uint64_t service);
 /** @return services that this daemon owns. */
--- a/session/service.c
+++ b/session/service.c
@@ -939,7 +939,7 @@
 }
 
 void
-service_leave (struct service *s)
+service_leave (struct service *s, uint64_t successor)
 {
   if (s->phase == SERVICE_FOREIGN || s->leaving)
     return;
@@ -948,7 +948,7 @@
   promotion_cancel (s);
   /* With nobody to take it over it is kept until the transactions end. */
   if (fleet_has_successor (s->relay->fleet))
-    fleet_release (s->relay->fleet, s->id, 0);
+    fleet_release (s->relay->fleet, s->id, successor);
   move_queue (s);
 }
 
--- a/session/service.h
+++ b/session/service.h
@@ -163,8 +163,9 @@
 void service_lose_transaction (struct transaction *t);
 /** Ownership is gone: end what runs, as truly as it is known. */
 void service_stop (struct service *s, const char *reason);
-/** Give the service up; open transactions go on. */
-void service_leave (struct service *s);
+/** Give the service up; open transactions go on.
+ * @param successor who is to own it, 0: whoever ranks first. */
+void service_leave (struct service *s, uint64_t successor);
 /** @return statements and transactions that are not finished. */
 int service_pending (const struct service *s);
 void service_set_phase (struct service *s, enum service_phase phase,
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -672,6 +672,61 @@
     commit_of_a_former_owner (wait_ms, true);
 }
 
+static double
+most_owned (struct relay_site *s)
+{
+  double most = 0;
+  for (int i = 0; i < s->daemon_count; i++)
+    {
+      double owned = metric (s, i, "azurewind_owned_services ");
+      most = owned > most ? owned : most;
+    }
+  return most;
+}
+
+/* Pattern: one daemon is left with all services while the others start again;
+   it gives services to them, and callers are refused at most. */
+static void
+owner_of_all_gives_services_away (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){
+                .daemons = 3, .services = 3, .grace_ms = 4000 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 1; i < 3; i++)
+    {
+      process_signal (s->daemons[i], SIGKILL);
+      for (int service = 1; service <= 3; service++)
+        CU_ASSERT_TRUE (relay_site_wait (s, 0, service, SERVE_MS));
+      CU_ASSERT_TRUE (relay_site_start_daemon (s, i));
+      CU_ASSERT_TRUE (relay_site_wait (s, i, 1, SERVE_MS));
+    }
+  struct line_caller *c[3];
+  for (int i = 0; i < 3; i++)
+    {
+      char database[8];
+      snprintf (database, sizeof database, "main%d", i + 1);
+      c[i] = start (s, i, database, "key-a1");
+    }
+  int served = 0, refused = 0;
+  int64_t begin = relay_site_now_ms ();
+  while (relay_site_now_ms () - begin < 25000 && most_owned (s) > 1)
+    for (int i = 0; i < 30; i++)
+      {
+        bool ok
+            = line_query (c[i % 3], &a, i % 2 ? "READ one" : "WRITE one x");
+        served += ok;
+        refused += !ok;
+        CU_ASSERT_TRUE (ok || strcmp (a.code, "BUSY") == 0);
+      }
+  printf ("[%d ms, %d served, %d refused] ",
+          (int)(relay_site_now_ms () - begin), served, refused);
+  CU_ASSERT_EQUAL (most_owned (s), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Pattern: a fleet with more daemons than voters.  The small VMs are
    observers: they serve callers, learn a new configuration, outlive a killed
    owner, and call the store a few times only. */
@@ -896,6 +951,7 @@
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "former_owner_acknowledges_no_lost_commit",
     former_owner_acknowledges_no_lost_commit },
+  { "owner_of_all_gives_services_away", owner_of_all_gives_services_away },
   { "observers_serve_callers", observers_serve_callers },
   { "isolated_observer_denies_nothing", isolated_observer_denies_nothing },
   { "metrics_are_served", metrics_are_served },
