fleet: of several claims on a service the best one stays

Change: the time after which others than the best candidate claim starts when grants are possible; a claim without a majority is withdrawn at once if a better daemon claims too.

The seconds 12 and 13 before the restart bind: a slowed owner.

--- a/core/lease.c
+++ b/core/lease.c
@@ -186,6 +186,21 @@
              || (t->settled && nobody_else_claims (t, service, claimant)));
 }
 
+int64_t
+lease_grants_since (const struct lease_table *t)
+{
+  return t->settled ? t->options.now : t->options.now + t->options.term_us;
+}
+
+bool
+lease_is_claimant (const struct lease_table *t, uint64_t member,
+                   uint64_t service, int64_t now)
+{
+  const struct peer *p = find_peer (t, member);
+  return p != NULL && p->is_member && !p->ended && p->heard > 0
+         && now - p->heard <= t->options.term_us && claims (p, service);
+}
+
 static bool
 try_grant (struct lease_table *t, struct service_lease *s, uint64_t member,
            uint64_t incarnation, int64_t now)
--- a/core/lease.h
+++ b/core/lease.h
@@ -97,6 +97,12 @@
 /** Ask for a service, or give it up. */
 void lease_claim (struct lease_table *t, uint64_t service, bool wanted,
                   int64_t now);
+/** @return since when this voter may grant what nobody claims. */
+int64_t lease_grants_since (const struct lease_table *t);
+/** @return whether the voter @p member claims @p service and was heard within
+ * a lease. */
+bool lease_is_claimant (const struct lease_table *t, uint64_t member,
+                        uint64_t service, int64_t now);
 /** What the own heartbeats say of a service that is claimed. */
 void lease_set_state (struct lease_table *t, uint64_t service,
                       enum lease_state state);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -698,17 +698,44 @@
                                       : "unknown");
 }
 
+/* @return whether another daemon that claims the service too comes first; two
+   claims that last take votes from each other. */
+static bool
+has_better_rival (const struct fleet *f, const struct placement_service *s,
+                  const struct placement_daemon *daemons, int count,
+                  int64_t now)
+{
+  struct placement_daemon claimants[LEASE_MAX_MEMBERS];
+  int found = 0;
+  for (int i = 0; i < count; i++)
+    if (daemons[i].id == f->relay->self
+        || lease_is_claimant (f->leases, daemons[i].id, s->id, now))
+      {
+        claimants[found] = daemons[i];
+        /* What is claimed is counted already. */
+        if (claimants[found].owned > 0)
+          claimants[found].owned--;
+        found++;
+      }
+  int best = placement_best (claimants, found, s);
+  return best >= 0 && claimants[best].id != f->relay->self;
+}
+
 static void
 update_tenure (struct fleet *f, struct tenure *t,
                struct placement_daemon *daemons, int count, int64_t now)
 {
   uint64_t owner = lease_owner (f->leases, t->service, now);
+  struct placement_service service
+      = { t->service, owner_primary_domain (f->relay->owner, t->service),
+          model_rank };
   log_owner (f, t, owner);
   if (t->claimed_at != 0)
     {
       if (lease_valid_until (f->leases, t->service) > now)
         t->claimed_at = now;
-      else if (now - t->claimed_at > CLAIM_US)
+      else if (now - t->claimed_at > CLAIM_US
+               || has_better_rival (f, &service, daemons, count, now))
         {
           set_claim (f, t, false, now);
           t->pause_until = now + relay_random ((uint32_t)CLAIM_US);
@@ -723,14 +750,14 @@
   if (t->unowned_since == 0)
     t->unowned_since = now;
   bool named = now < t->successor_until && t->successor != 0;
-  struct placement_service service
-      = { t->service, owner_primary_domain (f->relay->owner, t->service),
-          model_rank };
+  int64_t granted_since = lease_grants_since (f->leases);
+  int64_t free_since
+      = t->unowned_since > granted_since ? t->unowned_since : granted_since;
   int best = named ? -1 : placement_best (daemons, count, &service);
   bool self = named ? t->successor == f->relay->self
                     : best >= 0
                           && (daemons[best].id == f->relay->self
-                              || now - t->unowned_since > OTHERS_CLAIM_US);
+                              || now - free_since > OTHERS_CLAIM_US);
   if (best >= 0)
     daemons[best].owned++;
   if (self && may_own (f, now) && now >= t->pause_until)
