timer: timers that do not follow the time of day

Change: common/timer.c sets tevent's timers by clock_now and sets them anew when the time of day has stepped; what fires early waits. Used by the session daemon, the HTTP server and the HTTP client.

--- a/net/http.c
+++ b/net/http.c
@@ -1,6 +1,8 @@
 #include "net/http.h"
 
 #include "common/address.h"
+#include "common/clock.h"
+#include "common/timer.h"
 
 #include <microhttpd.h>
 #include <unistd.h>
@@ -14,7 +16,7 @@
   struct MHD_Daemon *mhd;
   struct tevent_context *ev;
   struct tevent_immediate *run_soon;
-  struct tevent_timer *run_later;
+  struct timer *run_later;
   struct http_handler *handler;
   size_t max_body;
   uint64_t next_connection;
@@ -86,14 +88,12 @@
 
 /* Idle connections time out only when libmicrohttpd runs. */
 static void
-on_second (struct tevent_context *ev, struct tevent_timer *te,
-           struct timeval now, void *data)
+on_second (void *data)
 {
-  (void)te, (void)now;
   struct http_server *server = data;
   run_mhd (server);
-  server->run_later = tevent_add_timer (
-      ev, server, tevent_timeval_current_ofs (1, 0), on_second, server);
+  server->run_later
+      = timer_after (server->ev, server, USEC_PER_SEC, on_second, server);
 }
 
 static void
@@ -308,7 +308,7 @@
       = MHD_get_daemon_info (server->mhd, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   tevent_add_fd (server->ev, server, epoll_fd, TEVENT_FD_READ, on_epoll,
                  server);
-  on_second (server->ev, NULL, (struct timeval){ 0, 0 }, server);
+  on_second (server);
   return server;
 fail:
   talloc_free (server);
--- a/net/http_loop.c
+++ b/net/http_loop.c
@@ -1,5 +1,8 @@
 #include "net/http_loop.h"
 
+#include "common/clock.h"
+#include "common/timer.h"
+
 #include <stdbool.h>
 #include <talloc.h>
 
@@ -7,7 +10,7 @@
 {
   struct tevent_context *ev;
   CURLM *multi;
-  struct tevent_timer *timer;
+  struct timer *timer;
   http_loop_done_fn *done;
   bool *freed; /**< While callbacks run: tells them of the destructor. */
 };
@@ -71,10 +74,8 @@
 }
 
 static void
-timer_expired (struct tevent_context *ev, struct tevent_timer *te,
-               struct timeval now, void *data)
+timer_expired (void *data)
 {
-  (void)ev, (void)te, (void)now;
   struct http_loop *loop = data;
   int running;
   loop->timer = NULL;
@@ -89,11 +90,8 @@
   struct http_loop *loop = data;
   TALLOC_FREE (loop->timer);
   if (timeout_ms >= 0)
-    loop->timer = tevent_add_timer (
-        loop->ev, loop,
-        tevent_timeval_current_ofs ((uint32_t)(timeout_ms / 1000),
-                                    (uint32_t)(timeout_ms % 1000) * 1000),
-        timer_expired, loop);
+    loop->timer = timer_after (loop->ev, loop, timeout_ms * USEC_PER_MSEC,
+                               timer_expired, loop);
   return 0;
 }
 
--- a/session/directory.c
+++ b/session/directory.c
@@ -203,10 +203,8 @@
 }
 
 static void
-on_retry (struct tevent_context *ev, struct tevent_timer *timer,
-          struct timeval at, void *data)
+on_retry (void *data)
 {
-  (void)ev, (void)timer, (void)at;
   struct collection *c = data;
   if (c->known && c->revision > 0)
     watch (c);
--- a/session/former.c
+++ b/session/former.c
@@ -74,10 +74,8 @@
 }
 
 static void
-on_ask_again (struct tevent_context *ev, struct tevent_timer *timer,
-              struct timeval at, void *data)
+on_ask_again (void *data)
 {
-  (void)ev, (void)timer, (void)at;
   struct former_commit *c = data;
   if (clock_now () - c->since > GIVE_UP_US)
     {
--- a/session/owner.c
+++ b/session/owner.c
@@ -209,10 +209,8 @@
     = { .answered = on_reached, .lost = on_unreached };
 
 static void
-on_question_timeout (struct tevent_context *ev, struct tevent_timer *timer,
-                     struct timeval at, void *data)
+on_question_timeout (void *data)
 {
-  (void)ev, (void)timer, (void)at;
   struct question *q = data;
   link_close (q->link);
   talloc_free (q);
--- a/session/relay.c
+++ b/session/relay.c
@@ -54,10 +54,8 @@
 static void schedule (struct periodic *p);
 
 static void
-on_period (struct tevent_context *ev, struct tevent_timer *timer,
-           struct timeval at, void *data)
+on_period (void *data)
 {
-  (void)ev, (void)timer, (void)at;
   struct periodic *p = data;
   schedule (p);
   p->fire (p->data);
@@ -78,13 +76,11 @@
   schedule (p);
 }
 
-struct tevent_timer *
+struct timer *
 relay_after (struct relay *r, void *parent, int64_t us,
-             tevent_timer_handler_t fire, void *data)
+             void (*fire) (void *data), void *data)
 {
-  struct timeval at = tevent_timeval_current_ofs (
-      (uint32_t)(us / USEC_PER_SEC), (uint32_t)(us % USEC_PER_SEC));
-  return tevent_add_timer (r->ev, parent, at, fire, data);
+  return timer_after (r->ev, parent, us, fire, data);
 }
 
 uint32_t
--- a/session/relay.h
+++ b/session/relay.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/stats.h"
+#include "common/timer.h"
 #include "core/limits.h"
 #include "session/model.h"
 #include "session/options.h"
@@ -49,8 +50,8 @@
 void relay_every (struct relay *r, void *parent, int64_t period_us,
                   void (*fire) (void *data), void *data);
 /** Call @p fire once; free the returned timer to cancel it. */
-struct tevent_timer *relay_after (struct relay *r, void *parent, int64_t us,
-                                  tevent_timer_handler_t fire, void *data);
+struct timer *relay_after (struct relay *r, void *parent, int64_t us,
+                           void (*fire) (void *data), void *data);
 /** @return a random number below @p bound. */
 uint32_t relay_random (uint32_t bound);
 
--- a/session/voters.c
+++ b/session/voters.c
@@ -47,10 +47,8 @@
 }
 
 static void
-on_turn (struct tevent_context *ev, struct tevent_timer *timer,
-         struct timeval at, void *data)
+on_turn (void *data)
 {
-  (void)ev, (void)timer, (void)at;
   struct voters *v = data;
   v->waits = false;
   v->is_turn = true;
