placement: a daemon whose loop is late counts as a smaller VM

Change: the lateness of the fleet's timer, smoothed, lowers the capacity that a daemon tells and counts with; an owner that is late gives services away after half a second instead of two. Gauge azurewind_loop_lag_us.

Test: placement/slow_owner_is_relieved.

--- a/core/placement.c
+++ b/core/placement.c
@@ -7,6 +7,32 @@
    service's time, and two daemons may choose the same target. */
 #define RELIEF_PERCENT 150
 
+/* Lateness of a loop that is usual on a busy VM: a tenth of a second's share
+   of the processor is used up, at most half of it in a row. */
+#define USUAL_LAG_US 15000
+/* One pause of the whole process counts no more than this. */
+#define MOST_LAG_US 300000
+/* Weight of the newest lateness, as a divisor. */
+#define LAG_DIVISOR 8
+
+void
+placement_lag_note (struct placement_lag *lag, int64_t period_us, int64_t now)
+{
+  int64_t late = lag->last != 0 ? now - lag->last - period_us : 0;
+  late = late < 0 ? 0 : late > MOST_LAG_US ? MOST_LAG_US : late;
+  lag->lag_us += (late - lag->lag_us) / LAG_DIVISOR;
+  lag->last = now;
+}
+
+int
+placement_capacity (const struct placement_lag *lag, int capacity)
+{
+  int64_t left = capacity;
+  if (lag->lag_us > USUAL_LAG_US)
+    left = left * USUAL_LAG_US / lag->lag_us;
+  return left > 0 ? (int)left : 1;
+}
+
 /* @return whether @p a with one more service has less load than @p b with one
    more: -1 less, 0 the same, 1 more. */
 static int
--- a/core/placement.h
+++ b/core/placement.h
@@ -28,6 +28,20 @@
   uint64_t (*rank) (uint64_t service, uint64_t daemon);
 };
 
+/** How late the loop of a daemon is, smoothed. */
+struct placement_lag
+{
+  int64_t last;   /**< When it was looked at; 0: never. */
+  int64_t lag_us; /**< Smoothed. */
+};
+
+/** Fold in that the loop has come to a timer of @p period_us again. */
+void placement_lag_note (struct placement_lag *lag, int64_t period_us,
+                         int64_t now);
+/** @return what is left of @p capacity for others to count with, more than 0:
+ * a VM that has turned slow, or has too much to do, answers late. */
+int placement_capacity (const struct placement_lag *lag, int capacity);
+
 /** @return the index of the daemon that is to own @p service, -1 if
  * @p count is 0. */
 int placement_best (const struct placement_daemon *daemons, int count,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -37,6 +37,8 @@
 /* A service is moved to balance load only if this daemon owns the same ones
    for this time. */
 #define RELIEF_PAUSE_US (2 * USEC_PER_SEC)
+/* The same while the loop is late: the callers wait already. */
+#define SLOW_PAUSE_US (500 * USEC_PER_MSEC)
 /* A named successor is the only one to claim for this time. */
 #define SUCCESSOR_US (400 * USEC_PER_MSEC)
 /* A voter that a majority has not heard for this time is removed. */
@@ -131,6 +133,7 @@
   int64_t ready_since; /**< 0: not ready. */
   uint64_t held;       /**< Digest of the services owned. */
   int64_t held_since;
+  struct placement_lag lag;
   bool urgent;        /**< Send heartbeats at the next turn of the loop. */
   uint64_t told_held; /**< Digest of the services told to observers. */
   struct tevent_immediate *soon;
@@ -343,12 +346,20 @@
          && directory_has (f->relay->directory, OBJECT_ENDPOINTS);
 }
 
+/* Thousandths of a core that are left for services. */
+static int
+own_capacity (const struct fleet *f)
+{
+  return placement_capacity (&f->lag,
+                             (int)(f->relay->options->capacity * 1000));
+}
+
 /* What all heartbeats of this moment say; the rest depends on the receiver. */
 static void
 describe_self (const struct fleet *f, struct packet_heartbeat *h, int64_t now)
 {
   const struct relay *r = f->relay;
-  h->capacity = (int)(r->options->capacity * 1000);
+  h->capacity = own_capacity (f);
   h->leaving = r->leaving_since != 0;
   h->ready = is_ready (f);
   h->wants_vote = voters_wants_vote (r->voters);
@@ -662,8 +673,7 @@
     {
       *self = count;
       out[count++] = (struct placement_daemon){
-        f->relay->self, f->relay->options->failure_domain,
-        (int)(f->relay->options->capacity * 1000),
+        f->relay->self, f->relay->options->failure_domain, own_capacity (f),
         lease_claims (f->leases, own, now)
       };
     }
@@ -1009,13 +1019,21 @@
       f->held = held;
       f->held_since = now;
     }
-  int count = list_daemons (f, daemons, &self, now);
-  if (self < 0 || now - f->held_since < RELIEF_PAUSE_US)
+  int capacity = (int)(f->relay->options->capacity * 1000);
+  bool is_slow = own_capacity (f) < capacity;
+  if (claim_count == 0
+      || now - f->held_since < (is_slow ? SLOW_PAUSE_US : RELIEF_PAUSE_US))
     return;
-  int target = placement_relief (daemons, count, self);
+  int count = list_daemons (f, daemons, &self, now);
+  int target = self >= 0 ? placement_relief (daemons, count, self) : -1;
   /* Not all of those with too much move at the same moment. */
-  if (target < 0 || relay_random (2) == 0)
+  if (target < 0 || (!is_slow && relay_random (2) == 0))
     return;
+  log_info (PART,
+            "event=relief owned=%d capacity=%d of=%d lag_us=%" PRId64
+            " target_owned=%d target_capacity=%d",
+            claim_count, own_capacity (f), capacity, f->lag.lag_us,
+            daemons[target].owned, daemons[target].capacity);
   owner_give_one (f->relay->owner, daemons[target].id);
   f->held_since = now;
 }
@@ -1025,7 +1043,6 @@
 {
   struct fleet *f = data;
   change_voters (f, clock_now ());
-  relieve_self (f, clock_now ());
   forget_peers (f, clock_now ());
 }
 
@@ -1034,6 +1051,7 @@
 {
   struct fleet *f = data;
   int64_t now = clock_now ();
+  placement_lag_note (&f->lag, TICK_US, now);
   if (!is_ready (f))
     f->ready_since = 0;
   else if (f->ready_since == 0)
@@ -1047,6 +1065,7 @@
     {
       f->last_round = now;
       send_heartbeats (f, false);
+      relieve_self (f, now);
     }
   owner_check (f->relay->owner);
 }
@@ -1244,6 +1263,12 @@
   return best != NULL ? best->id : 0;
 }
 
+uint64_t
+fleet_lag_us (const struct fleet *f)
+{
+  return (uint64_t)f->lag.lag_us;
+}
+
 uint64_t
 fleet_messages (const struct fleet *f)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -55,6 +55,8 @@
 /** @return a daemon that reaches the store and may own a service, 0 if none
  * is known. */
 uint64_t fleet_store_peer (const struct fleet *f);
+/** @return how late the loop is, smoothed. */
+uint64_t fleet_lag_us (const struct fleet *f);
 /** @return messages and bytes so far. */
 uint64_t fleet_messages (const struct fleet *f);
 uint64_t fleet_bytes (const struct fleet *f);
--- a/session/relay.c
+++ b/session/relay.c
@@ -170,6 +170,8 @@
   *stats_counter (r->stats, "azurewind_voter", "") = fleet_is_voter (r->fleet);
   *stats_counter (r->stats, "azurewind_owned_services", "")
       = (uint64_t)owner_count (r->owner);
+  *stats_counter (r->stats, "azurewind_loop_lag_us", "")
+      = fleet_lag_us (r->fleet);
   *stats_counter (r->stats, "azurewind_sessions", "")
       = (uint64_t)callers_count (r->callers);
   *stats_counter (r->stats, "azurewind_memory_bytes", "")
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -142,12 +142,41 @@
   CU_ASSERT_EQUAL (placement_relief (d, DAEMONS, 5), -1);
 }
 
+/* Pattern: a VM turns five times slower while its daemon owns a service; its
+   loop comes late to a timer of 50 ms, and the service goes elsewhere within
+   half a second.  A single pause moves nothing. */
+static void
+slow_owner_is_relieved (void)
+{
+  struct placement_daemon d[DAEMONS];
+  struct placement_lag lag = { 0 };
+  int64_t now = 1000000;
+  make_daemons (d);
+  d[0].owned = 1;
+  for (int i = 0; i < 40; i++)
+    placement_lag_note (&lag, 50000, now += 52000);
+  d[0].capacity = placement_capacity (&lag, LARGE);
+  CU_ASSERT_EQUAL (d[0].capacity, LARGE);
+  CU_ASSERT_EQUAL (placement_relief (d, DAEMONS, 0), -1);
+  for (int i = 0; i < 5; i++)
+    placement_lag_note (&lag, 50000, now += 110000);
+  d[0].capacity = placement_capacity (&lag, LARGE);
+  CU_ASSERT_TRUE (d[0].capacity < LARGE * 2 / 3);
+  CU_ASSERT_TRUE (placement_relief (d, DAEMONS, 0) > 0);
+  for (int i = 0; i < 60; i++)
+    placement_lag_note (&lag, 50000, now += 51000);
+  placement_lag_note (&lag, 50000, now += 150000);
+  d[0].capacity = placement_capacity (&lag, LARGE);
+  CU_ASSERT_EQUAL (placement_relief (d, DAEMONS, 0), -1);
+}
+
 static const struct test_case cases[] = {
   { "services_follow_the_size", services_follow_the_size },
   { "near_daemon_comes_first", near_daemon_comes_first },
   { "small_owner_of_all_is_relieved", small_owner_of_all_is_relieved },
   { "moves_come_to_an_end", moves_come_to_an_end },
   { "even_load_stays", even_load_stays },
+  { "slow_owner_is_relieved", slow_owner_is_relieved },
   { NULL, NULL },
 };
 
