lease: an owner outlives changes of the list of voters

A list changes four times for each voter that is replaced, and after each start of a fleet.

Change: a grant counts from when its voter and the owner have the same list, and is renewed by voters with the same or an older list; one with a newer list renews nothing, but what it granted counts until its end. Majorities of two lists in a row have a voter in common, whose grants exclude each other; owners by the list before still end within the two leases after which a list is known.

--- a/core/lease.c
+++ b/core/lease.c
@@ -16,6 +16,14 @@
    heartbeats to observers. */
 #define OBSERVER_SILENCE_PERCENT 130
 
+/** A grant that counts until its lease ends, also while the list of voters
+ * changes. */
+struct counted_grant
+{
+  uint64_t service;
+  int64_t echo; /**< It was made later than this, by the own clock. */
+};
+
 struct peer
 {
   uint64_t id;
@@ -31,6 +39,9 @@
   int claim_count;
   struct lease_grant grants[LEASE_MAX_SERVICES];
   int grant_count;
+  /* Its grants to this process that count. */
+  struct counted_grant counted[LEASE_MAX_SERVICES];
+  int counted_count;
 };
 
 struct service_lease
@@ -92,6 +103,51 @@
   return p;
 }
 
+static const struct lease_grant *
+grant_to_self (const struct lease_table *t, const struct peer *p,
+               uint64_t service)
+{
+  for (int i = 0; i < p->grant_count; i++)
+    if (p->grants[i].service == service
+        && p->grants[i].member == t->options.self
+        && p->grants[i].incarnation == t->options.incarnation)
+      return &p->grants[i];
+  return NULL;
+}
+
+static const struct counted_grant *
+find_counted (const struct peer *p, uint64_t service)
+{
+  for (int i = 0; i < p->counted_count; i++)
+    if (p->counted[i].service == service)
+      return &p->counted[i];
+  return NULL;
+}
+
+/* A grant counts from when the voter has the same list.  It is renewed also by
+   a voter that still has an older one: its grants exclude each other.  A voter
+   that has a newer list renews nothing, so that owners by this list end before
+   the list after the next one. */
+static void
+count_grants (struct lease_table *t, struct peer *p)
+{
+  struct counted_grant counted[LEASE_MAX_SERVICES];
+  int count = 0;
+  for (int i = 0; i < t->service_count; i++)
+    {
+      uint64_t service = t->services[i].service;
+      const struct counted_grant *before = find_counted (p, service);
+      if (grant_to_self (t, p, service) == NULL)
+        continue;
+      if (p->epoch == t->epoch || (before != NULL && p->epoch < t->epoch))
+        counted[count++] = (struct counted_grant){ service, p->echo };
+      else if (before != NULL)
+        counted[count++] = *before;
+    }
+  memcpy (p->counted, counted, sizeof counted[0] * (size_t)count);
+  p->counted_count = count;
+}
+
 static void
 withdraw_grant (struct service_lease *s)
 {
@@ -123,6 +179,10 @@
       else
         add_peer (t, list->ids[i])->is_member = true;
     }
+  /* Some have had this list for a while. */
+  for (int i = 0; i < t->peer_count; i++)
+    if (t->peers[i].epoch == t->epoch)
+      count_grants (t, &t->peers[i]);
   /* What an observer has heard is no grant. */
   for (int i = 0; i < t->service_count && t->is_member && !was_voter; i++)
     withdraw_grant (&t->services[i]);
@@ -329,6 +389,8 @@
     changed = lease_ended (t, h->member, p->incarnation);
   if (p->epoch != h->epoch || p->incarnation != h->incarnation)
     p->epoch_since = now;
+  if (p->incarnation != h->incarnation)
+    p->counted_count = 0;
   p->epoch = h->epoch;
   p->incarnation = h->incarnation;
   p->stamp = h->stamp;
@@ -341,6 +403,7 @@
   p->grant_count = h->grant_count < LEASE_MAX_SERVICES ? h->grant_count
                                                        : LEASE_MAX_SERVICES;
   memcpy (p->grants, h->grants, sizeof p->grants[0] * (size_t)p->grant_count);
+  count_grants (t, p);
   for (int i = 0; i < t->service_count; i++)
     {
       struct service_lease *s = &t->services[i];
@@ -387,18 +450,6 @@
   return (t->member_count + has_casting_vote (t)) / 2 + 1;
 }
 
-static const struct lease_grant *
-grant_to_self (const struct lease_table *t, const struct peer *p,
-               uint64_t service)
-{
-  for (int i = 0; i < p->grant_count; i++)
-    if (p->grants[i].service == service
-        && p->grants[i].member == t->options.self
-        && p->grants[i].incarnation == t->options.incarnation)
-      return &p->grants[i];
-  return NULL;
-}
-
 /** A grant by another member. */
 struct proof
 {
@@ -429,10 +480,10 @@
   for (int i = 0; i < t->peer_count && count < LEASE_MAX_MEMBERS; i++)
     {
       const struct peer *p = &t->peers[i];
+      const struct counted_grant *grant = find_counted (p, s->service);
       /* A grant counts only if it answers a heartbeat with this claim. */
-      if (p->is_member && p->epoch == t->epoch && p->echo >= s->claimed_at
-          && grant_to_self (t, p, s->service) != NULL)
-        proofs[count++] = (struct proof){ p->echo, votes_of (t, p->id) };
+      if (p->is_member && grant != NULL && grant->echo >= s->claimed_at)
+        proofs[count++] = (struct proof){ grant->echo, votes_of (t, p->id) };
     }
   qsort (proofs, (size_t)count, sizeof proofs[0], compare_proofs);
   for (int i = 0; i < count && missing > 0; i++)
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -383,6 +383,46 @@
       w->cut[a][b] = (a < first_half) != (b < first_half);
 }
 
+/* Pattern: a voter is lost and replaced, in four lists that follow each other;
+   the voters read each one at different times, some before the owner and some
+   after it.  The owner goes on. */
+static void
+owner_outlives_changes_of_the_list (void)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      struct world *w = make_world (MEMBERS, seed);
+      static const struct list lists[] = {
+        { 0x1f, false }, { 0x0f, false }, { 0x2f, false }, { 0x2f, true }
+      };
+      int lost = 0;
+      w->lists[1].voters = 0x1f;
+      for (int i = 0; i < w->members; i++)
+        read_list (w, i);
+      claim_only (w, 1);
+      CU_ASSERT_TRUE (run_until_owned (w, 1, 4000));
+      for (int k = 0; k < 4; k++)
+        {
+          int64_t reads[MEMBERS];
+          w->lists[++w->epoch] = lists[k];
+          for (int i = 0; i < w->members; i++)
+            reads[i] = w->now + draw (w, 300);
+          for (int64_t end = w->now + 4 * TERM; w->now < end;)
+            {
+              step (w);
+              for (int i = 0; i < w->members; i++)
+                if (w->m[i].epoch != w->epoch && w->now >= reads[i])
+                  read_list (w, i);
+              lost += count_owners (w) != 1;
+            }
+          CU_ASSERT_TRUE (
+              lease_list_is_known (w->m[1].table, w->now + w->m[1].offset));
+        }
+      CU_ASSERT_EQUAL (lost, 0);
+      free_world (w);
+    }
+}
+
 /* Pattern: a fleet of six is cut in two halves of three; the half with the
    casting vote goes on, the other does not. */
 static void
@@ -581,6 +621,7 @@
 static const struct test_case cases[] = {
   { "never_two_owners", never_two_owners },
   { "changing_lists_give_no_two_owners", changing_lists_give_no_two_owners },
+  { "owner_outlives_changes_of_the_list", owner_outlives_changes_of_the_list },
   { "casting_vote_decides_between_halves",
     casting_vote_decides_between_halves },
   { "restart_of_all_is_quick", restart_of_all_is_quick },
