--- a/core/lease.c
+++ b/core/lease.c
@@ -144,7 +144,8 @@
       else if (before != NULL)
         counted[count++] = *before;
     }
-  memcpy (p->counted, counted, sizeof counted[0] * (size_t)count);
+  if (count > 0)
+    memcpy (p->counted, counted, sizeof counted[0] * (size_t)count);
   p->counted_count = count;
 }
 
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -403,7 +403,7 @@
       CU_ASSERT_TRUE (run_until_owned (w, 1, 4000));
       for (int k = 0; k < 4; k++)
         {
-          int64_t reads[MEMBERS];
+          int64_t reads[MEMBERS] = { 0 };
           w->lists[++w->epoch] = lists[k];
           for (int i = 0; i < w->members; i++)
             reads[i] = w->now + draw (w, 300);
