--- /dev/null
+++ b/session/fleet_owners.c
@@ -0,0 +1,237 @@
+#include "session/fleet_private.h"
+#include "session/owner.h"
+
+/* A claim without a majority is withdrawn after this and repeated after a
+   pause, so that two claims do not block each other. */
+#define CLAIM_US (300 * USEC_PER_MSEC)
+/* Only the best candidate claims a service at first, the others later. */
+#define OTHERS_CLAIM_US (400 * USEC_PER_MSEC)
+/* Time from a daemon's readiness in which it leaves services to voters that
+   are not ready yet: a heartbeat, and a copy of the configuration. */
+#define OTHERS_READY_US (250 * USEC_PER_MSEC)
+/* A service is moved to balance load only if this daemon owns the same ones
+   for this time. */
+#define RELIEF_PAUSE_US (2 * USEC_PER_SEC)
+/* The same while the loop is late: the callers wait already. */
+#define SLOW_PAUSE_US (500 * USEC_PER_MSEC)
+
+/* Thousandths of a core that are left for services. */
+int
+fleet_capacity (const struct fleet *f)
+{
+  return placement_capacity (&f->lag,
+                             (int)(f->relay->options->capacity * 1000));
+}
+
+struct tenure *
+tenure_find (struct fleet *f, uint64_t service)
+{
+  for (int i = 0; i < f->tenure_count; i++)
+    if (f->tenures[i].service == service)
+      return &f->tenures[i];
+  if (f->tenure_count == LEASE_MAX_SERVICES)
+    return NULL;
+  struct tenure *t = &f->tenures[f->tenure_count++];
+  *t = (struct tenure){ .service = service, .unowned_since = clock_now () };
+  return t;
+}
+
+uint64_t
+fleet_digest_of_held (const struct lease_claim *claims, int count)
+{
+  uint64_t digest = 0;
+  for (int i = 0; i < count; i++)
+    if (claims[i].held)
+      digest ^= claims[i].service;
+  return digest;
+}
+
+static bool
+may_own (const struct fleet *f, int64_t now)
+{
+  return lease_is_voter (f->leases) && fleet_is_ready (f)
+         && lease_in_quorum (f->leases, now);
+}
+
+/* In a fleet that starts, the first daemon that is ready would own all
+   services.  Others that are about to be ready count too for a while. */
+static bool
+others_are_starting (const struct fleet *f, int64_t now)
+{
+  return f->ready_since != 0 && now - f->ready_since < OTHERS_READY_US;
+}
+
+/* The voters that may own services.
+   @param self where this daemon is among them, -1: it may not. */
+static int
+list_daemons (const struct fleet *f, struct placement_daemon *out, int *self,
+              int64_t now)
+{
+  struct lease_claim own[LEASE_MAX_SERVICES];
+  bool starting = others_are_starting (f, now);
+  int count = 0;
+  *self = -1;
+  if (may_own (f, now))
+    {
+      *self = count;
+      out[count++] = (struct placement_daemon){
+        f->relay->self, f->relay->options->failure_domain, fleet_capacity (f),
+        lease_claims (f->leases, own, now)
+      };
+    }
+  for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
+       p = p->next)
+    if (peer_is_alive (p, now) && p->is_voter && !p->leaving
+        && (p->ready || starting))
+      out[count++] = (struct placement_daemon){ p->id, p->failure_domain,
+                                                p->capacity, p->claim_count };
+  return count;
+}
+
+void
+tenure_claim (struct fleet *f, struct tenure *t, bool wanted, int64_t now)
+{
+  t->claimed_at = wanted ? now : 0;
+  lease_claim (f->leases, t->service, wanted, now);
+  fleet_tell_soon (f);
+}
+
+static void
+log_owner (struct fleet *f, struct tenure *t, uint64_t owner)
+{
+  if (owner == t->logged_owner)
+    return;
+  const struct peer *p = peer_find (f, owner);
+  t->logged_owner = owner;
+  log_info (PART, "event=owner service=%" PRIx64 " owner=%s", t->service,
+            owner == 0                ? "none"
+            : owner == f->relay->self ? f->relay->options->name
+            : p != NULL               ? p->name
+                                      : "unknown");
+}
+
+/* @return whether another daemon that claims the service too comes first; two
+   claims that last take votes from each other. */
+static bool
+has_better_rival (const struct fleet *f, const struct placement_service *s,
+                  const struct placement_daemon *daemons, int count,
+                  int64_t now)
+{
+  struct placement_daemon claimants[LEASE_MAX_MEMBERS];
+  int found = 0;
+  for (int i = 0; i < count; i++)
+    if (daemons[i].id == f->relay->self
+        || lease_is_claimant (f->leases, daemons[i].id, s->id, now))
+      {
+        claimants[found] = daemons[i];
+        /* What is claimed is counted already. */
+        if (claimants[found].owned > 0)
+          claimants[found].owned--;
+        found++;
+      }
+  int best = placement_best (claimants, found, s);
+  return best >= 0 && claimants[best].id != f->relay->self;
+}
+
+static void
+update_tenure (struct fleet *f, struct tenure *t,
+               struct placement_daemon *daemons, int count, int64_t now)
+{
+  uint64_t owner = lease_owner (f->leases, t->service, now);
+  struct placement_service service
+      = { t->service, owner_primary_domain (f->relay->owner, t->service),
+          model_rank };
+  log_owner (f, t, owner);
+  if (t->claimed_at != 0)
+    {
+      if (lease_valid_until (f->leases, t->service) > now)
+        t->claimed_at = now;
+      else if (now - t->claimed_at > CLAIM_US
+               || has_better_rival (f, &service, daemons, count, now))
+        {
+          tenure_claim (f, t, false, now);
+          t->pause_until = now + relay_random ((uint32_t)CLAIM_US);
+        }
+      return;
+    }
+  if (owner != 0)
+    {
+      t->unowned_since = 0;
+      return;
+    }
+  if (t->unowned_since == 0)
+    t->unowned_since = now;
+  bool named = now < t->successor_until && t->successor != 0;
+  int64_t granted_since = lease_grants_since (f->leases);
+  int64_t free_since
+      = t->unowned_since > granted_since ? t->unowned_since : granted_since;
+  int best = named ? -1 : placement_best (daemons, count, &service);
+  bool self = named ? t->successor == f->relay->self
+                    : best >= 0
+                          && (daemons[best].id == f->relay->self
+                              || now - free_since > OTHERS_CLAIM_US);
+  if (best >= 0)
+    daemons[best].owned++;
+  if (self && may_own (f, now) && now >= t->pause_until)
+    tenure_claim (f, t, true, now);
+}
+
+static int
+compare_tenures (const void *a, const void *b)
+{
+  uint64_t x = ((const struct tenure *)a)->service;
+  uint64_t y = ((const struct tenure *)b)->service;
+  return (x > y) - (x < y);
+}
+
+void
+tenures_update (struct fleet *f, int64_t now)
+{
+  struct placement_daemon daemons[LEASE_MAX_MEMBERS];
+  int self;
+  const struct config *config = f->relay->config;
+  if (config == NULL)
+    return;
+  for (int i = 0; i < config->service_count; i++)
+    tenure_find (f, config->services[i].id);
+  /* All daemons go through the services in the same order, so that they
+     come to the same distribution. */
+  qsort (f->tenures, (size_t)f->tenure_count, sizeof f->tenures[0],
+         compare_tenures);
+  int count = list_daemons (f, daemons, &self, now);
+  for (int i = 0; i < f->tenure_count; i++)
+    update_tenure (f, &f->tenures[i], daemons, count, now);
+}
+
+/* Give a service to a daemon that has less to do. */
+void
+tenures_relieve (struct fleet *f, int64_t now)
+{
+  struct placement_daemon daemons[LEASE_MAX_MEMBERS];
+  struct lease_claim claims[LEASE_MAX_SERVICES];
+  int self;
+  int claim_count = lease_claims (f->leases, claims, now);
+  uint64_t held = fleet_digest_of_held (claims, claim_count);
+  if (held != f->held)
+    {
+      f->held = held;
+      f->held_since = now;
+    }
+  int capacity = (int)(f->relay->options->capacity * 1000);
+  bool is_slow = fleet_capacity (f) < capacity;
+  if (claim_count == 0
+      || now - f->held_since < (is_slow ? SLOW_PAUSE_US : RELIEF_PAUSE_US))
+    return;
+  int count = list_daemons (f, daemons, &self, now);
+  int target = self >= 0 ? placement_relief (daemons, count, self) : -1;
+  /* Not all of those with too much move at the same moment. */
+  if (target < 0 || (!is_slow && relay_random (2) == 0))
+    return;
+  log_info (PART,
+            "event=relief owned=%d capacity=%d of=%d lag_us=%" PRId64
+            " target_owned=%d target_capacity=%d",
+            claim_count, fleet_capacity (f), capacity, f->lag.lag_us,
+            daemons[target].owned, daemons[target].capacity);
+  owner_give_one (f->relay->owner, daemons[target].id);
+  f->held_since = now;
+}
--- /dev/null
+++ b/session/fleet_peers.c
@@ -0,0 +1,227 @@
+#include "session/callers.h"
+#include "session/fleet_private.h"
+
+/* A daemon that was silent for longer gets no new statements. */
+#define SILENT_US (650 * USEC_PER_MSEC)
+/* Pause between two resets of the connection to one daemon. */
+#define RESET_PAUSE_US (400 * USEC_PER_MSEC)
+/* Silence after which the connection is opened anew, and after which it is
+   checked whether the process still listens. */
+#define QUIET_US (420 * USEC_PER_MSEC)
+#define CHECK_US (280 * USEC_PER_MSEC)
+#define CHECK_PAUSE_US (150 * USEC_PER_MSEC)
+
+struct peer *
+peer_find (const struct fleet *f, uint64_t id)
+{
+  struct peer *p = f->peers;
+  while (p != NULL && p->id != id)
+    p = p->next;
+  return p;
+}
+
+struct peer *
+peer_add (struct fleet *f, uint64_t id)
+{
+  struct peer *p = peer_find (f, id);
+  if (p != NULL)
+    return p;
+  p = talloc_zero (f, struct peer);
+  p->fleet = f;
+  p->id = id;
+  p->unconfirmed_end = &p->unconfirmed;
+  p->next = f->peers;
+  f->peers = p;
+  return p;
+}
+
+void
+peer_set_text (struct peer *p, char **text, struct bstr value)
+{
+  if (*text != NULL && bstr_equals_text (value, *text))
+    return;
+  talloc_free (*text);
+  *text = bstr_to_text (p, value);
+}
+
+/* How much slower than between two voters everything goes. */
+int
+peer_slowness (const struct peer *p)
+{
+  return p->is_voter && lease_is_voter (p->fleet->leases) ? 1
+                                                          : OBSERVER_FACTOR;
+}
+
+bool
+peer_is_alive (const struct peer *p, int64_t now)
+{
+  return p->heard > 0 && !p->ended
+         && now - p->heard <= peer_slowness (p) * SILENT_US;
+}
+
+bool
+peer_send (struct fleet *f, struct peer *p, struct packet *message)
+{
+  message->sender = (struct packet_sender){
+    .member = f->relay->self,
+    .incarnation = f->relay->incarnation,
+    .receiver_incarnation
+    = message->kind == PACKET_HEARTBEAT ? 0 : p->incarnation,
+    .stamp = clock_now (),
+  };
+  if (p->address == NULL)
+    return false;
+  if (message->kind == PACKET_HEARTBEAT)
+    {
+      struct bstr bytes = packet_encode (f, message);
+      bool sent = bus_send (f->bus, p->address, bytes);
+      talloc_free ((char *)bytes.start);
+      return sent;
+    }
+  message->sender.number = ++p->next_number;
+  struct unconfirmed *u = talloc_zero (p, struct unconfirmed);
+  u->stamp = message->sender.stamp;
+  u->bytes = packet_encode (u, message);
+  *p->unconfirmed_end = u;
+  p->unconfirmed_end = &u->next;
+  bus_send (f->bus, p->address, u->bytes);
+  return true;
+}
+
+/* A connection delivers in order: what was sent before a heartbeat that has
+   arrived has arrived too. */
+void
+peer_confirm (struct peer *p, int64_t echo)
+{
+  while (p->unconfirmed != NULL && p->unconfirmed->stamp <= echo)
+    {
+      struct unconfirmed *u = p->unconfirmed;
+      p->unconfirmed = u->next;
+      talloc_free (u);
+    }
+  if (p->unconfirmed == NULL)
+    p->unconfirmed_end = &p->unconfirmed;
+}
+
+void
+peer_drop_unconfirmed (struct peer *p)
+{
+  peer_confirm (p, INT64_MAX);
+}
+
+/* Connections may go silent without an error.  Send again on a new one what
+   was not confirmed; the receiver drops what it has. */
+void
+peer_reset_connection (struct peer *p, int64_t now, const char *reason)
+{
+  struct fleet *f = p->fleet;
+  int count = 0;
+  if (p->address == NULL || now - p->last_reset < RESET_PAUSE_US)
+    return;
+  p->last_reset = now;
+  bus_reset (f->bus, p->address);
+  fleet_tell_soon (f);
+  for (struct unconfirmed *u = p->unconfirmed; u != NULL; u = u->next, count++)
+    bus_send (f->bus, p->address, u->bytes);
+  if (p->last_reset_logged < p->heard)
+    log_info (PART, "event=connection_reset name=%s repeated=%d reason=\"%s\"",
+              p->name != NULL ? p->name : "unknown", count, reason);
+  p->last_reset_logged = now;
+}
+
+static void
+process_ended (struct peer *p)
+{
+  struct fleet *f = p->fleet;
+  p->ended = true;
+  peer_drop_unconfirmed (p);
+  log_warn (PART, "event=daemon_ended name=%s reason=\"nobody listens\"",
+            p->name);
+  if (lease_ended (f->leases, p->id, p->incarnation))
+    fleet_tell_soon (f);
+  callers_owners_changed (f->relay->callers);
+}
+
+static void
+on_check_line (void *data, struct bstr line)
+{
+  (void)data, (void)line;
+}
+
+static void
+on_check_closed (void *data, const char *reason)
+{
+  (void)reason;
+  struct peer *p = data;
+  bool refused = stream_was_refused (p->check);
+  p->check = NULL;
+  if (refused && !p->ended)
+    process_ended (p);
+}
+
+static const struct stream_ops check_ops
+    = { .line = on_check_line, .closed = on_check_closed };
+
+static void
+check_listener (struct peer *p, int64_t now)
+{
+  struct error err = { 0 };
+  p->last_check = now;
+  if (p->check != NULL)
+    stream_abort (p->check);
+  p->check = stream_connect (
+      p->fleet, p->address + strlen ("tcp://"),
+      &(struct stream_options){
+          .ev = p->fleet->relay->ev, .ops = &check_ops, .data = p },
+      &err);
+  if (p->check == NULL)
+    log_warn (PART, "event=check_failed name=%s reason=\"%s\"", p->name,
+              err.text);
+}
+
+void
+peers_watch (struct fleet *f, int64_t now)
+{
+  for (struct peer *p = f->peers; p != NULL; p = p->next)
+    {
+      int64_t silent = now - p->heard;
+      if (p->heard == 0 || p->address == NULL)
+        continue;
+      int slow = peer_slowness (p);
+      if (silent > slow * SILENT_US)
+        peer_drop_unconfirmed (p);
+      if (silent > slow * CHECK_US && !p->ended && silent < REMOVE_US
+          && now - p->last_check > CHECK_PAUSE_US)
+        check_listener (p, now);
+      else if (silent <= slow * CHECK_US && p->check != NULL)
+        {
+          stream_abort (p->check);
+          p->check = NULL;
+        }
+      if (silent > slow * QUIET_US && silent < REMOVE_US)
+        peer_reset_connection (p, now, "silent");
+    }
+}
+
+void
+peers_forget (struct fleet *f, int64_t now)
+{
+  struct peer **at = &f->peers;
+  while (*at != NULL)
+    {
+      struct peer *p = *at;
+      if (p->is_voter || now - p->heard < FORGET_US
+          || now - f->started < FORGET_US)
+        {
+          at = &p->next;
+          continue;
+        }
+      *at = p->next;
+      lease_forget (f->leases, p->id);
+      if (p->check != NULL)
+        stream_abort (p->check);
+      if (p->address != NULL)
+        bus_reset (f->bus, p->address);
+      talloc_free (p);
+    }
+}
