--- a/core/placement.c
+++ b/core/placement.c
@@ -7,8 +7,7 @@
    service's time, and two daemons may choose the same target. */
 #define RELIEF_PERCENT 150
 
-/* Lateness of a loop that is usual on a busy VM: a tenth of a second's share
-   of the processor is used up, at most half of it in a row. */
+/* Lateness up to this is usual on a VM with a small share of a core. */
 #define USUAL_LAG_US 15000
 /* One pause of the whole process counts no more than this. */
 #define MOST_LAG_US 300000
@@ -33,8 +32,8 @@
   return left > 0 ? (int)left : 1;
 }
 
-/* @return whether @p a with one more service has less load than @p b with one
-   more: -1 less, 0 the same, 1 more. */
+/* Compare the load of two daemons if each had one more service.
+   @return negative, 0 or positive, as for qsort. */
 static int
 compare_load (const struct placement_daemon *a,
               const struct placement_daemon *b)
