fleet, owner: look up what a service needs only when it has no owner

Found by reading the change: each tick described every service, with a hash for each primary in the list, also while it was owned; owner_commit had a loop of its own beside find_service; the VM's size was computed twice. No change of behaviour.

--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -15,12 +15,17 @@
 /* The same while the loop is late: the callers wait already. */
 #define SLOW_PAUSE_US (500 * USEC_PER_MSEC)
 
-/* Thousandths of a core that are left for services. */
+/* Of the VM, thousandths of a core. */
+static int
+full_capacity (const struct fleet *f)
+{
+  return (int)(f->relay->options->capacity * 1000);
+}
+
 int
 fleet_capacity (const struct fleet *f)
 {
-  return placement_capacity (&f->lag,
-                             (int)(f->relay->options->capacity * 1000));
+  return placement_capacity (&f->lag, full_capacity (f));
 }
 
 struct tenure *
@@ -110,18 +115,27 @@
                                       : "unknown");
 }
 
+static struct placement_service
+describe_service (const struct fleet *f, uint64_t service)
+{
+  return (struct placement_service){
+    service, owner_primary_domain (f->relay->owner, service), model_rank
+  };
+}
+
 /* @return whether another daemon that claims the service too comes first; two
    claims that last take votes from each other. */
 static bool
-has_better_rival (const struct fleet *f, const struct placement_service *s,
+has_better_rival (const struct fleet *f, uint64_t service,
                   const struct placement_daemon *daemons, int count,
                   int64_t now)
 {
   struct placement_daemon claimants[LEASE_MAX_MEMBERS];
+  struct placement_service s = describe_service (f, service);
   int found = 0;
   for (int i = 0; i < count; i++)
     if (daemons[i].id == f->relay->self
-        || lease_is_claimant (f->leases, daemons[i].id, s->id, now))
+        || lease_is_claimant (f->leases, daemons[i].id, service, now))
       {
         claimants[found] = daemons[i];
         /* What is claimed is counted already. */
@@ -129,7 +143,7 @@
           claimants[found].owned--;
         found++;
       }
-  int best = placement_best (claimants, found, s);
+  int best = placement_best (claimants, found, &s);
   return best >= 0 && claimants[best].id != f->relay->self;
 }
 
@@ -138,16 +152,13 @@
                struct placement_daemon *daemons, int count, int64_t now)
 {
   uint64_t owner = lease_owner (f->leases, t->service, now);
-  struct placement_service service
-      = { t->service, owner_primary_domain (f->relay->owner, t->service),
-          model_rank };
   log_owner (f, t, owner);
   if (t->claimed_at != 0)
     {
       if (lease_valid_until (f->leases, t->service) > now)
         t->claimed_at = now;
       else if (now - t->claimed_at > CLAIM_US
-               || has_better_rival (f, &service, daemons, count, now))
+               || has_better_rival (f, t->service, daemons, count, now))
         {
           tenure_claim (f, t, false, now);
           t->pause_until = now + relay_random ((uint32_t)CLAIM_US);
@@ -165,6 +176,7 @@
   int64_t granted_since = lease_grants_since (f->leases);
   int64_t free_since
       = t->unowned_since > granted_since ? t->unowned_since : granted_since;
+  struct placement_service service = describe_service (f, t->service);
   int best = named ? -1 : placement_best (daemons, count, &service);
   bool self = named ? t->successor == f->relay->self
                     : best >= 0
@@ -217,7 +229,7 @@
       f->held = held;
       f->held_since = now;
     }
-  int capacity = (int)(f->relay->options->capacity * 1000);
+  int capacity = full_capacity (f);
   bool is_slow = fleet_capacity (f) < capacity;
   if (claim_count == 0
       || now - f->held_since < (is_slow ? SLOW_PAUSE_US : RELIEF_PAUSE_US))
--- a/session/owner.c
+++ b/session/owner.c
@@ -259,10 +259,8 @@
 void
 owner_commit (struct owner *o, const struct packet *m)
 {
-  struct service *s = o->services;
+  struct service *s = find_service (o, m->commit.service);
   struct packet answer = { .kind = PACKET_COMMIT_ANSWER, .commit = m->commit };
-  while (s != NULL && s->id != m->commit.service)
-    s = s->next;
   /* Not known yet; the former owner asks again. */
   if (s == NULL || s->leaving || s->phase == SERVICE_FOREIGN
       || s->phase == SERVICE_TAKEOVER || !service_is_owned (s))
