lease, fleet: own every service that has endpoints, and only those

Cause: a fleet kept 64 services at most and said nothing of the others.

Change: tables of services grow, to 1,536 at most, with a log line beyond it; a service in the configuration without endpoints gets no owner; a voter tells another one its grants to that one, not all; messages carry arrays of their own length (every message cleared 10 KB before).

Tests, red before: lease/every_one_of_many_services_is_owned, relay/services_without_endpoints_have_no_owner.

--- a/core/lease.c
+++ b/core/lease.c
@@ -35,12 +35,12 @@
   int64_t epoch_since; /**< Own clock. */
   bool is_member;
   bool ended; /**< The process is known to have ended; it owns nothing. */
-  struct lease_claim claims[LEASE_MAX_SERVICES];
+  struct lease_claim *claims;
   int claim_count;
-  struct lease_grant grants[LEASE_MAX_SERVICES];
+  struct lease_grant *grants;
   int grant_count;
   /* Its grants to this process that count. */
-  struct counted_grant counted[LEASE_MAX_SERVICES];
+  struct counted_grant *counted;
   int counted_count;
 };
 
@@ -67,7 +67,7 @@
   bool is_member;    /**< This process is a voter. */
   int member_count;  /**< Voters, this process included if it is one. */
   uint64_t smallest; /**< Id of the member with the casting vote. */
-  struct service_lease services[LEASE_MAX_SERVICES];
+  struct service_lease *services;
   int service_count;
 };
 
@@ -103,6 +103,15 @@
   return p;
 }
 
+static struct service_lease *
+find_service (const struct lease_table *t, uint64_t service)
+{
+  for (int i = 0; i < t->service_count; i++)
+    if (t->services[i].service == service)
+      return (struct service_lease *)&t->services[i];
+  return NULL;
+}
+
 static const struct lease_grant *
 grant_to_self (const struct lease_table *t, const struct peer *p,
                uint64_t service)
@@ -131,21 +140,23 @@
 static void
 count_grants (struct lease_table *t, struct peer *p)
 {
-  struct counted_grant counted[LEASE_MAX_SERVICES];
+  struct counted_grant *counted
+      = talloc_array (t, struct counted_grant, (size_t)p->grant_count);
   int count = 0;
-  for (int i = 0; i < t->service_count; i++)
+  for (int i = 0; i < p->grant_count; i++)
     {
-      uint64_t service = t->services[i].service;
+      uint64_t service = p->grants[i].service;
       const struct counted_grant *before = find_counted (p, service);
-      if (grant_to_self (t, p, service) == NULL)
+      if (grant_to_self (t, p, service) != &p->grants[i]
+          || find_service (t, service) == NULL)
         continue;
       if (p->epoch == t->epoch || (before != NULL && p->epoch < t->epoch))
         counted[count++] = (struct counted_grant){ service, p->echo };
       else if (before != NULL)
         counted[count++] = *before;
     }
-  if (count > 0)
-    memcpy (p->counted, counted, sizeof counted[0] * (size_t)count);
+  talloc_free (p->counted);
+  p->counted = counted;
   p->counted_count = count;
 }
 
@@ -189,21 +200,14 @@
     withdraw_grant (&t->services[i]);
 }
 
-static struct service_lease *
-find_service (const struct lease_table *t, uint64_t service)
-{
-  for (int i = 0; i < t->service_count; i++)
-    if (t->services[i].service == service)
-      return (struct service_lease *)&t->services[i];
-  return NULL;
-}
-
 static struct service_lease *
 add_service (struct lease_table *t, uint64_t service)
 {
   struct service_lease *s = find_service (t, service);
   if (s != NULL || t->service_count == LEASE_MAX_SERVICES)
     return s;
+  t->services = talloc_realloc (t, t->services, struct service_lease,
+                                (size_t)t->service_count + 1);
   s = &t->services[t->service_count++];
   memset (s, 0, sizeof *s);
   s->service = service;
@@ -343,8 +347,12 @@
 lease_forget (struct lease_table *t, uint64_t member)
 {
   struct peer *p = find_peer (t, member);
-  if (p != NULL && !p->is_member)
-    *p = t->peers[--t->peer_count];
+  if (p == NULL || p->is_member)
+    return;
+  talloc_free (p->claims);
+  talloc_free (p->grants);
+  talloc_free (p->counted);
+  *p = t->peers[--t->peer_count];
 }
 
 bool
@@ -376,6 +384,22 @@
          && now - p->heard < 2 * t->options.term_us;
 }
 
+static void
+note_claims (struct lease_table *t, struct peer *p,
+             const struct lease_heartbeat *h)
+{
+  talloc_free (p->claims);
+  talloc_free (p->grants);
+  p->claim_count = h->claim_count;
+  p->claims = talloc_array (t, struct lease_claim, (size_t)h->claim_count);
+  for (int i = 0; i < h->claim_count; i++)
+    p->claims[i] = h->claims[i];
+  p->grant_count = h->grant_count;
+  p->grants = talloc_array (t, struct lease_grant, (size_t)h->grant_count);
+  for (int i = 0; i < h->grant_count; i++)
+    p->grants[i] = h->grants[i];
+}
+
 bool
 lease_heard (struct lease_table *t, const struct lease_heartbeat *h,
              int64_t now)
@@ -397,13 +421,8 @@
   p->stamp = h->stamp;
   p->heard = now;
   p->ended = false;
-  p->claim_count = h->claim_count < LEASE_MAX_SERVICES ? h->claim_count
-                                                       : LEASE_MAX_SERVICES;
-  memcpy (p->claims, h->claims, sizeof p->claims[0] * (size_t)p->claim_count);
   p->echo = h->echo;
-  p->grant_count = h->grant_count < LEASE_MAX_SERVICES ? h->grant_count
-                                                       : LEASE_MAX_SERVICES;
-  memcpy (p->grants, h->grants, sizeof p->grants[0] * (size_t)p->grant_count);
+  note_claims (t, p, h);
   count_grants (t, p);
   for (int i = 0; i < t->service_count; i++)
     {
@@ -481,9 +500,10 @@
   for (int i = 0; i < t->peer_count && count < LEASE_MAX_MEMBERS; i++)
     {
       const struct peer *p = &t->peers[i];
-      const struct counted_grant *grant = find_counted (p, s->service);
+      const struct counted_grant *grant
+          = p->is_member ? find_counted (p, s->service) : NULL;
       /* A grant counts only if it answers a heartbeat with this claim. */
-      if (p->is_member && grant != NULL && grant->echo >= s->claimed_at)
+      if (grant != NULL && grant->echo >= s->claimed_at)
         proofs[count++] = (struct proof){ grant->echo, votes_of (t, p->id) };
     }
   qsort (proofs, (size_t)count, sizeof proofs[0], compare_proofs);
@@ -495,11 +515,10 @@
   return missing <= 0 ? at : -1;
 }
 
-int64_t
-lease_valid_until (const struct lease_table *t, uint64_t service)
+static int64_t
+valid_until (const struct lease_table *t, const struct service_lease *s)
 {
-  const struct service_lease *s = find_service (t, service);
-  int64_t at = s != NULL ? majority_at (t, s) : -1;
+  int64_t at = majority_at (t, s);
   if (at < 0)
     return 0;
   if (at > s->granted_until - t->options.term_us)
@@ -507,6 +526,13 @@
   return at + t->options.term_us;
 }
 
+int64_t
+lease_valid_until (const struct lease_table *t, uint64_t service)
+{
+  const struct service_lease *s = find_service (t, service);
+  return s != NULL ? valid_until (t, s) : 0;
+}
+
 bool
 lease_confirmed_since (const struct lease_table *t, uint64_t service,
                        int64_t since)
@@ -573,6 +599,31 @@
   return t->member_count > 0 && votes >= votes_needed (t);
 }
 
+int
+lease_service_count (const struct lease_table *t)
+{
+  return t->service_count;
+}
+
+int
+lease_claim_count (const struct lease_table *t)
+{
+  int count = 0;
+  for (int i = 0; i < t->service_count; i++)
+    count += t->services[i].claimed;
+  return count;
+}
+
+uint64_t
+lease_held_digest (const struct lease_table *t, int64_t now)
+{
+  uint64_t digest = 0;
+  for (int i = 0; i < t->service_count; i++)
+    if (valid_until (t, &t->services[i]) > now)
+      digest ^= t->services[i].service;
+  return digest;
+}
+
 int
 lease_claims (const struct lease_table *t, struct lease_claim *out,
               int64_t now)
@@ -580,13 +631,12 @@
   int count = 0;
   for (int i = 0; i < t->service_count; i++)
     {
-      uint64_t service = t->services[i].service;
-      if (t->services[i].claimed)
-        out[count++] = (struct lease_claim){
-          .service = service,
-          .state = t->services[i].state,
-          .held = lease_valid_until (t, service) > now,
-        };
+      const struct service_lease *s = &t->services[i];
+      if (s->claimed)
+        out[count++]
+            = (struct lease_claim){ .service = s->service,
+                                    .state = s->state,
+                                    .held = valid_until (t, s) > now };
     }
   return count;
 }
--- a/core/lease.h
+++ b/core/lease.h
@@ -18,7 +18,9 @@
 
 /** Voters that are considered. */
 #define LEASE_MAX_MEMBERS 128
-#define LEASE_MAX_SERVICES 64
+/** Services of a fleet; more than twice as many groups of endpoints as are
+ * planned, of 2,000 databases. */
+#define LEASE_MAX_SERVICES 1536
 
 struct lease_table;
 
@@ -139,6 +141,14 @@
  * lease, by an observer within a little more, as it hears them less often. */
 bool lease_in_quorum (const struct lease_table *t, int64_t now);
 
+/** @return the services known; what lease_claims and lease_grants need room
+ * for. */
+int lease_service_count (const struct lease_table *t);
+/** @return the services that this member claims. */
+int lease_claim_count (const struct lease_table *t);
+/** @return a digest of the services that this member owns. */
+uint64_t lease_held_digest (const struct lease_table *t, int64_t now);
+
 /* What this member's own heartbeat has to say. */
 int lease_claims (const struct lease_table *t, struct lease_claim *claims,
                   int64_t now);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -92,9 +92,10 @@
 
 /* What all heartbeats of this moment say; the rest depends on the receiver. */
 static void
-describe_self (const struct fleet *f, struct packet_heartbeat *h, int64_t now)
+describe_self (const struct fleet *f, struct packet *m, int64_t now)
 {
   const struct relay *r = f->relay;
+  struct packet_heartbeat *h = &m->heartbeat;
   h->capacity = fleet_capacity (f);
   h->leaving = r->leaving_since != 0;
   h->ready = fleet_is_ready (f);
@@ -109,22 +110,25 @@
       h->digest[kind]
           = directory_digest (r->directory, (enum object_kind)kind);
     }
+  h->claims = talloc_array (m, struct lease_claim,
+                            (size_t)lease_service_count (f->leases));
   h->claim_count = lease_claims (f->leases, h->claims, now);
 }
 
-/* Only voters need the grants, the successors and the demand. */
+/* Only voters need the successors and the demand. */
 static void
-describe_leases (struct fleet *f, struct packet_heartbeat *h, int64_t now)
+describe_leases (struct fleet *f, struct packet *m, int64_t now)
 {
   struct limits *limits = f->relay->limits;
-  h->grant_count = lease_grants (f->leases, h->grants, now);
-  /* Granting itself may have given this daemon a service. */
-  h->claim_count = lease_claims (f->leases, h->claims, now);
+  struct packet_heartbeat *h = &m->heartbeat;
+  h->successors
+      = talloc_array (m, struct packet_successor, (size_t)f->tenure_count);
   for (int i = 0; i < f->tenure_count; i++)
     if (now < f->tenures[i].release_until)
       h->successors[h->successor_count++]
           = (struct packet_successor){ f->tenures[i].service,
                                        f->tenures[i].release_to };
+  h->demand = talloc_array (m, struct limits_demand, PACKET_MAX_DEMAND);
   h->demand_count = limits_report (limits, h->demand, PACKET_MAX_DEMAND, now);
   limits_share (limits, h->claim_count > 0, LEASE_US, now);
 }
@@ -160,6 +164,23 @@
   return urgent || now - p->last_heartbeat >= period;
 }
 
+struct grants
+{
+  struct lease_grant *items;
+  int count;
+};
+
+/* Of all grants the receiver needs those to itself. */
+static void
+select_grants (const struct grants *all, uint64_t member,
+               struct packet_heartbeat *h)
+{
+  h->grant_count = 0;
+  for (int i = 0; i < all->count; i++)
+    if (all->items[i].member == member)
+      h->grants[h->grant_count++] = all->items[i];
+}
+
 /* @param urgent a grant or a claim has changed: do not wait for the next
    period. */
 static void
@@ -171,14 +192,24 @@
   bool is_voter = lease_is_voter (f->leases);
   f->urgent = false;
   m->kind = PACKET_HEARTBEAT;
-  describe_self (f, h, now);
+  size_t services = (size_t)lease_service_count (f->leases);
+  struct grants grants
+      = { .items = talloc_array (m, struct lease_grant, services) };
+  h->grants = talloc_array (m, struct lease_grant, services);
+  /* Before the claims: it may give this daemon a service. */
+  if (is_voter)
+    grants.count = lease_grants (f->leases, grants.items, now);
+  describe_self (f, m, now);
   if (is_voter)
-    describe_leases (f, h, now);
+    describe_leases (f, m, now);
   for (struct peer *p = f->peers; p != NULL; p = p->next)
     if (p->is_voter && wants_heartbeat (p, urgent, now))
-      send_heartbeat (f, p, m, now);
+      {
+        select_grants (&grants, p->id, h);
+        send_heartbeat (f, p, m, now);
+      }
   h->grant_count = h->successor_count = h->demand_count = 0;
-  uint64_t held = fleet_digest_of_held (h->claims, h->claim_count);
+  uint64_t held = lease_held_digest (f->leases, now);
   bool tell = held != f->told_held;
   f->told_held = held;
   for (struct peer *p = f->peers; p != NULL; p = p->next)
@@ -191,9 +222,7 @@
 static bool
 holds_others_than_told (const struct fleet *f, int64_t now)
 {
-  struct lease_claim claims[LEASE_MAX_SERVICES];
-  int count = lease_claims (f->leases, claims, now);
-  return fleet_digest_of_held (claims, count) != f->told_held;
+  return lease_held_digest (f->leases, now) != f->told_held;
 }
 
 static void
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -18,6 +18,8 @@
  * @return false if it was dropped. */
 bool fleet_send (struct fleet *f, uint64_t member, struct packet *message);
 void fleet_voters_changed (struct fleet *f);
+/** The configuration or the endpoints have changed. */
+void fleet_services_changed (struct fleet *f);
 
 /** Send heartbeats to the voters at the next turn of the loop. */
 void fleet_tell_soon (struct fleet *f);
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -1,3 +1,4 @@
+#include "session/directory.h"
 #include "session/fleet_private.h"
 #include "session/owner.h"
 
@@ -31,24 +32,60 @@
 struct tenure *
 tenure_find (struct fleet *f, uint64_t service)
 {
-  for (int i = 0; i < f->tenure_count; i++)
-    if (f->tenures[i].service == service)
-      return &f->tenures[i];
+  int low = 0, high = f->tenure_count;
+  while (low < high)
+    {
+      int middle = (low + high) / 2;
+      if (f->tenures[middle].service < service)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  if (low < f->tenure_count && f->tenures[low].service == service)
+    return &f->tenures[low];
   if (f->tenure_count == LEASE_MAX_SERVICES)
-    return NULL;
-  struct tenure *t = &f->tenures[f->tenure_count++];
+    {
+      log_error (PART,
+                 "event=service_ignored service=%" PRIx64
+                 " reason=\"more than %d services\"",
+                 service, LEASE_MAX_SERVICES);
+      return NULL;
+    }
+  f->tenures = talloc_realloc (f, f->tenures, struct tenure,
+                               (size_t)f->tenure_count + 1);
+  struct tenure *t = &f->tenures[low];
+  memmove (t + 1, t, sizeof *t * (size_t)(f->tenure_count - low));
+  f->tenure_count++;
   *t = (struct tenure){ .service = service, .unowned_since = clock_now () };
   return t;
 }
 
-uint64_t
-fleet_digest_of_held (const struct lease_claim *claims, int count)
+/* A service without endpoints needs no owner; one that has an owner keeps it
+   when its endpoints go. */
+static void
+list_services (struct fleet *f)
 {
-  uint64_t digest = 0;
+  const struct config *config = f->relay->config;
+  int count;
+  const struct endpoint_entry *entries
+      = directory_endpoints (f->relay->directory, &count);
+  f->services_listed = true;
+  for (int i = 0; i < f->tenure_count; i++)
+    f->tenures[i].is_served = false;
   for (int i = 0; i < count; i++)
-    if (claims[i].held)
-      digest ^= claims[i].service;
-  return digest;
+    {
+      const struct service_config *service
+          = config_find_service (config, entries[i].service);
+      struct tenure *t = service != NULL ? tenure_find (f, service->id) : NULL;
+      if (t != NULL)
+        t->is_served = true;
+    }
+}
+
+void
+fleet_services_changed (struct fleet *f)
+{
+  f->services_listed = false;
 }
 
 static bool
@@ -72,7 +109,6 @@
 list_daemons (const struct fleet *f, struct placement_daemon *out, int *self,
               int64_t now)
 {
-  struct lease_claim own[LEASE_MAX_SERVICES];
   bool starting = others_are_starting (f, now);
   int count = 0;
   *self = -1;
@@ -81,7 +117,7 @@
       *self = count;
       out[count++] = (struct placement_daemon){
         f->relay->self, f->relay->options->failure_domain, fleet_capacity (f),
-        lease_claims (f->leases, own, now)
+        lease_claim_count (f->leases)
       };
     }
   for (const struct peer *p = f->peers; p != NULL && count < LEASE_MAX_MEMBERS;
@@ -172,6 +208,8 @@
     }
   if (t->unowned_since == 0)
     t->unowned_since = now;
+  if (!t->is_served)
+    return;
   bool named = now < t->successor_until && t->successor != 0;
   int64_t granted_since = lease_grants_since (f->leases);
   int64_t free_since
@@ -188,28 +226,17 @@
     tenure_claim (f, t, true, now);
 }
 
-static int
-compare_tenures (const void *a, const void *b)
-{
-  uint64_t x = ((const struct tenure *)a)->service;
-  uint64_t y = ((const struct tenure *)b)->service;
-  return (x > y) - (x < y);
-}
-
 void
 tenures_update (struct fleet *f, int64_t now)
 {
   struct placement_daemon daemons[LEASE_MAX_MEMBERS];
   int self;
-  const struct config *config = f->relay->config;
-  if (config == NULL)
+  if (f->relay->config == NULL)
     return;
-  for (int i = 0; i < config->service_count; i++)
-    tenure_find (f, config->services[i].id);
+  if (!f->services_listed)
+    list_services (f);
   /* All daemons go through the services in the same order, so that they
      come to the same distribution. */
-  qsort (f->tenures, (size_t)f->tenure_count, sizeof f->tenures[0],
-         compare_tenures);
   int count = list_daemons (f, daemons, &self, now);
   for (int i = 0; i < f->tenure_count; i++)
     update_tenure (f, &f->tenures[i], daemons, count, now);
@@ -220,10 +247,9 @@
 tenures_relieve (struct fleet *f, int64_t now)
 {
   struct placement_daemon daemons[LEASE_MAX_MEMBERS];
-  struct lease_claim claims[LEASE_MAX_SERVICES];
   int self;
-  int claim_count = lease_claims (f->leases, claims, now);
-  uint64_t held = fleet_digest_of_held (claims, claim_count);
+  int claim_count = lease_claim_count (f->leases);
+  uint64_t held = lease_held_digest (f->leases, now);
   if (held != f->held)
     {
       f->held = held;
--- a/session/fleet_private.h
+++ b/session/fleet_private.h
@@ -87,6 +87,7 @@
 struct tenure
 {
   uint64_t service;
+  bool is_served;        /**< In the configuration, and has endpoints. */
   int64_t unowned_since; /**< 0: it has an owner. */
   int64_t claimed_at;    /**< 0: not claimed by this daemon. */
   int64_t pause_until;   /**< No claim before. */
@@ -103,9 +104,11 @@
   struct bus *bus;
   struct lease_table *leases;
   struct peer *peers;
-  struct tenure tenures[LEASE_MAX_SERVICES];
+  struct tenure *tenures; /**< Sorted by service. */
   int tenure_count;
-  int64_t last_round; /**< Of heartbeats. */
+  bool services_listed; /**< The tenures know the newest configuration and
+                             endpoints. */
+  int64_t last_round;   /**< Of heartbeats. */
   int64_t started;
   int64_t ready_since; /**< 0: not ready. */
   uint64_t held;       /**< Digest of the services owned. */
@@ -144,7 +147,8 @@
 /* fleet_owners.c */
 /** @return thousandths of a core that are left for services. */
 int fleet_capacity (const struct fleet *f);
-/** Find or add. @return NULL if there are too many. */
+/** Find or add; valid until the next one is added.
+ * @return NULL if there are too many. */
 struct tenure *tenure_find (struct fleet *f, uint64_t service);
 /** Claim the service or withdraw the claim. */
 void tenure_claim (struct fleet *f, struct tenure *t, bool wanted,
@@ -153,7 +157,6 @@
 void tenures_update (struct fleet *f, int64_t now);
 /** Give a service to a daemon that has less to do. */
 void tenures_relieve (struct fleet *f, int64_t now);
-uint64_t fleet_digest_of_held (const struct lease_claim *claims, int count);
 
 /* fleet_voters.c */
 /** Let the voter that leads the others change the list by one step. */
--- a/session/packet.c
+++ b/session/packet.c
@@ -113,6 +113,8 @@
       h->digest[i] = unpack_uint (u);
     }
   h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
+  h->claims
+      = talloc_zero_array (parent, struct lease_claim, (size_t)h->claim_count);
   for (int i = 0; i < h->claim_count; i++)
     {
       h->claims[i].service = unpack_uint (u);
@@ -122,6 +124,8 @@
       h->claims[i].held = unpack_bool (u);
     }
   h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 4) / 4;
+  h->grants
+      = talloc_zero_array (parent, struct lease_grant, (size_t)h->grant_count);
   for (int i = 0; i < h->grant_count; i++)
     {
       h->grants[i].service = unpack_uint (u);
@@ -130,12 +134,16 @@
       h->grants[i].changing = unpack_bool (u);
     }
   h->successor_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
+  h->successors = talloc_zero_array (parent, struct packet_successor,
+                                     (size_t)h->successor_count);
   for (int i = 0; i < h->successor_count; i++)
     {
       h->successors[i].service = unpack_uint (u);
       h->successors[i].member = unpack_uint (u);
     }
   h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 3) / 3;
+  h->demand = talloc_zero_array (parent, struct limits_demand,
+                                 (size_t)h->demand_count);
   for (int i = 0; i < h->demand_count; i++)
     {
       h->demand[i].organisation = unpack_uint (u);
--- a/session/packet.h
+++ b/session/packet.h
@@ -66,13 +66,13 @@
   uint64_t config_version;
   uint64_t revision[OBJECT_KIND_COUNT];
   uint64_t digest[OBJECT_KIND_COUNT];
-  struct lease_claim claims[LEASE_MAX_SERVICES];
+  struct lease_claim *claims;
   int claim_count;
-  struct lease_grant grants[LEASE_MAX_SERVICES];
+  struct lease_grant *grants; /**< To the receiver. */
   int grant_count;
-  struct packet_successor successors[LEASE_MAX_SERVICES];
+  struct packet_successor *successors;
   int successor_count;
-  struct limits_demand demand[PACKET_MAX_DEMAND];
+  struct limits_demand *demand;
   int demand_count;
 };
 
--- a/session/relay.c
+++ b/session/relay.c
@@ -125,6 +125,8 @@
                       config->organisations[i].rate,
                       config->organisations[i].burst, now);
   limits_forget_others (r->limits);
+  if (r->fleet != NULL)
+    fleet_services_changed (r->fleet);
 }
 
 void
@@ -132,6 +134,8 @@
 {
   if (r->owner != NULL)
     owner_endpoints_changed (r->owner);
+  if (r->fleet != NULL)
+    fleet_services_changed (r->fleet);
 }
 
 void
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -597,6 +597,35 @@
   talloc_free (t);
 }
 
+/* Pattern: a fleet before 2,000 databases in groups of three; one voter is
+   left and owns all of them. */
+static void
+every_one_of_many_services_is_owned (void)
+{
+  enum
+  {
+    SERVICES = 667
+  };
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 9, .incarnation = 1, .term_us = TERM, .now = 0 });
+  struct lease_grant grants[LEASE_MAX_SERVICES];
+  uint64_t voters[] = { 9 };
+  int owned = 0;
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 1, .epoch = 1, .settled = true },
+      0);
+  for (int i = 1; i <= SERVICES; i++)
+    lease_claim (t, (uint64_t)i, true, 0);
+  CU_ASSERT_EQUAL (lease_grants (t, grants, 100), SERVICES);
+  for (int i = 1; i <= SERVICES; i++)
+    owned += lease_valid_until (t, (uint64_t)i) > 100;
+  CU_ASSERT_EQUAL (owned, SERVICES);
+  talloc_free (t);
+}
+
 /* Pattern: a process that is not in the list of members decides nothing. */
 static void
 stranger_owns_nothing (void)
@@ -630,6 +659,8 @@
     change_is_confirmed_by_a_majority_only },
   { "next_owner_hears_of_a_change", next_owner_hears_of_a_change },
   { "observer_follows_the_owner", observer_follows_the_owner },
+  { "every_one_of_many_services_is_owned",
+    every_one_of_many_services_is_owned },
   { "observer_becomes_a_voter", observer_becomes_a_voter },
   { "stranger_owns_nothing", stranger_owns_nothing },
   { NULL, NULL },
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -727,6 +727,54 @@
   talloc_free (s);
 }
 
+/* Pattern: a configuration with many services that have no endpoints yet.
+   They are owned by nobody, the others are served, also when all daemons start
+   again. */
+static void
+services_without_endpoints_have_no_owner (void)
+{
+  struct relay_site *s = relay_site_start (
+      NULL, &(struct relay_site_options){ .daemons = 3, .services = 2 });
+  struct line_answer a;
+  double owned = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  json_t *services = json_object_get (s->config, "services");
+  json_t *routes = json_object_get (s->config, "routes");
+  json_t *route = json_copy (json_array_get (routes, 0));
+  for (int i = 0; i < 200; i++)
+    {
+      char name[16];
+      snprintf (name, sizeof name, "idle-%d", i);
+      json_t *service = json_copy (json_array_get (services, 0));
+      json_object_set_new (service, "name", json_string (name));
+      json_array_insert_new (services, 0, service);
+    }
+  json_object_set_new (route, "name", json_string ("idle"));
+  json_object_set_new (route, "host", json_string ("idle"));
+  json_object_set_new (route, "service", json_string ("idle-7"));
+  json_array_append_new (routes, route);
+  CU_ASSERT_TRUE (relay_site_configure (s));
+  usleep (1000000);
+  for (int i = 0; i < 3; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (relay_site_start_daemon (s, i));
+  for (int service = 1; service <= 2; service++)
+    for (int i = 0; i < 3; i++)
+      CU_ASSERT_TRUE (relay_site_wait (s, i, service, SERVE_MS));
+  for (int i = 0; i < 3; i++)
+    owned += metric (s, i, "azurewind_owned_services ");
+  CU_ASSERT_EQUAL (owned, 2);
+  struct line_caller *c = start (s, 0, "idle", "key-a1");
+  int64_t begin = relay_site_now_ms ();
+  CU_ASSERT_FALSE (line_query (c, &a, "READ item"));
+  CU_ASSERT_STRING_EQUAL (a.code, "BUSY");
+  CU_ASSERT_PTR_NOT_NULL (strstr (a.text, "retry-after-ms="));
+  CU_ASSERT_TRUE (relay_site_now_ms () - begin < 500);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Pattern: a fleet with more daemons than voters.  The small VMs are
    observers: they serve callers, learn a new configuration, outlive a killed
    owner, and call the store a few times only. */
@@ -967,6 +1015,8 @@
   { "former_owner_acknowledges_no_lost_commit",
     former_owner_acknowledges_no_lost_commit },
   { "owner_of_all_gives_services_away", owner_of_all_gives_services_away },
+  { "services_without_endpoints_have_no_owner",
+    services_without_endpoints_have_no_owner },
   { "observers_serve_callers", observers_serve_callers },
   { "isolated_observer_denies_nothing", isolated_observer_denies_nothing },
   { "metrics_are_served", metrics_are_served },
