limits: after a long silence take over the sender's bucket

A daemon that was cut off from the owners had a full bucket and added nothing to it; on the first report after the cut it took everything the others had spent meanwhile from it, up to five seconds of the rate, and paid this off at what the demand left of the rate. Services were moved to just these daemons, as they had the least to do.

Change: a report says how many tokens the sender knows of; after a silence of a lease the receiver takes the smaller bucket instead of the sum.

--- a/core/limits.c
+++ b/core/limits.c
@@ -22,6 +22,9 @@
 /* What was spent too much is missing for this time at most; it is the window
    in which the limit is judged. */
 #define MAX_DEBT_S 5
+/* Silence after which a daemon's bucket is taken over instead of what it
+   spent: a lease, in which at most the burst is refilled. */
+#define SILENCE_US INT64_C (1000000)
 /* Shortest period; heartbeats may be sent more often. */
 #define PERIOD_US INT64_C (150000)
 #define USEC_PER_S 1e6
@@ -47,7 +50,8 @@
 {
   uint64_t daemon;
   uint64_t incarnation;
-  int64_t heard; /**< 0: it owned nothing when it was heard last. */
+  int64_t at;    /**< When it arrived. */
+  int64_t heard; /**< As at; 0: it owned nothing then. */
   struct limits_demand *demand;
   int count;
 };
@@ -184,8 +188,9 @@
           continue;
         }
       b->told = b->spent;
-      out[count++]
-          = (struct limits_demand){ b->organisation, b->spent, b->demand };
+      fill (b, now);
+      out[count++] = (struct limits_demand){ b->organisation, b->spent,
+                                             b->demand, b->tokens };
     }
   return count;
 }
@@ -231,6 +236,17 @@
   b->tokens = fmax (b->tokens - (double)spent, -debt);
 }
 
+/* The sender followed the bucket in a silence; this daemon did not. */
+static void
+take_over (struct limits *l, const struct limits_demand *entry, int64_t now)
+{
+  struct bucket *b = find_bucket (l, entry->organisation);
+  if (b == NULL)
+    return;
+  fill (b, now);
+  b->tokens = fmin (b->tokens, entry->tokens);
+}
+
 void
 limits_heard (struct limits *l, const struct limits_sender *sender,
               const struct limits_demand *demand, int count, int64_t now)
@@ -244,14 +260,20 @@
       r = &l->reports[l->report_count++];
       *r = (struct report){ .daemon = sender->daemon };
     }
-  if (r->incarnation != sender->incarnation)
+  bool is_restarted = r->incarnation != sender->incarnation;
+  bool was_silent = !is_first && !is_restarted && now - r->at > SILENCE_US;
+  if (is_restarted)
     r->count = 0;
   r->incarnation = sender->incarnation;
+  r->at = now;
   r->heard = sender->owns ? now : 0;
   /* What was spent before the sender was first heard of is not known. */
   for (int k = 0; !is_first && k < count; k++)
-    subtract_spent (l, find_entry (r, demand[k].organisation), &demand[k],
-                    now);
+    if (was_silent)
+      take_over (l, &demand[k], now);
+    else
+      subtract_spent (l, find_entry (r, demand[k].organisation), &demand[k],
+                      now);
   r->demand
       = talloc_realloc (l, r->demand, struct limits_demand, (size_t)count + 1);
   if (count > 0)
--- a/core/limits.h
+++ b/core/limits.h
@@ -22,6 +22,7 @@
   uint64_t organisation;
   uint64_t spent; /**< Tokens, since the reports mention the organisation. */
   double per_s;   /**< Requests that were asked for, refused ones included. */
+  double tokens;  /**< In the fleet's bucket, as the sender knows it. */
 };
 
 /** Who sent a report. */
@@ -52,7 +53,9 @@
  * should know it now. */
 bool limits_wants_report (const struct limits *l);
 /** Another daemon's report.  @p now is when it arrived.  An organisation that
- * it does not mention counts from zero when it is mentioned again. */
+ * it does not mention counts from zero when it is mentioned again.  After a
+ * long silence its bucket is taken over: what it spent meanwhile was refilled
+ * there, and could not be added to a full bucket here. */
 void limits_heard (struct limits *l, const struct limits_sender *sender,
                    const struct limits_demand *demand, int count, int64_t now);
 /** Begin a new period: recompute what this daemon may spend until the next one
--- a/session/packet.c
+++ b/session/packet.c
@@ -2,11 +2,13 @@
 
 #include "proto/pack.h"
 
+#include <math.h>
+
 /* Requests per second of one organisation at one daemon, at most. */
 #define MAX_DEMAND 1e9
 
 /* Other versions are dropped. */
-#define PACKET_VERSION 2
+#define PACKET_VERSION 3
 /* Thousandths of a core, at most. */
 #define MAX_CAPACITY 1000000
 
@@ -81,12 +83,13 @@
       pack_uint (p, h->successors[i].service);
       pack_uint (p, h->successors[i].member);
     }
-  pack_array (p, (unsigned)h->demand_count * 3);
+  pack_array (p, (unsigned)h->demand_count * 4);
   for (int i = 0; i < h->demand_count; i++)
     {
       pack_uint (p, h->demand[i].organisation);
       pack_uint (p, h->demand[i].spent);
       pack_float (p, (float)h->demand[i].per_s);
+      pack_float (p, (float)h->demand[i].tokens);
     }
 }
 
@@ -141,7 +144,7 @@
       h->successors[i].service = unpack_uint (u);
       h->successors[i].member = unpack_uint (u);
     }
-  h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 3) / 3;
+  h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 4) / 4;
   h->demand = talloc_zero_array (parent, struct limits_demand,
                                  (size_t)h->demand_count);
   for (int i = 0; i < h->demand_count; i++)
@@ -150,6 +153,8 @@
       h->demand[i].spent = unpack_uint (u);
       h->demand[i].per_s = unpack_double (u);
       u->failed |= h->demand[i].per_s < 0 || h->demand[i].per_s > MAX_DEMAND;
+      h->demand[i].tokens = unpack_double (u);
+      u->failed |= isnan (h->demand[i].tokens);
     }
 }
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -20,6 +20,7 @@
   struct limits *owner[OWNERS];
   uint64_t incarnation[OWNERS];
   bool dead[OWNERS];
+  bool cut[OWNERS]; /**< From the others; it owns nothing meanwhile. */
   int64_t now;
   unsigned random;
   int served[MAX_SECONDS * 10]; /**< In each tenth of a second. */
@@ -46,7 +47,7 @@
         continue;
       int count = limits_report (f->owner[i], report, 4, f->now);
       for (int k = 0; k < f->owners; k++)
-        if (k != i && !f->dead[k])
+        if (k != i && !f->dead[k] && !f->cut[i] && !f->cut[k])
           limits_heard (f->owner[k],
                         &(struct limits_sender){ (uint64_t)i + 1,
                                                  f->incarnation[i], true },
@@ -54,7 +55,7 @@
     }
   for (int i = 0; i < f->owners; i++)
     if (!f->dead[i])
-      limits_share (f->owner[i], true, 1000000, f->now);
+      limits_share (f->owner[i], !f->cut[i], 1000000, f->now);
 }
 
 /* @param demand requests per second at each owner. */
@@ -164,6 +165,42 @@
   release (f);
 }
 
+/* Pattern: a daemon is cut off from the other owners for six seconds, then it
+   owns their services; the demand is below the rate all the time.  It does
+   not count what the others spent meanwhile against a bucket that was full
+   all the while. */
+static void
+owner_after_a_cut_refuses_little (void)
+{
+  struct fleet_limits *f = make (FEW, 100, 100);
+  run (f, (double[]){ 20, 20, 20 }, 6);
+  f->cut[0] = true;
+  run (f, (double[]){ 0, 30, 30 }, 6);
+  f->cut[0] = false;
+  run (f, (double[]){ 0, 30, 30 }, 0.4);
+  f->refused = 0;
+  run (f, (double[]){ 60, 0, 0 }, 10);
+  printf ("[%d refused] ", f->refused);
+  CU_ASSERT_TRUE (f->refused <= 600 / 100);
+  release (f);
+}
+
+/* Pattern: the same while the organisation presses; the daemon comes to the
+   bucket that the others have emptied. */
+static void
+owner_after_a_cut_gives_no_second_burst (void)
+{
+  struct fleet_limits *f = make (FEW, 100, 100);
+  run (f, (double[]){ 20, 20, 20 }, 6);
+  f->cut[0] = true;
+  run (f, (double[]){ 0, 400, 400 }, 6);
+  f->cut[0] = false;
+  run (f, (double[]){ 0, 400, 400 }, 0.4);
+  run (f, (double[]){ 800, 0, 0 }, 6);
+  CU_ASSERT_TRUE (worst_window (f) <= allowed (100, 100));
+  release (f);
+}
+
 /* @return requests refused of an organisation with a rate and burst of 4 that
    sends 2.5 a second for 300 seconds, evenly to all owners. */
 static int
@@ -381,6 +418,9 @@
     hot_organisation_stays_within_its_limit },
   { "restarts_give_no_second_burst", restarts_give_no_second_burst },
   { "little_is_refused_below_the_rate", little_is_refused_below_the_rate },
+  { "owner_after_a_cut_refuses_little", owner_after_a_cut_refuses_little },
+  { "owner_after_a_cut_gives_no_second_burst",
+    owner_after_a_cut_gives_no_second_burst },
   { "small_rate_before_many_owners", small_rate_before_many_owners },
   { "small_rate_binds_before_many_owners",
     small_rate_binds_before_many_owners },
