fleet, owner, lease: do not go through all endpoints for each service

A voter looked for the primary of each service without an owner among all endpoints, hashing their names, 20 times a second: 3 million hashes each time while a fleet starts, on a quarter of a core. The tables of leases and of the configuration's services were searched from the begin as well.

Change: the failure domain of a primary is noted when the list of endpoints changes; leases are sorted by service; the services of a configuration are added once per version.

--- a/core/lease.c
+++ b/core/lease.c
@@ -67,7 +67,7 @@
   bool is_member;    /**< This process is a voter. */
   int member_count;  /**< Voters, this process included if it is one. */
   uint64_t smallest; /**< Id of the member with the casting vote. */
-  struct service_lease *services;
+  struct service_lease *services; /**< Sorted by service. */
   int service_count;
 };
 
@@ -103,13 +103,29 @@
   return p;
 }
 
+/* @return where the service is, or belongs, in the sorted table. */
+static int
+place_of (const struct lease_table *t, uint64_t service)
+{
+  int low = 0, high = t->service_count;
+  while (low < high)
+    {
+      int middle = (low + high) / 2;
+      if (t->services[middle].service < service)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
 static struct service_lease *
 find_service (const struct lease_table *t, uint64_t service)
 {
-  for (int i = 0; i < t->service_count; i++)
-    if (t->services[i].service == service)
-      return (struct service_lease *)&t->services[i];
-  return NULL;
+  int i = place_of (t, service);
+  return i < t->service_count && t->services[i].service == service
+             ? &t->services[i]
+             : NULL;
 }
 
 static const struct lease_grant *
@@ -208,7 +224,10 @@
     return s;
   t->services = talloc_realloc (t, t->services, struct service_lease,
                                 (size_t)t->service_count + 1);
-  s = &t->services[t->service_count++];
+  int i = place_of (t, service);
+  s = &t->services[i];
+  memmove (s + 1, s, sizeof *s * (size_t)(t->service_count - i));
+  t->service_count++;
   memset (s, 0, sizeof *s);
   s->service = service;
   return s;
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -60,6 +60,13 @@
   return t;
 }
 
+static int
+compare_ids (const void *a, const void *b)
+{
+  uint64_t x = *(const uint64_t *)a, y = *(const uint64_t *)b;
+  return (x > y) - (x < y);
+}
+
 /* A service without endpoints needs no owner; one that has an owner keeps it
    when its endpoints go. */
 static void
@@ -69,17 +76,30 @@
   int count;
   const struct endpoint_entry *entries
       = directory_endpoints (f->relay->directory, &count);
+  size_t known = (size_t)config->service_count;
+  uint64_t *ids = talloc_array (f, uint64_t, known + 1);
   f->services_listed = true;
+  for (size_t i = 0; i < known; i++)
+    ids[i] = config->services[i].id;
+  qsort (ids, known, sizeof ids[0], compare_ids);
   for (int i = 0; i < f->tenure_count; i++)
-    f->tenures[i].is_served = false;
+    {
+      f->tenures[i].is_served = false;
+      f->tenures[i].primary_domain = NULL;
+    }
   for (int i = 0; i < count; i++)
     {
-      const struct service_config *service
-          = config_find_service (config, entries[i].service);
-      struct tenure *t = service != NULL ? tenure_find (f, service->id) : NULL;
-      if (t != NULL)
-        t->is_served = true;
+      uint64_t id = model_id (entries[i].service);
+      struct tenure *t = NULL;
+      if (bsearch (&id, ids, known, sizeof ids[0], compare_ids) != NULL)
+        t = tenure_find (f, id);
+      if (t == NULL)
+        continue;
+      t->is_served = true;
+      if (entries[i].is_primary)
+        t->primary_domain = entries[i].failure_domain.start;
     }
+  talloc_free (ids);
 }
 
 void
@@ -152,26 +172,25 @@
 }
 
 static struct placement_service
-describe_service (const struct fleet *f, uint64_t service)
+describe_service (const struct tenure *t)
 {
-  return (struct placement_service){
-    service, owner_primary_domain (f->relay->owner, service), model_rank
-  };
+  return (struct placement_service){ t->service, t->primary_domain,
+                                     model_rank };
 }
 
 /* @return whether another daemon that claims the service too comes first; two
    claims that last take votes from each other. */
 static bool
-has_better_rival (const struct fleet *f, uint64_t service,
+has_better_rival (const struct fleet *f, const struct tenure *t,
                   const struct placement_daemon *daemons, int count,
                   int64_t now)
 {
   struct placement_daemon claimants[LEASE_MAX_MEMBERS];
-  struct placement_service s = describe_service (f, service);
+  struct placement_service s = describe_service (t);
   int found = 0;
   for (int i = 0; i < count; i++)
     if (daemons[i].id == f->relay->self
-        || lease_is_claimant (f->leases, daemons[i].id, service, now))
+        || lease_is_claimant (f->leases, daemons[i].id, t->service, now))
       {
         claimants[found] = daemons[i];
         /* What is claimed is counted already. */
@@ -194,7 +213,7 @@
       if (lease_valid_until (f->leases, t->service) > now)
         t->claimed_at = now;
       else if (now - t->claimed_at > CLAIM_US
-               || has_better_rival (f, t->service, daemons, count, now))
+               || has_better_rival (f, t, daemons, count, now))
         {
           tenure_claim (f, t, false, now);
           t->pause_until = now + relay_random ((uint32_t)CLAIM_US);
@@ -214,7 +233,7 @@
   int64_t granted_since = lease_grants_since (f->leases);
   int64_t free_since
       = t->unowned_since > granted_since ? t->unowned_since : granted_since;
-  struct placement_service service = describe_service (f, t->service);
+  struct placement_service service = describe_service (t);
   int best = named ? -1 : placement_best (daemons, count, &service);
   bool self = named ? t->successor == f->relay->self
                     : best >= 0
--- a/session/fleet_private.h
+++ b/session/fleet_private.h
@@ -87,7 +87,10 @@
 struct tenure
 {
   uint64_t service;
-  bool is_served;        /**< In the configuration, and has endpoints. */
+  bool is_served; /**< In the configuration, and has endpoints. */
+  /** Of the primary, as its entry says; NULL: not known.  Owned by the
+   * directory, valid while the services are listed. */
+  const char *primary_domain;
   int64_t unowned_since; /**< 0: it has an owner. */
   int64_t claimed_at;    /**< 0: not claimed by this daemon. */
   int64_t pause_until;   /**< No claim before. */
--- a/session/owner.c
+++ b/session/owner.c
@@ -17,6 +17,7 @@
 {
   struct relay *relay;
   struct service *services;
+  uint64_t config_version; /**< Whose services are known. */
 };
 
 static struct service *
@@ -133,9 +134,12 @@
 {
   const struct config *config = o->relay->config;
   int64_t now = clock_now ();
-  if (config != NULL)
-    for (int i = 0; i < config->service_count; i++)
-      add_service (o, config->services[i].name);
+  if (config != NULL && config->version != o->config_version)
+    {
+      o->config_version = config->version;
+      for (int i = 0; i < config->service_count; i++)
+        add_service (o, config->services[i].name);
+    }
   for (struct service *s = o->services; s != NULL; s = s->next)
     {
       bool owned = fleet_owns_until (o->relay->fleet, s->id) > now;
@@ -292,18 +296,6 @@
   service_leave (least, successor);
 }
 
-const char *
-owner_primary_domain (const struct owner *o, uint64_t service)
-{
-  int count;
-  const struct endpoint_entry *entries
-      = directory_endpoints (o->relay->directory, &count);
-  for (int i = 0; i < count; i++)
-    if (entries[i].is_primary && model_id (entries[i].service) == service)
-      return entries[i].failure_domain.start;
-  return NULL;
-}
-
 int
 owner_count (const struct owner *o)
 {
--- a/session/owner.h
+++ b/session/owner.h
@@ -26,8 +26,6 @@
 void owner_leave (struct owner *o);
 /** Give one service to another daemon; its open transactions go on here. */
 void owner_give_one (struct owner *o, uint64_t successor);
-/** @return the failure domain of the service's primary, NULL if unknown. */
-const char *owner_primary_domain (const struct owner *o, uint64_t service);
 /** @return services that this daemon owns. */
 int owner_count (const struct owner *o);
 /** @return statements and transactions that are not finished. */
