owner: add the services of a configuration when it changes

owner_check looked at the configuration's version at every heartbeat and tick, and kept the last one it had seen; a version of 0 would have been taken for known. The relay already tells of a new configuration.

--- a/session/owner.c
+++ b/session/owner.c
@@ -17,7 +17,6 @@
 {
   struct relay *relay;
   struct service *services;
-  uint64_t config_version; /**< Whose services are known. */
 };
 
 static struct service *
@@ -29,20 +28,26 @@
   return s;
 }
 
-static struct service *
-add_service (struct owner *o, struct bstr name)
+static void
+add_service (struct owner *o, const struct service_config *config)
 {
-  struct service *s = find_service (o, model_id (name));
-  if (s != NULL)
-    return s;
-  s = talloc_zero (o, struct service);
+  if (find_service (o, config->id) != NULL)
+    return;
+  struct service *s = talloc_zero (o, struct service);
   s->owner = o;
   s->relay = o->relay;
-  s->name = bstr_to_text (s, name);
-  s->id = model_id (name);
+  s->name = bstr_to_text (s, config->name);
+  s->id = config->id;
   s->next = o->services;
   o->services = s;
-  return s;
+}
+
+void
+owner_config_changed (struct owner *o)
+{
+  const struct config *config = o->relay->config;
+  for (int i = 0; i < config->service_count; i++)
+    add_service (o, &config->services[i]);
 }
 
 static struct endpoint *
@@ -132,14 +137,7 @@
 void
 owner_check (struct owner *o)
 {
-  const struct config *config = o->relay->config;
   int64_t now = clock_now ();
-  if (config != NULL && config->version != o->config_version)
-    {
-      o->config_version = config->version;
-      for (int i = 0; i < config->service_count; i++)
-        add_service (o, config->services[i].name);
-    }
   for (struct service *s = o->services; s != NULL; s = s->next)
     {
       bool owned = fleet_owns_until (o->relay->fleet, s->id) > now;
--- a/session/owner.h
+++ b/session/owner.h
@@ -12,6 +12,8 @@
 struct owner *owner_create (struct relay *r);
 /** Take note of leases that were won or lost. */
 void owner_check (struct owner *o);
+/** Its services may be owned from now on. */
+void owner_config_changed (struct owner *o);
 void owner_endpoints_changed (struct owner *o);
 /** Run a statement of a caller; takes over @p m. */
 void owner_statement (struct owner *o, struct packet *m);
--- a/session/relay.c
+++ b/session/relay.c
@@ -125,6 +125,8 @@
                       config->organisations[i].rate,
                       config->organisations[i].burst, now);
   limits_forget_others (r->limits);
+  if (r->owner != NULL)
+    owner_config_changed (r->owner);
   if (r->fleet != NULL)
     fleet_services_changed (r->fleet);
 }
