lease: one predicate for grants to this process; arrays copied by talloc

count_grants compared the address of each grant with the one found for its service, to see whether it was the first; a grant that is there twice counts once anyhow, as the first counted one is found.

--- a/core/lease.c
+++ b/core/lease.c
@@ -128,14 +128,19 @@
              : NULL;
 }
 
+static bool
+is_to_self (const struct lease_table *t, const struct lease_grant *grant)
+{
+  return grant->member == t->options.self
+         && grant->incarnation == t->options.incarnation;
+}
+
 static const struct lease_grant *
 grant_to_self (const struct lease_table *t, const struct peer *p,
                uint64_t service)
 {
   for (int i = 0; i < p->grant_count; i++)
-    if (p->grants[i].service == service
-        && p->grants[i].member == t->options.self
-        && p->grants[i].incarnation == t->options.incarnation)
+    if (p->grants[i].service == service && is_to_self (t, &p->grants[i]))
       return &p->grants[i];
   return NULL;
 }
@@ -163,8 +168,7 @@
     {
       uint64_t service = p->grants[i].service;
       const struct counted_grant *before = find_counted (p, service);
-      if (grant_to_self (t, p, service) != &p->grants[i]
-          || find_service (t, service) == NULL)
+      if (!is_to_self (t, &p->grants[i]) || find_service (t, service) == NULL)
         continue;
       if (p->epoch == t->epoch || (before != NULL && p->epoch < t->epoch))
         counted[count++] = (struct counted_grant){ service, p->echo };
@@ -410,13 +414,11 @@
   talloc_free (p->claims);
   talloc_free (p->grants);
   p->claim_count = h->claim_count;
-  p->claims = talloc_array (t, struct lease_claim, (size_t)h->claim_count);
-  for (int i = 0; i < h->claim_count; i++)
-    p->claims[i] = h->claims[i];
+  p->claims = talloc_memdup (t, h->claims,
+                             sizeof *h->claims * (size_t)h->claim_count);
   p->grant_count = h->grant_count;
-  p->grants = talloc_array (t, struct lease_grant, (size_t)h->grant_count);
-  for (int i = 0; i < h->grant_count; i++)
-    p->grants[i] = h->grants[i];
+  p->grants = talloc_memdup (t, h->grants,
+                             sizeof *h->grants * (size_t)h->grant_count);
 }
 
 bool
