fleet: a heartbeat of an observer does not ask what this daemon owns

Every heartbeat, of observers too, went through all leases of the daemon and the grants behind them to see whether it owns something new. Only grants change that, and only voters grant; what ends by time is seen at the next heartbeat of a voter.

--- a/session/fleet.c
+++ b/session/fleet.c
@@ -290,8 +290,9 @@
     .grant_count = h->grant_count,
   };
   bool changed = lease_heard (f->leases, &lease, now);
+  /* Observers grant nothing, and there are many of them. */
   if (lease_is_voter (f->leases)
-      && (changed || holds_others_than_told (f, now)))
+      && (changed || (p->is_voter && holds_others_than_told (f, now))))
     fleet_tell_soon (f);
   directory_compare (f->relay->directory, p->id, h);
   if (p->is_voter)
