--- a/core/lease.c
+++ b/core/lease.c
@@ -1,5 +1,7 @@
 #include "core/lease.h"
 
+#include "common/sorted.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -46,7 +48,7 @@
 
 struct service_lease
 {
-  uint64_t service;
+  uint64_t service; /**< First, as the table is searched by it. */
   bool claimed;
   int64_t claimed_at;
   uint64_t granted_to; /**< 0: nobody. */
@@ -107,16 +109,8 @@
 static int
 place_of (const struct lease_table *t, uint64_t service)
 {
-  int low = 0, high = t->service_count;
-  while (low < high)
-    {
-      int middle = (low + high) / 2;
-      if (t->services[middle].service < service)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  return low;
+  return sorted_place (t->services, t->service_count, sizeof t->services[0],
+                       service);
 }
 
 static struct service_lease *
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -1,3 +1,4 @@
+#include "common/sorted.h"
 #include "session/directory.h"
 #include "session/fleet_private.h"
 #include "session/owner.h"
@@ -32,17 +33,10 @@
 struct tenure *
 tenure_find (struct fleet *f, uint64_t service)
 {
-  int low = 0, high = f->tenure_count;
-  while (low < high)
-    {
-      int middle = (low + high) / 2;
-      if (f->tenures[middle].service < service)
-        low = middle + 1;
-      else
-        high = middle;
-    }
-  if (low < f->tenure_count && f->tenures[low].service == service)
-    return &f->tenures[low];
+  int place = sorted_place (f->tenures, f->tenure_count, sizeof f->tenures[0],
+                            service);
+  if (place < f->tenure_count && f->tenures[place].service == service)
+    return &f->tenures[place];
   if (f->tenure_count == LEASE_MAX_SERVICES)
     {
       log_error (PART,
@@ -53,8 +47,8 @@
     }
   f->tenures = talloc_realloc (f, f->tenures, struct tenure,
                                (size_t)f->tenure_count + 1);
-  struct tenure *t = &f->tenures[low];
-  memmove (t + 1, t, sizeof *t * (size_t)(f->tenure_count - low));
+  struct tenure *t = &f->tenures[place];
+  memmove (t + 1, t, sizeof *t * (size_t)(f->tenure_count - place));
   f->tenure_count++;
   *t = (struct tenure){ .service = service, .unowned_since = clock_now () };
   return t;
--- a/session/fleet_private.h
+++ b/session/fleet_private.h
@@ -86,8 +86,8 @@
 /** What this daemon knows of a service's ownership. */
 struct tenure
 {
-  uint64_t service;
-  bool is_served; /**< In the configuration, and has endpoints. */
+  uint64_t service; /**< First, as the tenures are searched by it. */
+  bool is_served;   /**< In the configuration, and has endpoints. */
   /** Of the primary, as its entry says; NULL: not known.  Owned by the
    * directory, valid while the services are listed. */
   const char *primary_domain;
--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -1,6 +1,7 @@
 #include "common/compress.h"
 #include "common/error.h"
 #include "common/json_number.h"
+#include "common/sorted.h"
 #include "common/stats.h"
 #include "tests/tests.h"
 
@@ -114,6 +115,28 @@
   talloc_free (memory);
 }
 
+/* Guards against a search that misses the ends of a table. */
+static void
+places_in_sorted_arrays (void)
+{
+  struct
+  {
+    uint64_t key;
+    char other;
+  } items[] = { { 2, 'a' }, { 4, 'b' }, { UINT64_MAX, 'c' } };
+  static const struct
+  {
+    uint64_t key;
+    int place;
+  } cases[] = { { 0, 0 }, { 2, 0 }, { 3, 1 },
+                { 4, 1 }, { 5, 2 }, { UINT64_MAX, 2 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    CU_ASSERT_EQUAL (sorted_place (items, 3, sizeof items[0], cases[i].key),
+                     cases[i].place);
+  CU_ASSERT_EQUAL (sorted_place (items, 2, sizeof items[0], 5), 2);
+  CU_ASSERT_EQUAL (sorted_place (NULL, 0, sizeof items[0], 5), 0);
+}
+
 static const struct test_case cases[] = {
   { "wrap_keeps_the_cause", wrap_keeps_the_cause },
   { "quantiles_stay_within_the_stated_error",
@@ -122,6 +145,7 @@
   { "copies_keep_every_byte", copies_keep_every_byte },
   { "json_numbers_are_exact", json_numbers_are_exact },
   { "large_configuration_is_compressed", large_configuration_is_compressed },
+  { "places_in_sorted_arrays", places_in_sorted_arrays },
   { NULL, NULL },
 };
 TEST_SUITE (common, cases)
