--- a/core/limits.c
+++ b/core/limits.c
@@ -50,8 +50,8 @@
 {
   uint64_t daemon;
   uint64_t incarnation;
-  int64_t at;    /**< When it arrived. */
-  int64_t heard; /**< As at; 0: it owned nothing then. */
+  int64_t heard;
+  bool owns; /**< It owned services then. */
   struct limits_demand *demand;
   int count;
 };
@@ -261,12 +261,12 @@
       *r = (struct report){ .daemon = sender->daemon };
     }
   bool is_restarted = r->incarnation != sender->incarnation;
-  bool was_silent = !is_first && !is_restarted && now - r->at > SILENCE_US;
+  bool was_silent = !is_first && !is_restarted && now - r->heard > SILENCE_US;
   if (is_restarted)
     r->count = 0;
   r->incarnation = sender->incarnation;
-  r->at = now;
-  r->heard = sender->owns ? now : 0;
+  r->heard = now;
+  r->owns = sender->owns;
   /* What was spent before the sender was first heard of is not known. */
   for (int k = 0; !is_first && k < count; k++)
     if (was_silent)
@@ -310,8 +310,7 @@
       double own = fmax (b->demand, least);
       double total = own;
       for (int k = 0; k < l->report_count; k++)
-        if (l->reports[k].heard != 0
-            && now - l->reports[k].heard <= max_age_us)
+        if (l->reports[k].owns && now - l->reports[k].heard <= max_age_us)
           total += fmax (demand_of (&l->reports[k], b->organisation), least);
       fill (b, now);
       b->share = owns && total > 0 ? own / total : 0;
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -165,19 +165,27 @@
   release (f);
 }
 
-/* Pattern: a daemon is cut off from the other owners for six seconds, then it
-   owns their services; the demand is below the rate all the time.  It does
-   not count what the others spent meanwhile against a bucket that was full
-   all the while. */
-static void
-owner_after_a_cut_refuses_little (void)
+/* The first daemon is cut off from the other owners for six seconds.
+   @param others requests per second at each of them, from the cut on. */
+static struct fleet_limits *
+make_after_a_cut (double others)
 {
   struct fleet_limits *f = make (FEW, 100, 100);
   run (f, (double[]){ 20, 20, 20 }, 6);
   f->cut[0] = true;
-  run (f, (double[]){ 0, 30, 30 }, 6);
+  run (f, (double[]){ 0, others, others }, 6);
   f->cut[0] = false;
-  run (f, (double[]){ 0, 30, 30 }, 0.4);
+  run (f, (double[]){ 0, others, others }, 0.4);
+  return f;
+}
+
+/* Pattern: a daemon that was cut off then owns the services of the others; the
+   demand is below the rate all the time.  It does not count what the others
+   spent meanwhile against a bucket that was full all the while. */
+static void
+owner_after_a_cut_refuses_little (void)
+{
+  struct fleet_limits *f = make_after_a_cut (30);
   f->refused = 0;
   run (f, (double[]){ 60, 0, 0 }, 10);
   printf ("[%d refused] ", f->refused);
@@ -190,12 +198,7 @@
 static void
 owner_after_a_cut_gives_no_second_burst (void)
 {
-  struct fleet_limits *f = make (FEW, 100, 100);
-  run (f, (double[]){ 20, 20, 20 }, 6);
-  f->cut[0] = true;
-  run (f, (double[]){ 0, 400, 400 }, 6);
-  f->cut[0] = false;
-  run (f, (double[]){ 0, 400, 400 }, 0.4);
+  struct fleet_limits *f = make_after_a_cut (400);
   run (f, (double[]){ 800, 0, 0 }, 6);
   CU_ASSERT_TRUE (worst_window (f) <= allowed (100, 100));
   release (f);
