--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -38,13 +38,7 @@
   if (place < f->tenure_count && f->tenures[place].service == service)
     return &f->tenures[place];
   if (f->tenure_count == LEASE_MAX_SERVICES)
-    {
-      log_error (PART,
-                 "event=service_ignored service=%" PRIx64
-                 " reason=\"more than %d services\"",
-                 service, LEASE_MAX_SERVICES);
-      return NULL;
-    }
+    return NULL;
   f->tenures = talloc_realloc (f, f->tenures, struct tenure,
                                (size_t)f->tenure_count + 1);
   struct tenure *t = &f->tenures[place];
@@ -60,7 +54,7 @@
 list_services (struct fleet *f)
 {
   const struct config *config = f->relay->config;
-  int count;
+  int count, ignored = 0;
   const struct endpoint_entry *entries
       = directory_endpoints (f->relay->directory, &count);
   f->services_listed = true;
@@ -74,12 +68,18 @@
       const struct service_config *service
           = config_find_service (config, entries[i].service);
       struct tenure *t = service != NULL ? tenure_find (f, service->id) : NULL;
+      ignored += service != NULL && t == NULL;
       if (t == NULL)
         continue;
       t->is_served = true;
       if (entries[i].is_primary)
         t->primary_domain = entries[i].failure_domain.start;
     }
+  if (ignored > 0)
+    log_error (PART,
+               "event=endpoints_ignored count=%d reason=\"more than %d "
+               "services\"",
+               ignored, LEASE_MAX_SERVICES);
 }
 
 void
