session: bounded reads at replicas in the caller's failure domain

Change: an entry daemon sends a read outside of transactions that may miss the newest commits to a voter of its own failure domain, the reader. Owners report their newest acknowledged positions in heartbeats to voters; a report with an echo of the reader's own clock covers what was acknowledged before that time, so no clocks are compared. What the reader cannot run (no near replica with a free slot, a report too old for the bound, own writes of another term) goes to the owner at once, and is not counted twice against the rate. Owners prefer near endpoints too. Readers take two thirds of the connections to a replica. Messages between daemons are version 4. Test: replicas/readers_see_what_the_bound_covers (random schedules; fails when the echo, the own position or the freshness is left out).

--- a/core/limits.c
+++ b/core/limits.c
@@ -44,9 +44,9 @@
   double rate;  /**< Tokens refilled per second in the whole fleet. */
   double burst; /**< Most tokens that the bucket holds. */
   double
-      fraction;  /**< Fraction of this daemon, 0 to 1; 0 if it owns nothing. */
-  double tokens; /**< In the fleet's bucket, as known here; negative:
-                    overspent. */
+      fraction; /**< Fraction of this daemon, 0 to 1; 0 if it may not spend. */
+  double tokens;       /**< In the fleet's bucket, as known here; negative:
+                          overspent. */
   double allowance;    /**< Tokens that this daemon may spend now. */
   int64_t refilled_at; /**< When tokens was computed. */
   /** Tokens spent here since the own reports began to list the organisation.
@@ -65,7 +65,7 @@
   uint64_t daemon;
   uint64_t incarnation;
   int64_t received_at;
-  bool owns_services; /**< The daemon owned services when it sent this. */
+  bool may_spend; /**< See limits_sender. */
   struct limits_usage *usage;
   int count;
 };
@@ -79,7 +79,7 @@
   int64_t reported_at;     /**< When the last own report was written. */
   int64_t period_began_at; /**< 0: no period yet. */
   bool report_is_due; /**< The next report should not wait for its time. */
-  bool owns_services; /**< This daemon owned services when the period
+  bool may_spend;     /**< This daemon might spend tokens when the period
                          began. */
 };
 
@@ -289,7 +289,7 @@
     r->count = 0;
   r->incarnation = sender->incarnation;
   r->received_at = now;
-  r->owns_services = sender->owns_services;
+  r->may_spend = sender->may_spend;
   /* It is not known when the tokens in a sender's first report were spent,
      so they are not subtracted. */
   for (int k = 0; !is_first && k < count; k++)
@@ -323,13 +323,13 @@
 }
 
 void
-limits_begin_period (struct limits *l, bool owns_services, int64_t max_age_us,
+limits_begin_period (struct limits *l, bool may_spend, int64_t max_age_us,
                      int64_t now)
 {
-  if (owns_services == l->owns_services && l->period_began_at != 0
+  if (may_spend == l->may_spend && l->period_began_at != 0
       && now - l->period_began_at < MIN_PERIOD_US)
     return;
-  l->owns_services = owns_services;
+  l->may_spend = may_spend;
   l->period_began_at = now;
   for (int i = 0; i < l->bucket_count; i++)
     {
@@ -338,13 +338,13 @@
       double own = fmax (b->demand, least);
       double total = own;
       for (int k = 0; k < l->report_count; k++)
-        if (l->reports[k].owns_services
+        if (l->reports[k].may_spend
             && now - l->reports[k].received_at <= max_age_us)
           total += fmax (reported_demand (&l->reports[k], b->organisation),
                          least);
       refill_bucket (b, now);
-      b->fraction = owns_services && total > 0 ? own / total : 0;
-      if (!owns_services)
+      b->fraction = may_spend && total > 0 ? own / total : 0;
+      if (!may_spend)
         b->demand = 0;
       set_allowance (b);
     }
--- a/core/limits.h
+++ b/core/limits.h
@@ -36,7 +36,7 @@
 {
   uint64_t daemon;
   uint64_t incarnation; /**< Incarnation of its process. */
-  bool owns_services;   /**< Only such a daemon may spend tokens. */
+  bool may_spend;       /**< It runs statements of callers. */
 };
 
 struct limits *limits_create (void *parent);
@@ -74,9 +74,9 @@
                            int64_t now);
 /** Begins a new period: computes what this daemon may spend until the next one
  * from the reports that are at most @p max_age_us old.  Has no effect if the
- * current period is still too short and @p owns_services is unchanged.
- * @param owns_services this daemon owns services and may spend tokens. */
-void limits_begin_period (struct limits *l, bool owns_services,
-                          int64_t max_age_us, int64_t now);
+ * current period is still too short and @p may_spend is unchanged.
+ * @param may_spend this daemon runs statements of callers. */
+void limits_begin_period (struct limits *l, bool may_spend, int64_t max_age_us,
+                          int64_t now);
 
 #endif
--- a/core/replicas.c
+++ b/core/replicas.c
@@ -12,6 +12,10 @@
    of these factors, as the primary has the writes to run. */
 #define PRIMARY_COST 3
 #define REPLICA_COST 2
+/* Factor for endpoints in other failure domains: bytes between these are
+   expensive, but a read does not wait at a near endpoint for the time of
+   another read. */
+#define FAR_COST 2
 
 int
 replicas_max_statements (const struct replica_view *view)
@@ -43,6 +47,8 @@
 read_cost (const struct replica_view *r, bool prefer_primary)
 {
   int64_t cost = (r->running + 1) * (r->latency_us + 1) / r->slots;
+  if (!r->is_near)
+    cost *= FAR_COST;
   if (prefer_primary)
     return cost;
   return cost * (r->is_primary ? PRIMARY_COST : REPLICA_COST);
@@ -145,3 +151,20 @@
     }
   return h->newest;
 }
+
+bool
+commit_history_read_position (const struct commit_history *h, int64_t time,
+                              struct position own, struct position *required)
+{
+  for (int i = 0; i < h->count; i++)
+    {
+      int k = (h->first + i) % COMMIT_HISTORY_SAMPLES;
+      if (h->samples[k].at < time)
+        continue;
+      *required = position_max (h->samples[k].position, own);
+      /* Only the owner knows which writes of an older term were rolled
+         back. */
+      return own.term == 0 || own.term == h->samples[k].position.term;
+    }
+  return false;
+}
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -14,6 +14,7 @@
 {
   bool usable; /**< Answers, accepts statements, belongs to the group. */
   bool is_primary;
+  bool is_near;             /**< In the failure domain of this daemon. */
   int slots;                /**< Statements that it can run at a time. */
   int running;              /**< Statements sent and not answered. */
   int64_t latency_us;       /**< Moving average of a statement's time. */
@@ -80,4 +81,17 @@
 struct position commit_history_at (const struct commit_history *h,
                                    int64_t time);
 
+/** Finds the position that a bounded read requires in a history that this
+ * daemon only learned from the owner: sample times are times of its own clock
+ * after which the owner reported the position.
+ * @param time the read must see all commits acknowledged at that time or
+ * before.
+ * @param own position of the session's own writes; term 0: it has none, or
+ * need not see them.
+ * @param required set to the position.
+ * @return whether the history tells it; otherwise only the owner can. */
+bool commit_history_read_position (const struct commit_history *h,
+                                   int64_t time, struct position own,
+                                   struct position *required);
+
 #endif
--- a/session/callers.c
+++ b/session/callers.c
@@ -53,6 +53,7 @@
   uint64_t incarnation;       /**< Incarnation of the receiver. */
   int64_t arrived_at;
   bool is_begin; /**< BEGIN, which has been answered to the caller already. */
+  bool needs_owner; /**< A reader could not run it. */
 };
 
 /** A line from the caller that waits for the running statement. */
@@ -242,8 +243,18 @@
   handle_queued_lines (c);
 }
 
-/* Send the statement to the owner of its service, or within a transaction to
-   the member that runs the transaction.
+/* @return whether a reader may run the statement: a read outside of
+   transactions that may miss the newest commits. */
+static bool
+suits_reader (const struct forwarded_statement *w)
+{
+  const struct packet_statement *s = &w->message.statement;
+  return s->is_read && !s->in_transaction && !w->is_begin && !w->needs_owner
+         && s->kind != ROUTE_PRIMARY && s->stale_ms > 0;
+}
+
+/* Send the statement to the owner of its service or to a reader, or within a
+   transaction to the member that runs the transaction.
    @return false if that member is not known or not alive. */
 static bool
 send_to_owner (struct forwarded_statement *w)
@@ -253,6 +264,12 @@
   uint64_t member = w->message.statement.in_transaction
                         ? c->transaction_member
                         : fleet_owner (fleet, model_id (c->route.service));
+  uint64_t reader = suits_reader (w)
+                        ? fleet_reader (fleet, model_id (c->route.service))
+                        : 0;
+  w->message.statement.for_reader = reader != 0;
+  if (reader != 0)
+    member = reader;
   uint64_t incarnation
       = member != 0 ? fleet_live_incarnation (fleet, member) : 0;
   if (incarnation == 0)
@@ -674,10 +691,18 @@
 }
 
 /* The member that got the statement has released the service before it ran it:
-   let the statement, or all of its transaction, wait for the next owner. */
+   let the statement, or all of its transaction, wait for the next owner.  A
+   read that a reader could not run goes to the owner at once. */
 static void
 wait_for_next_owner (struct forwarded_statement *w)
 {
+  if (w->message.statement.for_reader)
+    {
+      w->needs_owner = true;
+      w->member = 0;
+      send_to_owner (w);
+      return;
+    }
   for (struct forwarded_statement *s = w->is_begin ? w->caller->forwarded : w;
        s != NULL; s = s->next)
     s->member = 0;
@@ -697,6 +722,7 @@
     return;
   if (r->moved)
     {
+      w->message.statement.is_counted |= r->is_counted;
       wait_for_next_owner (w);
       return;
     }
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -136,7 +136,11 @@
   h->demand = talloc_array (m, struct limits_usage, PACKET_MAX_DEMAND);
   h->demand_count
       = limits_write_report (limits, h->demand, PACKET_MAX_DEMAND, now);
-  limits_begin_period (limits, h->claim_count > 0, LEASE_DURATION_US, now);
+  h->progress
+      = talloc_array (m, struct packet_progress, (size_t)f->ownership_count);
+  h->progress_count = owner_write_progress (f->sessiond->owner, h->progress,
+                                            f->ownership_count);
+  limits_begin_period (limits, h->ready, LEASE_DURATION_US, now);
 }
 
 static void
@@ -225,6 +229,7 @@
         send_heartbeat (f, p, m, now);
       }
   h->grant_count = h->successor_count = h->demand_count = 0;
+  h->progress_count = 0;
   uint64_t owned_digest = lease_owned_digest (f->leases, now);
   bool observers_outdated = owned_digest != f->reported_digest;
   f->reported_digest = owned_digest;
@@ -295,8 +300,10 @@
   if (p->is_voter)
     limits_record_report (
         f->sessiond->limits,
-        &(struct limits_sender){ p->id, p->incarnation, h->claim_count > 0 },
-        h->demand, h->demand_count, now);
+        &(struct limits_sender){ p->id, p->incarnation, h->ready }, h->demand,
+        h->demand_count, now);
+  if (p->is_voter && h->echo != 0)
+    owner_record_progress (f->sessiond->owner, h, h->echo);
   struct lease_heartbeat lease = {
     .member = m->sender.member,
     .incarnation = m->sender.incarnation,
@@ -565,6 +572,23 @@
   return lease_owner (f->leases, service, clock_now ());
 }
 
+uint64_t
+fleet_reader (const struct fleet *f, uint64_t service)
+{
+  const char *domain = f->sessiond->options->failure_domain;
+  int64_t now = clock_now ();
+  uint64_t best = 0;
+  if (lease_is_voter (f->leases) && fleet_is_ready (f))
+    best = f->sessiond->self;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (p->is_voter && p->ready && !p->leaving && peer_is_alive (p, now)
+        && p->failure_domain != NULL && strcmp (p->failure_domain, domain) == 0
+        && (best == 0
+            || model_rank (service, p->id) > model_rank (service, best)))
+      best = p->id;
+  return best;
+}
+
 bool
 fleet_has_successor (const struct fleet *f)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -30,6 +30,9 @@
 
 /** @return the member that owns @p service as far as known, 0 if none. */
 uint64_t fleet_owner (const struct fleet *f, uint64_t service);
+/** @return the voter in the failure domain of this member that runs bounded
+ * reads of @p service at near replicas, if there are any; 0: there is none. */
+uint64_t fleet_reader (const struct fleet *f, uint64_t service);
 /** @return the incarnation of a member that is alive, 0 if it is silent or has
  * ended. */
 uint64_t fleet_live_incarnation (const struct fleet *f, uint64_t member);
--- a/session/health.c
+++ b/session/health.c
@@ -235,12 +235,16 @@
 {
   if (s->phase == SERVICE_NOT_OWNED)
     return;
-  commit_history_sample (&s->commit_history, now);
+  /* The history of a reader grows by the owner's reports only. */
+  if (!s->reads_only)
+    commit_history_sample (&s->commit_history, now);
   expire_queue (s, now);
   expire_transactions (s, now);
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     check_endpoint (e, now);
   remove_missing (s, now);
+  if (s->reads_only)
+    return;
   check_primary (s);
   promotion_tick (s, now);
   service_dispatch (s);
--- a/session/owner.c
+++ b/session/owner.c
@@ -19,29 +19,41 @@
 {
   struct sessiond *sessiond;
   struct service *services;
+  struct service *readers; /**< Services of other owners; see reads_only. */
 };
 
 static struct service *
-find_service (const struct owner *o, uint64_t id)
+find_in_list (struct service *s, uint64_t id)
 {
-  struct service *s = o->services;
   while (s != NULL && s->id != id)
     s = s->next;
   return s;
 }
 
-static void
-add_service (struct owner *o, const struct service_config *config)
+static struct service *
+find_service (const struct owner *o, uint64_t id)
+{
+  return find_in_list (o->services, id);
+}
+
+static struct service *
+create_service (struct owner *o, struct bstr name, struct service **list)
 {
-  if (find_service (o, config->id) != NULL)
-    return;
   struct service *s = talloc_zero (o, struct service);
   s->owner = o;
   s->sessiond = o->sessiond;
-  s->name = bstr_to_text (s, config->name);
-  s->id = config->id;
-  s->next = o->services;
-  o->services = s;
+  s->name = bstr_to_text (s, name);
+  s->id = model_id (name);
+  s->next = *list;
+  *list = s;
+  return s;
+}
+
+static void
+add_service (struct owner *o, const struct service_config *config)
+{
+  if (find_service (o, config->id) == NULL)
+    create_service (o, config->name, &o->services);
 }
 
 void
@@ -120,7 +132,10 @@
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     e->is_listed = false;
   for (int i = 0; i < count; i++)
-    if (bstr_equals_text (entries[i].service, s->name))
+    if (bstr_equals_text (entries[i].service, s->name)
+        && (!s->reads_only
+            || bstr_equals_text (entries[i].failure_domain,
+                                 s->sessiond->options->failure_domain)))
       update_endpoint (s, &entries[i]);
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     if (!e->is_listed && e->missing_since == 0)
@@ -137,6 +152,49 @@
 {
   for (struct service *s = o->services; s != NULL; s = s->next)
     update_endpoints (s);
+  for (struct service *s = o->readers; s != NULL; s = s->next)
+    update_endpoints (s);
+}
+
+/* @return the reader of the service; it is created with the first read. */
+static struct service *
+get_reader (struct owner *o, struct bstr name)
+{
+  struct service *s = find_in_list (o->readers, model_id (name));
+  if (s != NULL)
+    return s;
+  s = create_service (o, name, &o->readers);
+  s->reads_only = true;
+  s->phase = SERVICE_SERVING;
+  update_endpoints (s);
+  return s;
+}
+
+int
+owner_write_progress (const struct owner *o, struct packet_progress *out,
+                      int most)
+{
+  int count = 0;
+  for (const struct service *s = o->services; s != NULL && count < most;
+       s = s->next)
+    if (s->phase >= SERVICE_SERVING && !s->releasing
+        && s->commit_history.newest.term != 0 && service_is_owned (s))
+      out[count++]
+          = (struct packet_progress){ s->id, s->commit_history.newest };
+  return count;
+}
+
+void
+owner_record_progress (struct owner *o, const struct packet_heartbeat *h,
+                       int64_t after)
+{
+  for (int i = 0; i < h->progress_count; i++)
+    {
+      struct service *s = find_in_list (o->readers, h->progress[i].service);
+      if (s != NULL)
+        commit_history_record (&s->commit_history, h->progress[i].position,
+                               after);
+    }
 }
 
 void
@@ -163,6 +221,11 @@
 owner_handle_statement (struct owner *o, struct packet *m)
 {
   struct service *s = find_service (o, model_id (m->statement.service));
+  if (s != NULL && m->statement.for_reader && s->phase == SERVICE_NOT_OWNED)
+    {
+      service_handle_read (get_reader (o, m->statement.service), m);
+      return;
+    }
   if (s != NULL)
     {
       service_handle_statement (s, m);
@@ -320,6 +383,8 @@
   int count = 0;
   for (const struct service *s = o->services; s != NULL; s = s->next)
     count += service_pending_count (s);
+  for (const struct service *s = o->readers; s != NULL; s = s->next)
+    count += service_pending_count (s);
   return count;
 }
 
@@ -344,6 +409,8 @@
           service_stop (s, "given up");
         }
     }
+  for (struct service *s = o->readers; s != NULL; s = s->next)
+    service_tick (s, now);
 }
 
 struct owner *
--- a/session/owner.h
+++ b/session/owner.h
@@ -19,6 +19,16 @@
 void owner_endpoints_changed (struct owner *o);
 /** Run a statement of a caller; takes over @p m. */
 void owner_handle_statement (struct owner *o, struct packet *m);
+/** Write the newest acknowledged positions of the services that this daemon
+ * owns and serves, for the readers.
+ * @param most number of entries for which @p out has room.
+ * @return the number of entries written. */
+int owner_write_progress (const struct owner *o, struct packet_progress *out,
+                          int most);
+/** Record the positions that an owner reported for its services.
+ * @param after time of this daemon's clock after which they were reported. */
+void owner_record_progress (struct owner *o, const struct packet_heartbeat *h,
+                            int64_t after);
 /** A session with an open transaction ended. */
 void owner_handle_session_end (struct owner *o, const struct packet *m);
 /** A peer asks whether this daemon reaches an endpoint. */
--- a/session/packet.c
+++ b/session/packet.c
@@ -8,7 +8,7 @@
 #define MAX_DEMAND_PER_S 1e9
 
 /* Version of the message format; messages of other versions are dropped. */
-#define PACKET_VERSION 3
+#define PACKET_VERSION 4
 /* Maximum capacity of a VM, thousandths of a core. */
 #define MAX_CAPACITY_MILLICORES 1000000
 
@@ -17,7 +17,9 @@
 {
   FLAG_IS_READ = 1,
   FLAG_IN_TRANSACTION = 2,
-  FLAG_HAS_VALUES = 4
+  FLAG_HAS_VALUES = 4,
+  FLAG_FOR_READER = 8,
+  FLAG_IS_COUNTED = 16
 };
 
 static void
@@ -45,7 +47,7 @@
 static void
 pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
-  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 4);
+  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 5);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
   pack_bstr (p, h->failure_domain);
@@ -91,12 +93,18 @@
       pack_float (p, (float)h->demand[i].requests_per_s);
       pack_float (p, (float)h->demand[i].tokens);
     }
+  pack_array (p, (unsigned)h->progress_count * 3);
+  for (int i = 0; i < h->progress_count; i++)
+    {
+      pack_uint (p, h->progress[i].service);
+      pack_position (p, h->progress[i].position);
+    }
 }
 
 static void
 unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
-  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 4);
+  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 5);
   h->name = unpack_string (parent, u);
   h->address = unpack_string (parent, u);
   h->failure_domain = unpack_string (parent, u);
@@ -157,6 +165,14 @@
       h->demand[i].tokens = unpack_double (u);
       u->failed |= isnan (h->demand[i].tokens);
     }
+  h->progress_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
+  h->progress = talloc_zero_array (parent, struct packet_progress,
+                                   (size_t)h->progress_count);
+  for (int i = 0; i < h->progress_count; i++)
+    {
+      h->progress[i].service = unpack_uint (u);
+      h->progress[i].position = unpack_position (u);
+    }
 }
 
 static void
@@ -164,7 +180,9 @@
 {
   unsigned flags = (s->is_read ? FLAG_IS_READ : 0)
                    | (s->in_transaction ? FLAG_IN_TRANSACTION : 0)
-                   | (s->has_values ? FLAG_HAS_VALUES : 0);
+                   | (s->has_values ? FLAG_HAS_VALUES : 0)
+                   | (s->for_reader ? FLAG_FOR_READER : 0)
+                   | (s->is_counted ? FLAG_IS_COUNTED : 0);
   pack_array (p, 20);
   pack_uint (p, s->session);
   pack_uint (p, s->sequence);
@@ -229,6 +247,8 @@
   s->is_read = (flags & FLAG_IS_READ) != 0;
   s->in_transaction = (flags & FLAG_IN_TRANSACTION) != 0;
   s->has_values = (flags & FLAG_HAS_VALUES) != 0;
+  s->for_reader = (flags & FLAG_FOR_READER) != 0;
+  s->is_counted = (flags & FLAG_IS_COUNTED) != 0;
   return kind <= ROUTE_READ_YOUR_WRITES && verb < VERB_COUNT;
 }
 
@@ -244,7 +264,7 @@
   pack_int (p, r->retry_ms);
   pack_bstr (p, r->signature);
   pack_position (p, r->position);
-  pack_bool (p, r->transaction_lost);
+  pack_bool (p, r->is_counted);
   pack_array (p, (unsigned)r->row_count);
   for (int i = 0; i < r->row_count; i++)
     pack_bstr (p, r->rows[i]);
@@ -263,7 +283,7 @@
   r->retry_ms = (int)unpack_int (u);
   r->signature = unpack_string (parent, u);
   r->position = unpack_position (u);
-  r->transaction_lost = unpack_bool (u);
+  r->is_counted = unpack_bool (u);
   r->row_count = (int)unpack_array_any (u, PACKET_MAX_ROWS);
   r->rows = talloc_array (parent, struct bstr, (size_t)r->row_count + 1);
   for (int i = 0; i < r->row_count; i++)
--- a/session/packet.h
+++ b/session/packet.h
@@ -58,6 +58,13 @@
   uint64_t member; /**< 0: none is named. */
 };
 
+/** Newest acknowledged position of a service, as reported by its owner. */
+struct packet_progress
+{
+  uint64_t service;
+  struct position position;
+};
+
 /** State that a member reports to the others periodically. */
 struct packet_heartbeat
 {
@@ -88,6 +95,9 @@
   int successor_count;
   struct limits_usage *demand; /**< To voters only. */
   int demand_count;
+  /** Services that the sender owns and serves; to voters only. */
+  struct packet_progress *progress;
+  int progress_count;
 };
 
 /** One statement of a caller on its way to the owner. */
@@ -109,6 +119,9 @@
   enum statement_verb verb;
   bool is_read;
   bool in_transaction;
+  /** The receiver may run the read although it does not own the service. */
+  bool for_reader;
+  bool is_counted;  /**< It was counted against the organisation's rate. */
   struct bstr id;   /**< The caller's id of the statement. */
   struct bstr text; /**< Empty if @c shape is set. */
   /** Statement with placeholders that EXECUTE refers to; empty: @c text is
@@ -127,8 +140,10 @@
 {
   uint64_t session;
   uint64_t sequence;
-  /** The statement was not run, as the sender does not own the service. */
+  /** The statement has no result: the sender does not own the service, or it
+   * cannot run the read as a reader. */
   bool moved;
+  bool is_counted; /**< It was counted against the organisation's rate. */
   enum outcome outcome;
   struct bstr text; /**< Error message, if the outcome is not OUTCOME_OK. */
   int retry_ms;     /**< Time to wait before a retry; 0: unknown. */
@@ -138,7 +153,6 @@
    * empty. */
   struct bstr signature;
   struct position position;
-  bool transaction_lost; /**< Not used; always false. */
 };
 
 /** Copy of a collection of the directory. */
--- a/session/pool.c
+++ b/session/pool.c
@@ -121,7 +121,9 @@
   return best;
 }
 
-/* @return how many connections to an endpoint the pool may have. */
+/* @return how many connections to an endpoint the pool may have: at a replica
+   two thirds are for the reader in its failure domain, the others for the
+   owner. */
 static int
 connection_limit (const struct endpoint *e)
 {
@@ -132,6 +134,10 @@
             : NULL;
   int limit = config != NULL ? config->max_connections - RESERVED_CONNECTIONS
                              : MIN_CONNECTIONS;
+  if (s->reads_only)
+    limit = limit * 2 / 3;
+  else if (e != s->primary)
+    limit = limit / 3;
   return limit > MIN_CONNECTIONS ? limit : MIN_CONNECTIONS;
 }
 
--- a/session/service.c
+++ b/session/service.c
@@ -312,6 +312,9 @@
       endpoints[count] = e;
       replicas[count] = e->replica;
       replicas[count].is_primary = e == s->primary;
+      replicas[count].is_near
+          = strcmp (e->failure_domain, s->sessiond->options->failure_domain)
+            == 0;
       /* A draining primary still has all commits, so reads outside of
          transactions may go to it. */
       replicas[count].usable = e->is_listed && !e->is_wrong_endpoint
@@ -359,7 +362,8 @@
 void
 service_dispatch (struct service *s)
 {
-  if (s->dispatching || s->phase < SERVICE_SERVING || !service_is_owned (s))
+  if (s->dispatching || s->reads_only || s->phase < SERVICE_SERVING
+      || !service_is_owned (s))
     return;
   s->dispatching = true;
   struct pending_statement **at = &s->queue;
@@ -401,8 +405,11 @@
     free_transaction (t);
 }
 
+static void redirect_statement (struct pending_statement *ps);
+
 /* A statement did not run: queue it again, or refuse it after too many
-   attempts or three quarters of its timeout. */
+   attempts or three quarters of its timeout.  A reader has it sent to the
+   owner instead, which knows all endpoints. */
 static void
 retry_statement (struct pending_statement *ps, enum outcome outcome,
                  const char *reason)
@@ -414,8 +421,10 @@
   ps->pooled_link = NULL;
   if (ps->transaction != NULL)
     ps->transaction->pooled_link = NULL;
-  if (ps->attempts >= MAX_ATTEMPTS
-      || waited > ps->statement->timeout_ms * USEC_PER_MSEC * 3 / 4)
+  if (s->reads_only)
+    redirect_statement (ps);
+  else if (ps->attempts >= MAX_ATTEMPTS
+           || waited > ps->statement->timeout_ms * USEC_PER_MSEC * 3 / 4)
     service_refuse_with_transaction (ps, outcome, reason, 0);
   else
     {
@@ -813,7 +822,7 @@
 {
   int retry_ms = 0;
   int64_t now = ps->arrived_at;
-  if (ps->statement->organisation_id != 0
+  if (ps->statement->organisation_id != 0 && !ps->statement->is_counted
       && !limits_take_token (s->sessiond->limits,
                              ps->statement->organisation_id, now, &retry_ms))
     {
@@ -891,6 +900,93 @@
   admit_statement (s, ps);
 }
 
+/* Bounded reads at near replicas. */
+
+/* @return the replica that is to run a read whose position is @p required,
+   NULL if none can run it now. */
+static struct endpoint *
+choose_near_replica (struct service *s, struct position required, int64_t now)
+{
+  struct replica_view replicas[SERVICE_MAX_ENDPOINTS];
+  struct endpoint *endpoints[SERVICE_MAX_ENDPOINTS] = { NULL };
+  int count = 0, index = 0;
+  for (struct endpoint *e = s->endpoints;
+       e != NULL && count < SERVICE_MAX_ENDPOINTS; e = e->next)
+    {
+      endpoints[count] = e;
+      replicas[count] = e->replica;
+      replicas[count].is_near = true;
+      /* The owner alone fills the slots of the primary, which has the writes
+         to run.  The owner may also know a better endpoint than a suspect
+         one. */
+      replicas[count++].usable = e->is_listed && !e->claims_primary
+                                 && !e->draining && !e->is_wrong_endpoint
+                                 && e->failed_since == 0
+                                 && e->suspect_since == 0 && e->refusals == 0;
+    }
+  return replicas_choose_for_read (replicas, count, required, false, now,
+                                   &index)
+                 == REPLICAS_FOUND
+             ? endpoints[index]
+             : NULL;
+}
+
+/* @return whether it is known which position the read requires.
+   @param required set to that position. */
+static bool
+find_required_position (const struct service *s,
+                        const struct packet_statement *m, int64_t now,
+                        struct position *required)
+{
+  static const struct position none = { 0, 0 };
+  return m->is_read && !m->in_transaction && m->verb != VERB_BEGIN
+         && m->kind != ROUTE_PRIMARY
+         && commit_history_read_position (
+             &s->commit_history,
+             now - m->stale_ms * USEC_PER_MSEC + STALENESS_MARGIN_US,
+             m->kind == ROUTE_READ_YOUR_WRITES ? m->own : none, required);
+}
+
+void
+service_handle_read (struct service *s, struct packet *m)
+{
+  struct pending_statement *ps = talloc_zero (s, struct pending_statement);
+  struct position required;
+  struct endpoint *e = NULL;
+  struct pooled_link *p = NULL;
+  int retry_ms = 0;
+  ps->service = s;
+  ps->message = talloc_steal (ps, m);
+  ps->statement = &m->statement;
+  ps->arrived_at = clock_now ();
+  if (s->sessiond->leaving_since == 0
+      && find_required_position (s, ps->statement, ps->arrived_at, &required))
+    e = choose_near_replica (s, required, ps->arrived_at);
+  if (e != NULL)
+    p = pool_acquire (e, ps->statement->organisation, ps->statement->values,
+                      ps->statement->value_count);
+  ++*stats_counter (s->sessiond->stats, "azurewind_reader_statements_total",
+                    p != NULL ? "ran=\"1\"" : "ran=\"0\"");
+  if (p == NULL)
+    {
+      redirect_statement (ps);
+      return;
+    }
+  if (ps->statement->organisation_id != 0 && !ps->statement->is_counted
+      && !limits_take_token (s->sessiond->limits,
+                             ps->statement->organisation_id, ps->arrived_at,
+                             &retry_ms))
+    {
+      service_refuse (ps, OUTCOME_BUSY, "over the organisation's rate",
+                      retry_ms);
+      return;
+    }
+  ps->statement->is_counted = true;
+  if (limits_report_is_due (s->sessiond->limits))
+    fleet_schedule_heartbeats (s->sessiond->fleet);
+  run_on_link (ps, p, required);
+}
+
 void
 service_handle_session_end (struct service *s, const struct packet *m)
 {
@@ -899,14 +995,14 @@
     service_abort_transaction (t);
 }
 
-/* Answer that the service has moved, so that the entry daemon sends the
-   statement to the next owner; only for statements that did not run and for
-   reads. */
+/* Have the entry daemon send the statement to the owner of the service; only
+   for statements that did not run and for reads. */
 static void
 redirect_statement (struct pending_statement *ps)
 {
   struct transaction *t = ps->transaction;
-  struct packet_result moved = { .moved = true };
+  struct packet_result moved
+      = { .moved = true, .is_counted = ps->statement->is_counted };
   ps->pooled_link = NULL;
   service_send_result (ps, &moved);
   if (t != NULL)
--- a/session/service.h
+++ b/session/service.h
@@ -106,9 +106,8 @@
   struct packet *message;
   struct packet_statement *statement; /**< Part of the message. */
   int64_t arrived_at;
-  int64_t sent_at;  /**< When it was sent to an endpoint; 0: not sent. */
-  int attempts;     /**< How often it was sent to an endpoint. */
-  bool was_counted; /**< It was counted against the organisation's rate. */
+  int64_t sent_at; /**< When it was sent to an endpoint; 0: not sent. */
+  int attempts;    /**< How often it was sent to an endpoint. */
   struct pooled_link *pooled_link; /**< Connection that runs it; NULL: none. */
   struct transaction *transaction; /**< NULL: it is outside of any. */
 };
@@ -139,6 +138,11 @@
   struct service *next;
   struct owner *owner;
   struct sessiond *sessiond;
+  /** Another daemon owns it; this one only runs bounded reads at the replicas
+   * of its own failure domain.  The phase is always SERVICE_SERVING, there is
+   * no primary and no queue, and the commit history is what the owner
+   * reports. */
+  bool reads_only;
   char *name;
   uint64_t id;
   enum service_phase phase;
@@ -181,6 +185,9 @@
                                               uint64_t session);
 /** Run a statement of a caller; takes over @p m. */
 void service_handle_statement (struct service *s, struct packet *m);
+/** Run a read of a caller at a replica that is near, or have it sent to the
+ * owner; takes over @p m.  The service is one with reads_only. */
+void service_handle_read (struct service *s, struct packet *m);
 /** The session of a transaction ended: roll the transaction back. */
 void service_handle_session_end (struct service *s, const struct packet *m);
 /** Answer a statement without a result and free it. */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -391,7 +391,7 @@
     served += limits_take_token (a, ORGANISATION, 2000000, &retry);
   CU_ASSERT_TRUE (served > 50);
   limits_begin_period (a, false, 1000000, 2100000);
-  sender.owns_services = false;
+  sender.may_spend = false;
   count = limits_write_report (a, report, 4, 2100000);
   limits_record_report (b, &sender, report, count, 2100000);
   limits_begin_period (b, true, 1000000, 2100000);
--- a/tests/test_replicas.c
+++ b/tests/test_replicas.c
@@ -2,6 +2,10 @@
 #include "core/replicas.h"
 #include "tests/tests.h"
 
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
 #define MS INT64_C (1000)
 
 static struct replica_view
@@ -9,6 +13,7 @@
 {
   return (struct replica_view){ .usable = true,
                                 .is_primary = primary,
+                                .is_near = true,
                                 .slots = 2,
                                 .running = running,
                                 .latency_us = 9 * MS,
@@ -157,6 +162,227 @@
   CU_ASSERT_EQUAL (commit_history_at (&h, INT64_MAX).number, 401);
 }
 
+/* Guards against reads that cross failure domains while an endpoint of the own
+   one has a free slot, and against a near endpoint that gets all of them. */
+static void
+near_endpoints_come_first (void)
+{
+  struct replica_view r[]
+      = { make_view (false, 0, 90), make_view (true, 0, 90) };
+  int index = -1;
+  r[0].is_near = false;
+  CU_ASSERT_EQUAL (
+      replicas_choose_for_read (r, 2, position_at (1), false, 0, &index),
+      REPLICAS_FOUND);
+  CU_ASSERT_EQUAL (index, 1);
+  r[1].running = 2;
+  CU_ASSERT_EQUAL (
+      replicas_choose_for_read (r, 2, position_at (1), false, 0, &index),
+      REPLICAS_FOUND);
+  CU_ASSERT_EQUAL (index, 0);
+}
+
+/* A service whose owner reports its progress to one reader, in virtual time.
+   Messages take up to MAX_DELAY_US, in order. */
+
+#define STEP_US (5 * MS)
+#define REPORT_US (200 * MS)
+#define MAX_DELAY_US (300 * MS)
+#define STALE_US (1500 * MS)
+#define WORLD_STEPS 3000
+#define WORLDS 60
+
+/** What a model of the reader leaves out, to show that it is needed. */
+enum omission
+{
+  OMIT_NOTHING,
+  OMIT_ECHO,      /**< The report is dated by its arrival. */
+  OMIT_OWN,       /**< The session's own writes are ignored. */
+  OMIT_FRESHNESS, /**< The newest report is used, however old it is. */
+};
+
+struct model_commit
+{
+  struct position position;
+  int64_t at; /**< When it was acknowledged. */
+  bool rolled_back;
+};
+
+struct model_report
+{
+  int64_t arrives;
+  int64_t echo;
+  struct position position;
+};
+
+struct reader_world
+{
+  struct model_commit commits[WORLD_STEPS];
+  int commit_count;
+  struct position newest; /**< At the primary. */
+  uint64_t term;
+  int64_t stamp_arrives[2]; /**< The newest stamp of the reader, by owner. */
+  int64_t stamp[2];
+  int64_t echo[2];
+  int owner;
+  bool owner_is_cut;
+  struct model_report reports[64];
+  int report_count;
+  int64_t last_arrival;
+  struct commit_history history; /**< Of the reader. */
+  struct position own;           /**< Newest write of the session. */
+  int served;
+  int stale;
+};
+
+static int
+random_below (unsigned *seed, int bound)
+{
+  return (int)((unsigned)rand_r (seed) % (unsigned)bound);
+}
+
+static void
+exchange_progress (struct reader_world *w, int64_t now, unsigned *seed,
+                   enum omission omission)
+{
+  for (int i = 0; i < 2; i++)
+    if (w->stamp_arrives[i] <= now && w->stamp[i] > w->echo[i])
+      w->echo[i] = w->stamp[i];
+  if (now % REPORT_US == 0)
+    for (int i = 0; i < 2; i++)
+      if (w->stamp_arrives[i] <= now)
+        {
+          w->stamp[i] = now;
+          w->stamp_arrives[i] = now + random_below (seed, MAX_DELAY_US);
+        }
+  if (now % REPORT_US == 0 && !w->owner_is_cut && w->echo[w->owner] != 0
+      && w->report_count < 64)
+    {
+      int64_t arrives = now + random_below (seed, MAX_DELAY_US);
+      w->last_arrival
+          = arrives > w->last_arrival ? arrives : w->last_arrival + 1;
+      w->reports[w->report_count++]
+          = (struct model_report){ w->last_arrival, w->echo[w->owner],
+                                   w->newest };
+    }
+  while (w->report_count > 0 && w->reports[0].arrives <= now)
+    {
+      commit_history_record (&w->history, w->reports[0].position,
+                             omission == OMIT_ECHO ? now : w->reports[0].echo);
+      memmove (w->reports, w->reports + 1,
+               sizeof w->reports[0] * (size_t)--w->report_count);
+    }
+}
+
+/* A replica that lacks the newest commits replaces the primary. */
+static void
+promote (struct reader_world *w, unsigned *seed)
+{
+  int lost = random_below (seed, 3);
+  for (int i = w->commit_count - 1; i >= 0 && lost > 0; i--)
+    if (!w->commits[i].rolled_back)
+      {
+        w->commits[i].rolled_back = true;
+        lost--;
+      }
+  w->newest = (struct position){ 1, 1 };
+  for (int i = 0; i < w->commit_count; i++)
+    if (!w->commits[i].rolled_back)
+      w->newest = w->commits[i].position;
+  w->term++;
+}
+
+static void
+commit (struct reader_world *w, int64_t now, bool own)
+{
+  w->newest = (struct position){ w->term, w->newest.number + 1 };
+  w->commits[w->commit_count++]
+      = (struct model_commit){ w->newest, now, false };
+  if (own)
+    w->own = w->newest;
+}
+
+/* A read that runs as soon as a replica has the required position. */
+static void
+read_once (struct reader_world *w, int64_t now, enum omission omission)
+{
+  struct position required;
+  struct position own
+      = omission == OMIT_OWN ? (struct position){ 0, 0 } : w->own;
+  bool found = commit_history_read_position (&w->history, now - STALE_US, own,
+                                             &required);
+  if (!found && omission == OMIT_FRESHNESS && w->history.count > 0
+      && own.term <= w->history.newest.term)
+    {
+      required = position_max (w->history.newest, own);
+      found = true;
+    }
+  if (!found)
+    return;
+  w->served++;
+  for (int i = 0; i < w->commit_count; i++)
+    {
+      const struct model_commit *c = &w->commits[i];
+      bool is_owed = c->at <= now - STALE_US
+                     || position_compare (c->position, w->own) == 0;
+      if (is_owed && !c->rolled_back
+          && position_compare (c->position, required) > 0)
+        {
+          w->stale++;
+          return;
+        }
+    }
+}
+
+/* @param served set to the number of reads that the reader ran.
+   @return the number of stale reads. */
+static int
+run_reader_worlds (enum omission omission, int *served)
+{
+  int stale = 0;
+  *served = 0;
+  for (unsigned world = 1; world <= WORLDS; world++)
+    {
+      struct reader_world *w = talloc_zero (NULL, struct reader_world);
+      unsigned seed = world;
+      w->term = 1;
+      w->newest = (struct position){ 1, 1 };
+      for (int i = 1; i <= WORLD_STEPS; i++)
+        {
+          int64_t now = i * STEP_US;
+          exchange_progress (w, now, &seed, omission);
+          if (!w->owner_is_cut && random_below (&seed, 6) == 0)
+            commit (w, now, random_below (&seed, 20) == 0);
+          if (random_below (&seed, 400) == 0)
+            w->owner = !w->owner;
+          if (random_below (&seed, 300) == 0)
+            w->owner_is_cut = !w->owner_is_cut;
+          if (random_below (&seed, 500) == 0)
+            promote (w, &seed);
+          read_once (w, now, omission);
+        }
+      *served += w->served;
+      stale += w->stale;
+      talloc_free (w);
+    }
+  return stale;
+}
+
+/* Guards against a read at a near replica that misses a commit which its bound
+   covers or the session's own write: reports are late or missing, owners
+   change, and promotions roll commits back. */
+static void
+readers_see_what_the_bound_covers (void)
+{
+  int served;
+  CU_ASSERT_EQUAL (run_reader_worlds (OMIT_NOTHING, &served), 0);
+  printf ("[%d of %d reads served] ", served, WORLDS * WORLD_STEPS);
+  CU_ASSERT_TRUE (served > WORLDS * WORLD_STEPS / 4);
+  CU_ASSERT_TRUE (run_reader_worlds (OMIT_ECHO, &served) > 0);
+  CU_ASSERT_TRUE (run_reader_worlds (OMIT_OWN, &served) > 0);
+  CU_ASSERT_TRUE (run_reader_worlds (OMIT_FRESHNESS, &served) > 0);
+}
+
 static const struct test_case cases[] = {
   { "replicas_serve_bounded_reads", replicas_serve_bounded_reads },
   { "replicas_that_lag_are_left_out", replicas_that_lag_are_left_out },
@@ -166,6 +392,8 @@
   { "newest_log_succeeds", newest_log_succeeds },
   { "history_covers_what_was_acknowledged",
     history_covers_what_was_acknowledged },
+  { "near_endpoints_come_first", near_endpoints_come_first },
+  { "readers_see_what_the_bound_covers", readers_see_what_the_bound_covers },
   { NULL, NULL },
 };
 
