limits: what others spent before their first report is not subtracted

Cause: voters that do not know yet that a daemon is a voter send it heartbeats without a report. Change: heartbeats say whether they carry a report; without one nothing is recorded.

--- a/core/limits.c
+++ b/core/limits.c
@@ -275,6 +275,8 @@
 {
   struct report *r = find_report (l, sender->daemon);
   bool is_first = r == NULL;
+  if (usage == NULL)
+    return;
   if (is_first)
     {
       if (l->report_count == LIMITS_MAX_SENDERS)
--- a/core/limits.h
+++ b/core/limits.h
@@ -67,7 +67,11 @@
  * it is listed again.  After a long silence of the sender, the bucket is
  * lowered to the level that the sender reports instead of by the tokens that
  * it spent: the sender's bucket was refilled after those were spent, while the
- * bucket here may have been full, so that its refill was lost. */
+ * bucket here may have been full, so that its refill was lost.
+ * @param usage NULL: the sender tells this daemon nothing, as it does not know
+ * yet that this daemon counts tokens too.  What it spends meanwhile must not
+ * be subtracted later: the bucket here is not the one that it was taken from.
+ */
 void limits_record_report (struct limits *l,
                            const struct limits_sender *sender,
                            const struct limits_usage *usage, int count,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -134,6 +134,7 @@
           = (struct packet_successor){ f->ownerships[i].service,
                                        f->ownerships[i].release_to };
   h->demand = talloc_array (m, struct limits_usage, PACKET_MAX_DEMAND);
+  h->has_demand = true;
   h->demand_count
       = limits_write_report (limits, h->demand, PACKET_MAX_DEMAND, now);
   h->progress
@@ -230,6 +231,7 @@
       }
   h->grant_count = h->successor_count = h->demand_count = 0;
   h->progress_count = 0;
+  h->has_demand = false;
   uint64_t owned_digest = lease_owned_digest (f->leases, now);
   bool observers_outdated = owned_digest != f->reported_digest;
   f->reported_digest = owned_digest;
@@ -300,8 +302,8 @@
   if (p->is_voter)
     limits_record_report (
         f->sessiond->limits,
-        &(struct limits_sender){ p->id, p->incarnation, h->ready }, h->demand,
-        h->demand_count, now);
+        &(struct limits_sender){ p->id, p->incarnation, h->ready },
+        h->has_demand ? h->demand : NULL, h->demand_count, now);
   if (p->is_voter && h->echo != 0)
     owner_record_progress (f->sessiond->owner, h, h->echo);
   struct lease_heartbeat lease = {
--- a/session/packet.c
+++ b/session/packet.c
@@ -47,7 +47,7 @@
 static void
 pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
-  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 5);
+  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 6);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
   pack_bstr (p, h->failure_domain);
@@ -85,6 +85,7 @@
       pack_uint (p, h->successors[i].service);
       pack_uint (p, h->successors[i].member);
     }
+  pack_bool (p, h->has_demand);
   pack_array (p, (unsigned)h->demand_count * 4);
   for (int i = 0; i < h->demand_count; i++)
     {
@@ -104,7 +105,7 @@
 static void
 unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
-  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 5);
+  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 6);
   h->name = unpack_string (parent, u);
   h->address = unpack_string (parent, u);
   h->failure_domain = unpack_string (parent, u);
@@ -152,6 +153,7 @@
       h->successors[i].service = unpack_uint (u);
       h->successors[i].member = unpack_uint (u);
     }
+  h->has_demand = unpack_bool (u);
   h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 4) / 4;
   h->demand = talloc_zero_array (parent, struct limits_usage,
                                  (size_t)h->demand_count);
--- a/session/packet.h
+++ b/session/packet.h
@@ -93,6 +93,7 @@
   int grant_count;
   struct packet_successor *successors; /**< To voters only. */
   int successor_count;
+  bool has_demand; /**< The sender regards the receiver as a voter. */
   struct limits_usage *demand; /**< To voters only. */
   int demand_count;
   /** Services that the sender owns and serves; to voters only. */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -217,6 +217,37 @@
   free_fleet (f);
 }
 
+/* Guards against refusals by a daemon that takes over services of the others
+   under an even demand below the rate: for two seconds their heartbeats told
+   it nothing, as they did not know yet that it is a voter.  What they spent in
+   all the time before must not be subtracted from its bucket. */
+static void
+late_owner_refuses_nobody_within_the_rate (void)
+{
+  struct fleet_limits *f = make_fleet (FEW_OWNERS, 100, 100);
+  f->cut[0] = true;
+  run_requests (f, (double[]){ 0, 30, 30 }, 60);
+  start_owner (f, 0, 100, 100);
+  for (int i = 0; i < 10; i++)
+    {
+      for (int k = 1; k < f->owners; k++)
+        limits_record_report (f->owner[0],
+                              &(struct limits_sender){
+                                  (uint64_t)k + 1, f->incarnation[k], true },
+                              NULL, 0, f->now);
+      run_requests (f, (double[]){ 0, 30, 30 }, 0.2);
+    }
+  f->cut[0] = false;
+  run_requests (f, (double[]){ 0, 30, 30 }, 0.4);
+  f->refused = 0;
+  run_requests (f, (double[]){ 20, 20, 20 }, 20);
+  printf ("[%d of 1200 refused] ", f->refused);
+  CU_ASSERT_TRUE (f->refused <= 1200 / 100);
+  CU_ASSERT_TRUE (max_served_in_window (f)
+                  <= max_allowed_in_window (100, 100));
+  free_fleet (f);
+}
+
 /* @return the number of refused requests of an organisation with a rate and
    burst of 4 that sends 2.5 a second for 300 seconds, evenly to all owners. */
 static int
@@ -448,6 +479,8 @@
   { "restarts_give_no_second_burst", restarts_give_no_second_burst },
   { "little_is_refused_below_the_rate", little_is_refused_below_the_rate },
   { "owner_after_a_cut_refuses_little", owner_after_a_cut_refuses_little },
+  { "late_owner_refuses_nobody_within_the_rate",
+    late_owner_refuses_nobody_within_the_rate },
   { "owner_after_a_cut_gives_no_second_burst",
     owner_after_a_cut_gives_no_second_burst },
   { "small_rate_before_many_owners", small_rate_before_many_owners },
