fleet, limits: heartbeats that a partition held up are dropped

Cause: after a cut, TCP delivers what it held up, on the old connection and after newer heartbeats on the new one. Change: a heartbeat, and a report of the limits, that is not newer than the last one of the same process is dropped.

--- a/core/limits.c
+++ b/core/limits.c
@@ -64,6 +64,7 @@
 {
   uint64_t daemon;
   uint64_t incarnation;
+  int64_t stamp; /**< See limits_sender. */
   int64_t received_at;
   bool may_spend; /**< See limits_sender. */
   struct limits_usage *usage;
@@ -285,11 +286,14 @@
       *r = (struct report){ .daemon = sender->daemon };
     }
   bool is_restarted = r->incarnation != sender->incarnation;
+  if (!is_first && !is_restarted && sender->stamp <= r->stamp)
+    return;
   bool was_silent
       = !is_first && !is_restarted && now - r->received_at > MAX_SILENCE_US;
   if (is_restarted)
     r->count = 0;
   r->incarnation = sender->incarnation;
+  r->stamp = sender->stamp;
   r->received_at = now;
   r->may_spend = sender->may_spend;
   /* It is not known when the tokens in a sender's first report were spent,
--- a/core/limits.h
+++ b/core/limits.h
@@ -36,6 +36,7 @@
 {
   uint64_t daemon;
   uint64_t incarnation; /**< Incarnation of its process. */
+  int64_t stamp;        /**< Its own clock when it sent the report. */
   bool may_spend;       /**< It runs statements of callers. */
 };
 
@@ -68,6 +69,9 @@
  * lowered to the level that the sender reports instead of by the tokens that
  * it spent: the sender's bucket was refilled after those were spent, while the
  * bucket here may have been full, so that its refill was lost.
+ * A report that is not newer than the last one of the same process is ignored:
+ * messages that a partition held up arrive after newer ones on another
+ * connection.
  * @param usage NULL: the sender tells this daemon nothing, as it does not know
  * yet that this daemon counts tokens too.  What it spends meanwhile must not
  * be subtracted later: the bucket here is not the one that it was taken from.
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -300,10 +300,11 @@
       t->successor_until = now + SUCCESSOR_CLAIM_US;
     }
   if (p->is_voter)
-    limits_record_report (
-        f->sessiond->limits,
-        &(struct limits_sender){ p->id, p->incarnation, h->ready },
-        h->has_demand ? h->demand : NULL, h->demand_count, now);
+    limits_record_report (f->sessiond->limits,
+                          &(struct limits_sender){ p->id, p->incarnation,
+                                                   m->sender.stamp, h->ready },
+                          h->has_demand ? h->demand : NULL, h->demand_count,
+                          now);
   if (p->is_voter && h->echo != 0)
     owner_record_progress (f->sessiond->owner, h, h->echo);
   struct lease_heartbeat lease = {
@@ -344,7 +345,9 @@
 }
 
 /* @return whether the message comes from a previous process of the sender, or
-   from a process whose first heartbeat has not arrived yet. */
+   from a process whose first heartbeat has not arrived yet, or is a heartbeat
+   that arrives after a newer one: a partition may hold up a connection while
+   a new one is in use. */
 static bool
 is_stale (struct fleet *f, const struct packet *m)
 {
@@ -353,7 +356,10 @@
     return false;
   if (m->kind == PACKET_HEARTBEAT)
     return lease_is_stale (f->leases, m->sender.member, m->sender.incarnation,
-                           clock_now ());
+                           clock_now ())
+           || (p != NULL && p->incarnation == m->sender.incarnation
+               && m->sender.stamp
+                      <= lease_newest_stamp (f->leases, m->sender.member));
   return p == NULL || p->incarnation != m->sender.incarnation;
 }
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -50,8 +50,9 @@
       for (int k = 0; k < f->owners; k++)
         if (k != i && !f->dead[k] && !f->cut[i] && !f->cut[k])
           limits_record_report (f->owner[k],
-                                &(struct limits_sender){
-                                    (uint64_t)i + 1, f->incarnation[i], true },
+                                &(struct limits_sender){ (uint64_t)i + 1,
+                                                         f->incarnation[i],
+                                                         f->now, true },
                                 report, count, f->now);
     }
   for (int i = 0; i < f->owners; i++)
@@ -217,6 +218,31 @@
   free_fleet (f);
 }
 
+/* Guards against refusals below the rate after a partition: reports that it
+   held up arrive together, after newer ones on new connections, and must not
+   be subtracted again. */
+static void
+reports_that_were_held_up_take_nothing (void)
+{
+  struct fleet_limits *f = make_fleet (FEW_OWNERS, 100, 100);
+  double demand[] = { 20, 20, 20 };
+  struct limits_usage held[4];
+  run_requests (f, demand, 30);
+  int count = limits_write_report (f->owner[2], held, 4, f->now);
+  int64_t held_stamp = f->now;
+  run_requests (f, demand, 10);
+  for (int i = 0; i < 2; i++)
+    limits_record_report (
+        f->owner[i],
+        &(struct limits_sender){ 3, f->incarnation[2], held_stamp, true },
+        held, count, f->now);
+  f->refused = 0;
+  run_requests (f, demand, 20);
+  printf ("[%d of 1200 refused] ", f->refused);
+  CU_ASSERT_TRUE (f->refused <= 1200 / 100);
+  free_fleet (f);
+}
+
 /* Guards against refusals by a daemon that takes over services of the others
    under an even demand below the rate: for two seconds their heartbeats told
    it nothing, as they did not know yet that it is a voter.  What they spent in
@@ -232,8 +258,9 @@
     {
       for (int k = 1; k < f->owners; k++)
         limits_record_report (f->owner[0],
-                              &(struct limits_sender){
-                                  (uint64_t)k + 1, f->incarnation[k], true },
+                              &(struct limits_sender){ (uint64_t)k + 1,
+                                                       f->incarnation[k],
+                                                       f->now, true },
                               NULL, 0, f->now);
       run_requests (f, (double[]){ 0, 30, 30 }, 0.2);
     }
@@ -364,7 +391,7 @@
 static void
 deliver_report (struct fleet_limits *f, int i, struct sent_report *sent)
 {
-  struct limits_sender sender = { (uint64_t)i + 1, 1, true };
+  struct limits_sender sender = { (uint64_t)i + 1, 1, f->now, true };
   for (int k = 0; k < f->owners; k++)
     if (k != i)
       limits_record_report (f->owner[k], &sender, sent->usage, sent->count,
@@ -411,7 +438,7 @@
 {
   struct limits_usage report[4];
   struct limits *a = limits_create (NULL), *b = limits_create (NULL);
-  struct limits_sender sender = { 1, 1, true };
+  struct limits_sender sender = { 1, 1, 1, true };
   int retry, served = 0, count;
   limits_configure (a, ORGANISATION, 60, 60, 1);
   limits_configure (b, ORGANISATION, 60, 60, 1);
@@ -423,6 +450,7 @@
   CU_ASSERT_TRUE (served > 50);
   limits_begin_period (a, false, 1000000, 2100000);
   sender.may_spend = false;
+  sender.stamp = 2100000;
   count = limits_write_report (a, report, 4, 2100000);
   limits_record_report (b, &sender, report, count, 2100000);
   limits_begin_period (b, true, 1000000, 2100000);
@@ -479,6 +507,8 @@
   { "restarts_give_no_second_burst", restarts_give_no_second_burst },
   { "little_is_refused_below_the_rate", little_is_refused_below_the_rate },
   { "owner_after_a_cut_refuses_little", owner_after_a_cut_refuses_little },
+  { "reports_that_were_held_up_take_nothing",
+    reports_that_were_held_up_take_nothing },
   { "late_owner_refuses_nobody_within_the_rate",
     late_owner_refuses_nobody_within_the_rate },
   { "owner_after_a_cut_gives_no_second_burst",
