limits: reports list what has changed, with a full one each second

Change: an organisation is listed for 450 ms after its count or its demand has changed; a full report follows each second. Partial reports count only after a full one of the same process. Demand and tokens are encoded as integers. Test: limits/reports_list_what_has_changed; the other tests of the limits run with partial reports.

--- a/Makefile
+++ b/Makefile
@@ -144,10 +144,12 @@
 $(BUILD)/fuzz-%: $(BUILD)/tests/fuzz/%.o $(TEST_DAEMON_OBJ) $(LIB)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -fsanitize=fuzzer,$(FUZZ_SANITIZERS)
 
-fuzz: deps
-	$(MAKE) -j4 fuzzers BUILD=build/fuzz SANITIZE=0 CC=clang CXX=clang++ \
+fuzz-build: deps
+	$(MAKE) -j8 fuzzers BUILD=build/fuzz SANITIZE=0 CC=clang CXX=clang++ \
 	  CFLAGS="-fsanitize=fuzzer-no-link,$(FUZZ_SANITIZERS)" \
 	  CXXFLAGS="-fsanitize=fuzzer-no-link,$(FUZZ_SANITIZERS)"
+
+fuzz: fuzz-build
 	BUILD=build/fuzz FUZZ_SECONDS=$(SECONDS) RUNS=$(RUNS) tools/fuzz $(FUZZ)
 
 demo: deps
@@ -169,6 +171,8 @@
 format:
 	clang-format -i $(FORMATTED)
 
+# Number of files that are linted at a time.
+LINT_JOBS = 8
 CPPCHECK = cppcheck --std=c11 -I. --enable=warning,performance,portability \
   --inline-suppr --suppress=missingIncludeSystem --suppress=unknownMacro \
   --error-exitcode=1 --quiet
@@ -176,11 +180,11 @@
 lint:
 	clang-format --dry-run -Werror $(FORMATTED)
 	$(CPPCHECK) $(filter %.c,$(FORMATTED))
-	for f in $(LINTED); do echo $$f; done | xargs -P 8 -I{} tools/tidy {} $(filter -D% -I% -std=% -isystem%,$(CFLAGS_BASE))
+	for f in $(LINTED); do echo $$f; done | xargs -P $(LINT_JOBS) -I{} tools/tidy {} $(filter -D% -I% -std=% -isystem%,$(CFLAGS_BASE))
 
 clean:
 	rm -rf build
 
 
-.PHONY: all programs deploy deps test soak check fuzzers fuzz demo bench capacity results format lint clean
+.PHONY: all programs deploy deps test soak check fuzzers fuzz-build fuzz demo bench capacity results format lint clean
 -include $(shell find build target -name '*.d' 2>/dev/null)
--- a/core/limits.c
+++ b/core/limits.c
@@ -26,6 +26,15 @@
 /* Overspent tokens are missing from the bucket for this time at most, the
    window over which the limit is checked. */
 #define MAX_DEBT_S 5
+/* Interval between two full reports; the others list only what has changed. */
+#define FULL_REPORT_US INT64_C (1000000)
+/* A change is reported for this time: a daemon that is sent heartbeats out of
+   turn may not be sent every report. */
+#define REPORT_CHANGE_US INT64_C (450000)
+/* A demand that differs from the reported one by this fraction of it, and by
+   this many requests per second, counts as a change. */
+#define DEMAND_CHANGE_FRACTION 0.25
+#define DEMAND_CHANGE_PER_S 1
 /* Silence of a daemon after which the level that it reports is adopted,
    instead of subtracting what it spent: one lease, in which at most the burst
    is refilled. */
@@ -53,13 +62,22 @@
    */
   uint64_t spent;
   uint64_t reported_spent; /**< Value of spent in the last report. */
+  double reported_demand;  /**< Value of demand in the last report. */
+  int64_t changed_at;      /**< When spent or the demand last changed. */
   unsigned requests;       /**< Received since the last report. */
   double demand;           /**< Moving average of the requests per second. */
   bool configured;         /**< limits_configure was called since the last
                                limits_forget_unconfigured. */
 };
 
-/** The newest report of another daemon. */
+/** What another daemon reported last about one organisation. */
+struct reported_usage
+{
+  struct limits_usage usage;
+  bool before_silence; /**< A long silence followed. */
+};
+
+/** What the reports of another daemon say. */
 struct report
 {
   uint64_t daemon;
@@ -67,7 +85,7 @@
   int64_t stamp; /**< See limits_sender. */
   int64_t received_at;
   bool may_spend; /**< See limits_sender. */
-  struct limits_usage *usage;
+  struct reported_usage *entries;
   int count;
 };
 
@@ -78,6 +96,7 @@
   struct report reports[LIMITS_MAX_SENDERS];
   int report_count;
   int64_t reported_at;     /**< When the last own report was written. */
+  int64_t full_report_at;  /**< When the last full one was; 0: never. */
   int64_t period_began_at; /**< 0: no period yet. */
   bool report_is_due; /**< The next report should not wait for its time. */
   bool may_spend;     /**< This daemon might spend tokens when the period
@@ -180,7 +199,7 @@
 
 int
 limits_write_report (struct limits *l, struct limits_usage *out, int most,
-                     int64_t now)
+                     int64_t now, bool *is_full)
 {
   double seconds = (double)(now - l->reported_at) / USEC_PER_S;
   int count = 0;
@@ -189,6 +208,10 @@
   /* The weight depends on the time, as reports may follow each other
      closely. */
   double weight = 1 - exp (-seconds / DEMAND_TIME_CONSTANT_S);
+  *is_full
+      = l->full_report_at == 0 || now - l->full_report_at >= FULL_REPORT_US;
+  if (*is_full)
+    l->full_report_at = now;
   l->reported_at = now;
   l->report_is_due = false;
   for (int i = 0; i < l->bucket_count && count < most; i++)
@@ -201,7 +224,14 @@
         }
       if (b->demand < IDLE_FRACTION)
         b->demand = 0;
-      if (b->demand <= 0 && b->spent == b->reported_spent)
+      if (b->spent != b->reported_spent
+          || fabs (b->demand - b->reported_demand)
+                 > fmax (DEMAND_CHANGE_PER_S,
+                         b->reported_demand * DEMAND_CHANGE_FRACTION))
+        b->changed_at = now;
+      if (!*is_full && now - b->changed_at > REPORT_CHANGE_US)
+        continue;
+      if (*is_full && b->demand <= 0 && b->spent == b->reported_spent)
         {
           /* The other daemons count from zero when the organisation is listed
              again. */
@@ -209,6 +239,7 @@
           continue;
         }
       b->reported_spent = b->spent;
+      b->reported_demand = b->demand;
       refill_bucket (b, now);
       out[count++] = (struct limits_usage){ b->organisation, b->spent,
                                             b->demand, b->tokens };
@@ -216,12 +247,12 @@
   return count;
 }
 
-static struct limits_usage *
+static struct reported_usage *
 find_usage (const struct report *r, uint64_t organisation)
 {
   for (int i = 0; i < r->count; i++)
-    if (r->usage[i].organisation == organisation)
-      return &r->usage[i];
+    if (r->entries[i].usage.organisation == organisation)
+      return &r->entries[i];
   return NULL;
 }
 
@@ -243,11 +274,11 @@
 /* Subtracts from the bucket what another daemon has spent since its last
    report. */
 static void
-subtract_spent (struct limits *l, const struct limits_usage *last,
+subtract_spent (struct limits *l, const struct reported_usage *last,
                 const struct limits_usage *entry, int64_t now)
 {
   struct token_bucket *b = find_bucket (l, entry->organisation);
-  uint64_t before = last != NULL ? last->spent : 0;
+  uint64_t before = last != NULL ? last->usage.spent : 0;
   /* A count that is smaller than before has started again at zero. */
   uint64_t spent
       = entry->spent >= before ? entry->spent - before : entry->spent;
@@ -270,6 +301,25 @@
   b->tokens = fmin (b->tokens, entry->tokens);
 }
 
+/* Store a report: the entries of a full one replace all others. */
+static void
+store_report (struct limits *l, struct report *r,
+              const struct limits_usage *usage, int count, bool is_full)
+{
+  if (is_full)
+    r->count = 0;
+  r->entries = talloc_realloc (l, r->entries, struct reported_usage,
+                               (size_t)(r->count + count) + 1);
+  for (int k = 0; k < count; k++)
+    {
+      struct reported_usage *entry
+          = is_full ? NULL : find_usage (r, usage[k].organisation);
+      if (entry == NULL)
+        entry = &r->entries[r->count++];
+      *entry = (struct reported_usage){ .usage = usage[k] };
+    }
+}
+
 void
 limits_record_report (struct limits *l, const struct limits_sender *sender,
                       const struct limits_usage *usage, int count, int64_t now)
@@ -278,6 +328,8 @@
   bool is_first = r == NULL;
   if (usage == NULL)
     return;
+  if (!sender->is_full && (is_first || r->incarnation != sender->incarnation))
+    return;
   if (is_first)
     {
       if (l->report_count == LIMITS_MAX_SENDERS)
@@ -298,24 +350,25 @@
   r->may_spend = sender->may_spend;
   /* It is not known when the tokens in a sender's first report were spent,
      so they are not subtracted. */
+  for (int i = 0; was_silent && i < r->count; i++)
+    r->entries[i].before_silence = true;
   for (int k = 0; !is_first && k < count; k++)
-    if (was_silent)
-      adopt_tokens (l, &usage[k], now);
-    else
-      subtract_spent (l, find_usage (r, usage[k].organisation), &usage[k],
-                      now);
-  r->usage
-      = talloc_realloc (l, r->usage, struct limits_usage, (size_t)count + 1);
-  if (count > 0)
-    memcpy (r->usage, usage, (size_t)count * sizeof *usage);
-  r->count = count;
+    {
+      const struct reported_usage *last
+          = find_usage (r, usage[k].organisation);
+      if (last != NULL ? last->before_silence : was_silent)
+        adopt_tokens (l, &usage[k], now);
+      else
+        subtract_spent (l, last, &usage[k], now);
+    }
+  store_report (l, r, usage, count, sender->is_full);
 }
 
 static double
 reported_demand (const struct report *r, uint64_t organisation)
 {
-  const struct limits_usage *entry = find_usage (r, organisation);
-  return entry != NULL ? entry->requests_per_s : 0;
+  const struct reported_usage *entry = find_usage (r, organisation);
+  return entry != NULL ? entry->usage.requests_per_s : 0;
 }
 
 /* Computes what this daemon may spend in the period that begins. */
--- a/core/limits.h
+++ b/core/limits.h
@@ -38,6 +38,7 @@
   uint64_t incarnation; /**< Incarnation of its process. */
   int64_t stamp;        /**< Its own clock when it sent the report. */
   bool may_spend;       /**< It runs statements of callers. */
+  bool is_full; /**< The report is complete; see limits_write_report. */
 };
 
 struct limits *limits_create (void *parent);
@@ -57,15 +58,18 @@
  * with the requests since the last call.  A daemon that no longer owns a
  * service must send its report too, as it lists what was spent before.
  * @param most number of entries for which @p out has room.
+ * @param is_full set to whether the report lists all organisations that are in
+ * use; otherwise, those that it does not list are as they were.
  * @return the number of entries written to @p out. */
 int limits_write_report (struct limits *l, struct limits_usage *out, int most,
-                         int64_t now);
+                         int64_t now, bool *is_full);
 /** @return whether so much was spent since the last report that the other
  * daemons should receive the next one now. */
 bool limits_report_is_due (const struct limits *l);
 /** Records the report of another daemon, which arrived at @p now.  The spent
- * tokens of an organisation that a report does not list count from zero when
- * it is listed again.  After a long silence of the sender, the bucket is
+ * tokens of an organisation that a full report does not list count from zero
+ * when it is listed again.  Until the first full report of a process, the
+ * others are ignored.  After a long silence of the sender, the bucket is
  * lowered to the level that the sender reports instead of by the tokens that
  * it spent: the sender's bucket was refilled after those were spent, while the
  * bucket here may have been full, so that its refill was lost.
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -135,8 +135,8 @@
                                        f->ownerships[i].release_to };
   h->demand = talloc_array (m, struct limits_usage, PACKET_MAX_DEMAND);
   h->has_demand = true;
-  h->demand_count
-      = limits_write_report (limits, h->demand, PACKET_MAX_DEMAND, now);
+  h->demand_count = limits_write_report (limits, h->demand, PACKET_MAX_DEMAND,
+                                         now, &h->demand_is_full);
   h->progress
       = talloc_array (m, struct packet_progress, (size_t)f->ownership_count);
   h->progress_count = owner_write_progress (f->sessiond->owner, h->progress,
@@ -300,11 +300,11 @@
       t->successor_until = now + SUCCESSOR_CLAIM_US;
     }
   if (p->is_voter)
-    limits_record_report (f->sessiond->limits,
-                          &(struct limits_sender){ p->id, p->incarnation,
-                                                   m->sender.stamp, h->ready },
-                          h->has_demand ? h->demand : NULL, h->demand_count,
-                          now);
+    limits_record_report (
+        f->sessiond->limits,
+        &(struct limits_sender){ p->id, p->incarnation, m->sender.stamp,
+                                 h->ready, h->demand_is_full },
+        h->has_demand ? h->demand : NULL, h->demand_count, now);
   if (p->is_voter && h->echo != 0)
     owner_record_progress (f->sessiond->owner, h, h->echo);
   struct lease_heartbeat lease = {
--- a/session/packet.c
+++ b/session/packet.c
@@ -6,6 +6,8 @@
 
 /* Maximum demand of one organisation at one member, requests per second. */
 #define MAX_DEMAND_PER_S 1e9
+/* Units of an encoded demand in one request per second. */
+#define DEMAND_UNITS 100
 
 /* Version of the message format; messages of other versions are dropped. */
 #define PACKET_VERSION 4
@@ -47,7 +49,7 @@
 static void
 pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
-  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 6);
+  pack_array (p, 11 + 2 * OBJECT_KIND_COUNT + 7);
   pack_bstr (p, h->name);
   pack_bstr (p, h->address);
   pack_bstr (p, h->failure_domain);
@@ -86,13 +88,15 @@
       pack_uint (p, h->successors[i].member);
     }
   pack_bool (p, h->has_demand);
+  pack_bool (p, h->demand_is_full);
   pack_array (p, (unsigned)h->demand_count * 4);
   for (int i = 0; i < h->demand_count; i++)
     {
       pack_uint (p, h->demand[i].organisation);
       pack_uint (p, h->demand[i].spent);
-      pack_float (p, (float)h->demand[i].requests_per_s);
-      pack_float (p, (float)h->demand[i].tokens);
+      /* Small integers take fewer bytes than floating-point numbers. */
+      pack_uint (p, (uint64_t)(h->demand[i].requests_per_s * DEMAND_UNITS));
+      pack_int (p, (int64_t)floor (h->demand[i].tokens));
     }
   pack_array (p, (unsigned)h->progress_count * 3);
   for (int i = 0; i < h->progress_count; i++)
@@ -105,7 +109,7 @@
 static void
 unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
-  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 6);
+  unpack_array (u, 11 + 2 * OBJECT_KIND_COUNT + 7);
   h->name = unpack_string (parent, u);
   h->address = unpack_string (parent, u);
   h->failure_domain = unpack_string (parent, u);
@@ -154,6 +158,7 @@
       h->successors[i].member = unpack_uint (u);
     }
   h->has_demand = unpack_bool (u);
+  h->demand_is_full = unpack_bool (u);
   h->demand_count = (int)unpack_array_any (u, PACKET_MAX_DEMAND * 4) / 4;
   h->demand = talloc_zero_array (parent, struct limits_usage,
                                  (size_t)h->demand_count);
@@ -161,11 +166,9 @@
     {
       h->demand[i].organisation = unpack_uint (u);
       h->demand[i].spent = unpack_uint (u);
-      h->demand[i].requests_per_s = unpack_double (u);
-      u->failed |= h->demand[i].requests_per_s < 0
-                   || h->demand[i].requests_per_s > MAX_DEMAND_PER_S;
-      h->demand[i].tokens = unpack_double (u);
-      u->failed |= isnan (h->demand[i].tokens);
+      h->demand[i].requests_per_s = (double)unpack_uint (u) / DEMAND_UNITS;
+      u->failed |= h->demand[i].requests_per_s > MAX_DEMAND_PER_S;
+      h->demand[i].tokens = (double)unpack_int (u);
     }
   h->progress_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
   h->progress = talloc_zero_array (parent, struct packet_progress,
--- a/session/packet.h
+++ b/session/packet.h
@@ -93,7 +93,8 @@
   int grant_count;
   struct packet_successor *successors; /**< To voters only. */
   int successor_count;
-  bool has_demand; /**< The sender regards the receiver as a voter. */
+  bool has_demand;     /**< The sender regards the receiver as a voter. */
+  bool demand_is_full; /**< See limits_write_report. */
   struct limits_usage *demand; /**< To voters only. */
   int demand_count;
   /** Services that the sender owns and serves; to voters only. */
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -44,15 +44,16 @@
   for (int i = 0; i < f->owners; i++)
     {
       struct limits_usage report[4];
+      bool full;
       if (f->dead[i])
         continue;
-      int count = limits_write_report (f->owner[i], report, 4, f->now);
+      int count = limits_write_report (f->owner[i], report, 4, f->now, &full);
       for (int k = 0; k < f->owners; k++)
         if (k != i && !f->dead[k] && !f->cut[i] && !f->cut[k])
           limits_record_report (f->owner[k],
                                 &(struct limits_sender){ (uint64_t)i + 1,
                                                          f->incarnation[i],
-                                                         f->now, true },
+                                                         f->now, true, full },
                                 report, count, f->now);
     }
   for (int i = 0; i < f->owners; i++)
@@ -227,15 +228,16 @@
   struct fleet_limits *f = make_fleet (FEW_OWNERS, 100, 100);
   double demand[] = { 20, 20, 20 };
   struct limits_usage held[4];
+  bool full;
   run_requests (f, demand, 30);
-  int count = limits_write_report (f->owner[2], held, 4, f->now);
+  int count = limits_write_report (f->owner[2], held, 4, f->now, &full);
   int64_t held_stamp = f->now;
   run_requests (f, demand, 10);
   for (int i = 0; i < 2; i++)
-    limits_record_report (
-        f->owner[i],
-        &(struct limits_sender){ 3, f->incarnation[2], held_stamp, true },
-        held, count, f->now);
+    limits_record_report (f->owner[i],
+                          &(struct limits_sender){ 3, f->incarnation[2],
+                                                   held_stamp, true, true },
+                          held, count, f->now);
   f->refused = 0;
   run_requests (f, demand, 20);
   printf ("[%d of 1200 refused] ", f->refused);
@@ -260,7 +262,7 @@
         limits_record_report (f->owner[0],
                               &(struct limits_sender){ (uint64_t)k + 1,
                                                        f->incarnation[k],
-                                                       f->now, true },
+                                                       f->now, true, true },
                               NULL, 0, f->now);
       run_requests (f, (double[]){ 0, 30, 30 }, 0.2);
     }
@@ -377,13 +379,15 @@
 {
   struct limits_usage usage[4];
   int count;
+  bool is_full;
   int64_t arrives; /**< When it arrives; 0: no report on its way. */
 };
 
 static void
 send_report (struct fleet_limits *f, int i, struct sent_report *sent)
 {
-  sent->count = limits_write_report (f->owner[i], sent->usage, 4, f->now);
+  sent->count = limits_write_report (f->owner[i], sent->usage, 4, f->now,
+                                     &sent->is_full);
   sent->arrives = f->now + 2 * STEP_US;
   limits_begin_period (f->owner[i], true, 1000000, f->now);
 }
@@ -391,7 +395,8 @@
 static void
 deliver_report (struct fleet_limits *f, int i, struct sent_report *sent)
 {
-  struct limits_sender sender = { (uint64_t)i + 1, 1, f->now, true };
+  struct limits_sender sender
+      = { (uint64_t)i + 1, 1, f->now, true, sent->is_full };
   for (int k = 0; k < f->owners; k++)
     if (k != i)
       limits_record_report (f->owner[k], &sender, sent->usage, sent->count,
@@ -438,11 +443,12 @@
 {
   struct limits_usage report[4];
   struct limits *a = limits_create (NULL), *b = limits_create (NULL);
-  struct limits_sender sender = { 1, 1, 1, true };
+  struct limits_sender sender = { 1, 1, 1, true, true };
+  bool full;
   int retry, served = 0, count;
   limits_configure (a, ORGANISATION, 60, 60, 1);
   limits_configure (b, ORGANISATION, 60, 60, 1);
-  count = limits_write_report (a, report, 4, 1);
+  count = limits_write_report (a, report, 4, 1, &full);
   limits_record_report (b, &sender, report, count, 1);
   limits_begin_period (a, true, 1000000, 2000000);
   for (int i = 0; i < 200; i++)
@@ -451,7 +457,7 @@
   limits_begin_period (a, false, 1000000, 2100000);
   sender.may_spend = false;
   sender.stamp = 2100000;
-  count = limits_write_report (a, report, 4, 2100000);
+  count = limits_write_report (a, report, 4, 2100000, &full);
   limits_record_report (b, &sender, report, count, 2100000);
   limits_begin_period (b, true, 1000000, 2100000);
   for (int i = 0; i < 200; i++)
@@ -461,6 +467,46 @@
   talloc_free (b);
 }
 
+/* Guards against reports that repeat what has not changed: of 100
+   organisations that were in use a few go on, and reports are the largest part
+   of the heartbeats.  A change is in each report for two intervals, as the
+   receiver may miss one. */
+static void
+reports_list_what_has_changed (void)
+{
+  struct limits *l = limits_create (NULL);
+  struct limits_usage report[100];
+  bool full;
+  int retry, entries = 0, reports = 0, missing = 0;
+  for (uint64_t k = 1; k <= 100; k++)
+    limits_configure (l, k, 100, 100, 1);
+  limits_begin_period (l, true, 1000000, 1);
+  for (int64_t now = STEP_US; now < 12000000; now += STEP_US)
+    {
+      uint64_t organisation = now < 4000000
+                                  ? (uint64_t)(now / STEP_US) % 100 + 1
+                                  : (uint64_t)(now / STEP_US) % 5 + 1;
+      if (now % (10 * STEP_US) == 0)
+        limits_take_token (l, organisation, now, &retry);
+      if (now % REPORT_INTERVAL_US != 0)
+        continue;
+      int count = limits_write_report (l, report, 100, now, &full);
+      limits_begin_period (l, true, 1000000, now);
+      if (now < 6000000)
+        continue;
+      reports++;
+      entries += count;
+      bool found = false;
+      for (int i = 0; i < count; i++)
+        found |= report[i].organisation == 1;
+      missing += !found;
+    }
+  printf ("[%d entries in %d reports] ", entries, reports);
+  CU_ASSERT_TRUE (entries <= reports * 20);
+  CU_ASSERT_EQUAL (missing, 0);
+  talloc_free (l);
+}
+
 /* Guards against a lowered limit that does not apply while the
    organisation sends more than its rate. */
 static void
@@ -522,6 +568,7 @@
   { "owners_do_not_spend_the_same_tokens",
     owners_do_not_spend_the_same_tokens },
   { "former_owner_tells_what_it_spent", former_owner_tells_what_it_spent },
+  { "reports_list_what_has_changed", reports_list_what_has_changed },
   { "lower_limit_binds", lower_limit_binds },
   { "unknown_organisation_is_refused", unknown_organisation_is_refused },
   { NULL, NULL },
