--- a/core/replicas.c
+++ b/core/replicas.c
@@ -6,6 +6,14 @@
 /* Statements sent beyond the slots, so that the next one has arrived when one
    ends. */
 #define EXTRA_STATEMENTS 1
+/* An endpoint that owes an answer for this long is suspect: this time, or this
+   multiple of its latency if that is more. */
+#define SUSPECT_SILENCE_US INT64_C (220000)
+#define SUSPECT_LATENCIES 8
+/* The same limits for a read that a later statement has overtaken: answers
+   come in order but for the few statements that run side by side. */
+#define OVERTAKEN_US INT64_C (60000)
+#define OVERTAKEN_LATENCIES 4
 /* Weight of the newest time in the moving average, as a divisor. */
 #define LATENCY_DIVISOR 8
 /* Reads go to replicas unless these are slower than the primary by the ratio
@@ -23,6 +31,29 @@
   return view->slots + EXTRA_STATEMENTS;
 }
 
+static int64_t
+max_time (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+int64_t
+replicas_silence_limit (const struct replica_view *view)
+{
+  return max_time (SUSPECT_SILENCE_US, view->latency_us * SUSPECT_LATENCIES);
+}
+
+bool
+replicas_answer_is_lost (const struct replica_view *view, int64_t waited_us,
+                         bool is_overtaken)
+{
+  int64_t limit
+      = is_overtaken
+            ? max_time (OVERTAKEN_US, view->latency_us * OVERTAKEN_LATENCIES)
+            : replicas_silence_limit (view);
+  return waited_us > limit;
+}
+
 void
 replicas_record_latency (struct replica_view *view, int64_t latency_us)
 {
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -43,6 +43,16 @@
  * promoted; -1 if there is none. */
 int replicas_choose_successor (const struct replica_view *replicas, int count);
 
+/** @return whether the answer to a read that outlived an answer of its
+ * endpoint is to be taken for lost, so that the read is repeated.
+ * @param waited_us time since the read was sent.
+ * @param is_overtaken the endpoint has answered a statement that was sent
+ * later. */
+bool replicas_answer_is_lost (const struct replica_view *view,
+                              int64_t waited_us, bool is_overtaken);
+/** @return how long the endpoint may owe an answer before it is suspect, in
+ * microseconds. */
+int64_t replicas_silence_limit (const struct replica_view *view);
 /** @return how many unanswered statements an endpoint may have. */
 int replicas_max_statements (const struct replica_view *view);
 /** Updates the moving average with the time that a statement took. */
--- a/session/health.c
+++ b/session/health.c
@@ -5,10 +5,6 @@
 
 #include <inttypes.h>
 
-/* An endpoint that owes an answer for this long is suspect and is probed. */
-#define SUSPECT_SILENCE_US (220 * USEC_PER_MSEC)
-/* The same limit for slow endpoints, in multiples of their latency. */
-#define SUSPECT_LATENCIES 8
 /* A suspect endpoint that has not answered for this time fails: it gets no
    more statements.  Also the time limit of a probe. */
 #define PROBE_TIMEOUT_US (350 * USEC_PER_MSEC)
@@ -21,14 +17,6 @@
    sooner than this after an outage of the store. */
 #define MISSING_TIMEOUT_US (2500 * USEC_PER_MSEC)
 
-/* @return how long an answer may take before the endpoint is suspect. */
-static int64_t
-silence_limit (const struct endpoint *e)
-{
-  int64_t limit = e->replica.latency_us * SUSPECT_LATENCIES;
-  return limit > SUSPECT_SILENCE_US ? limit : SUSPECT_SILENCE_US;
-}
-
 /* Refuse queued statements after three quarters of their timeout. */
 static void
 expire_queue (struct service *s, int64_t now)
@@ -62,9 +50,11 @@
   bool too_late
       = now - ps->arrived_at > ps->statement->timeout_ms * USEC_PER_MSEC;
   /* The endpoint has answered later statements: this answer was lost. */
-  bool is_lost = ps->transaction == NULL && ps->statement->is_read
-                 && now - ps->sent_at > silence_limit (e)
-                 && e->answered_at > ps->sent_at;
+  bool is_lost
+      = ps->transaction == NULL && ps->statement->is_read
+        && e->answered_at > ps->sent_at
+        && replicas_answer_is_lost (&e->replica, now - ps->sent_at,
+                                    e->answered_sent_at > ps->sent_at);
   if (!too_late && !is_lost)
     return false;
   struct transaction *t = p->transaction;
@@ -118,7 +108,7 @@
       struct pending_statement *ps = p->pending;
       next = p->next;
       if (ps != NULL && ps->sent_at > e->answered_at
-          && now - ps->sent_at > silence_limit (e))
+          && now - ps->sent_at > replicas_silence_limit (&e->replica))
         mark_suspect (e, now, "no answer");
       if (p->is_probe && now - p->opened_at > PROBE_TIMEOUT_US)
         pool_close (p);
--- a/session/service.c
+++ b/session/service.c
@@ -579,6 +579,8 @@
   decrement_running (p);
   if (ps == NULL)
     return;
+  if (ps->sent_at > e->answered_sent_at)
+    e->answered_sent_at = ps->sent_at;
   if (answer->outcome == OUTCOME_OK && ps->statement->verb != VERB_BEGIN)
     replicas_record_latency (&e->replica, clock_now () - ps->sent_at);
   if (answer->outcome == OUTCOME_BEHIND)
--- a/session/service.h
+++ b/session/service.h
@@ -58,7 +58,9 @@
  does not drain. */
   struct replica_view replica; /**< Position, load and latency. */
   struct pooled_link *links;
-  int64_t answered_at;   /**< Time of its newest answer. */
+  int64_t answered_at;      /**< Time of its newest answer. */
+  int64_t answered_sent_at; /**< When the statement that was sent last among
+                               those that it answered was sent. */
   int64_t suspect_since; /**< Since when an answer is overdue; 0: none is. */
   int64_t failed_since;  /**< Since when it gets no statements; 0: it gets
                             them. */
--- a/tests/test_replicas.c
+++ b/tests/test_replicas.c
@@ -8,6 +8,12 @@
 
 #define MS INT64_C (1000)
 
+static int
+random_below (unsigned *seed, int bound)
+{
+  return (int)((unsigned)rand_r (seed) % (unsigned)bound);
+}
+
 static struct replica_view
 make_view (bool primary, int running, uint64_t number)
 {
@@ -182,6 +188,56 @@
   CU_ASSERT_EQUAL (index, 0);
 }
 
+/* Guards against reads that wait for a lost answer until they are late, and
+   against reads that are repeated although their answer is only slow: an
+   endpoint with two slots loses one answer in twenty; statements take 9 ms on
+   average, one in a hundred five times as long. */
+static void
+lost_answers_are_noticed_in_time (void)
+{
+  struct replica_view view = make_view (false, 0, 90);
+  int64_t slot_free[2] = { 0, 0 }, sent[4000], answered[4000];
+  unsigned seed = 3;
+  int lost = 0, late = 0, repeated = 0;
+  for (int i = 0; i < 4000; i++)
+    {
+      int slot = slot_free[0] <= slot_free[1] ? 0 : 1;
+      int64_t work = (3 + random_below (&seed, 13)) * MS;
+      if (random_below (&seed, 100) == 0)
+        work *= 5;
+      sent[i] = i * 8 * MS;
+      int64_t start = sent[i] > slot_free[slot] ? sent[i] : slot_free[slot];
+      slot_free[slot] = start + work;
+      answered[i] = random_below (&seed, 20) == 0 ? INT64_MAX : start + work;
+    }
+  for (int i = 0; i < 3900; i++)
+    {
+      int64_t noticed = 0;
+      for (int64_t now = sent[i]; noticed == 0 && now < answered[i]; now += MS)
+        {
+          bool has_answered = false, overtaken = false;
+          for (int k = i + 1; k < i + 100 && sent[k] < now; k++)
+            overtaken |= answered[k] <= now;
+          for (int k = i > 50 ? i - 50 : 0; k < i; k++)
+            has_answered |= answered[k] <= now && answered[k] > sent[i];
+          if ((overtaken || has_answered)
+              && replicas_answer_is_lost (&view, now - sent[i], overtaken))
+            noticed = now;
+        }
+      if (answered[i] != INT64_MAX)
+        {
+          repeated += noticed != 0;
+          continue;
+        }
+      lost++;
+      late += noticed == 0 || noticed - sent[i] > 100 * MS;
+    }
+  printf ("[%d of %d lost answers late, %d repeated] ", late, lost, repeated);
+  CU_ASSERT_TRUE (lost > 100);
+  CU_ASSERT_TRUE (late * 100 <= lost);
+  CU_ASSERT_TRUE (repeated * 100 <= 3900);
+}
+
 /* A service whose owner reports its progress to one reader, in virtual time.
    Messages take up to MAX_DELAY_US, in order. */
 
@@ -235,12 +291,6 @@
   int stale;
 };
 
-static int
-random_below (unsigned *seed, int bound)
-{
-  return (int)((unsigned)rand_r (seed) % (unsigned)bound);
-}
-
 static void
 exchange_progress (struct reader_world *w, int64_t now, unsigned *seed,
                    enum omission omission)
@@ -393,6 +443,7 @@
   { "history_covers_what_was_acknowledged",
     history_covers_what_was_acknowledged },
   { "near_endpoints_come_first", near_endpoints_come_first },
+  { "lost_answers_are_noticed_in_time", lost_answers_are_noticed_in_time },
   { "readers_see_what_the_bound_covers", readers_see_what_the_bound_covers },
   { NULL, NULL },
 };
