limits: first reports give the level of the bucket, and are answered in full

Cause: a process that was restarted ignored partial reports until the next full one, up to a second later, and took the whole rate for its own meanwhile; what the others had spent in that second was never missing from its bucket, as first reports were not counted at all. Change: the first report of a daemon lowers the bucket to the level that it reports, as after a silence; the first report of a process makes the next own one full. A new process does not know the level, so it reports the most that the bucket can hold, which empties nobody's. Test: limits/restarts_in_turn_spend_no_more_than_the_rate, 177.7 a second of 160 before, 167.6 after; new_owner_empties_no_bucket.

--- a/core/limits.c
+++ b/core/limits.c
@@ -54,8 +54,11 @@
   double burst; /**< Most tokens that the bucket holds. */
   double
       fraction; /**< Fraction of this daemon, 0 to 1; 0 if it may not spend. */
-  double tokens;       /**< In the fleet's bucket, as known here; negative:
-                          overspent. */
+  double tokens; /**< In the fleet's bucket, as known here; negative:
+                    overspent. */
+  /** Most tokens that the fleet's bucket can hold.  It is above tokens until a
+   * new process knows the level. */
+  double most;
   double allowance;    /**< Tokens that this daemon may spend now. */
   int64_t refilled_at; /**< When tokens was computed. */
   /** Tokens spent here since the own reports began to list the organisation.
@@ -127,11 +130,12 @@
     {
       double fresh = (double)(now - b->refilled_at) / USEC_PER_S * b->rate;
       b->tokens += fresh;
+      b->most += fresh;
       b->allowance += fresh * b->fraction;
     }
   b->refilled_at = now;
-  if (b->tokens > b->burst)
-    b->tokens = b->burst;
+  b->tokens = fmin (b->tokens, b->burst);
+  b->most = fmin (b->most, b->burst);
 }
 
 void
@@ -145,6 +149,7 @@
                                    (size_t)l->bucket_count + 1);
       b = &l->buckets[l->bucket_count++];
       *b = (struct token_bucket){ .organisation = organisation,
+                                  .most = burst,
                                   .refilled_at = now };
     }
   else
@@ -184,6 +189,7 @@
   if (b->tokens >= 1 && b->allowance >= 1)
     {
       b->tokens -= 1;
+      b->most -= 1;
       b->allowance -= 1;
       b->spent++;
       if ((double)(b->spent - b->reported_spent)
@@ -242,7 +248,7 @@
       b->reported_demand = b->demand;
       refill_bucket (b, now);
       out[count++] = (struct limits_usage){ b->organisation, b->spent,
-                                            b->demand, b->tokens };
+                                            b->demand, b->most };
     }
   return count;
 }
@@ -287,10 +293,12 @@
   refill_bucket (b, now);
   double debt = b->burst + b->rate * MAX_DEBT_S;
   b->tokens = fmax (b->tokens - (double)spent, -debt);
+  b->most = fmax (b->most - (double)spent, -debt);
 }
 
-/* Lowers the bucket to the level that the sender reports after a silence: the
-   sender kept counting meanwhile, while this daemon could not. */
+/* Lowers the bucket to the level that the sender reports after a silence, or
+   in its first report: the sender kept counting meanwhile, while this daemon
+   could not. */
 static void
 adopt_tokens (struct limits *l, const struct limits_usage *entry, int64_t now)
 {
@@ -299,6 +307,7 @@
     return;
   refill_bucket (b, now);
   b->tokens = fmin (b->tokens, entry->tokens);
+  b->most = fmin (b->most, entry->tokens);
 }
 
 /* Store a report: the entries of a full one replace all others. */
@@ -344,19 +353,23 @@
       = !is_first && !is_restarted && now - r->received_at > MAX_SILENCE_US;
   if (is_restarted)
     r->count = 0;
+  /* The other process may be a new one, which ignores partial reports until it
+     has received a full one. */
+  if (is_first || is_restarted)
+    l->full_report_at = 0;
   r->incarnation = sender->incarnation;
   r->stamp = sender->stamp;
   r->received_at = now;
   r->may_spend = sender->may_spend;
-  /* It is not known when the tokens in a sender's first report were spent,
-     so they are not subtracted. */
   for (int i = 0; was_silent && i < r->count; i++)
     r->entries[i].before_silence = true;
-  for (int k = 0; !is_first && k < count; k++)
+  for (int k = 0; k < count; k++)
     {
       const struct reported_usage *last
           = find_usage (r, usage[k].organisation);
-      if (last != NULL ? last->before_silence : was_silent)
+      /* It is not known when the tokens in a sender's first report were spent.
+       */
+      if (is_first || (last != NULL ? last->before_silence : was_silent))
         adopt_tokens (l, &usage[k], now);
       else
         subtract_spent (l, last, &usage[k], now);
--- a/core/limits.h
+++ b/core/limits.h
@@ -27,8 +27,8 @@
    */
   uint64_t spent;
   double requests_per_s; /**< Demand, refused requests included. */
-  double tokens; /**< In the fleet's bucket, as the sender knows it; negative
-                    after overspending. */
+  double tokens; /**< Most that the fleet's bucket can hold, as the sender
+                    knows it; negative after overspending. */
 };
 
 /** The sender of a report. */
@@ -69,11 +69,12 @@
 /** Records the report of another daemon, which arrived at @p now.  The spent
  * tokens of an organisation that a full report does not list count from zero
  * when it is listed again.  Until the first full report of a process, the
- * others are ignored.  After a long silence of the sender, the bucket is
- * lowered to the level that the sender reports instead of by the tokens that
- * it spent: the sender's bucket was refilled after those were spent, while the
- * bucket here may have been full, so that its refill was lost.
- * A report that is not newer than the last one of the same process is ignored:
+ * others are ignored; the first report of a process also makes the next own
+ * one full.  In the first report of a daemon and after a long silence of it,
+ * the bucket is lowered to the level that it reports instead of by the tokens
+ * that it spent: the sender's bucket was refilled after those were spent,
+ * while the bucket here may have been full, so that its refill was lost. A
+ * report that is not newer than the last one of the same process is ignored:
  * messages that a partition held up arrive after newer ones on another
  * connection.
  * @param usage NULL: the sender tells this daemon nothing, as it does not know
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -162,6 +162,62 @@
   free_fleet (f);
 }
 
+/* Guards against tokens that are spent twice while the owners are restarted in
+   turn and an organisation sends four times its rate: a new process knows
+   neither what the others spend nor what they ask for until their first full
+   reports arrive, and the others do not know what it spends. */
+static void
+restarts_in_turn_spend_no_more_than_the_rate (void)
+{
+  struct fleet_limits *f = make_fleet (OWNERS, 160, 320);
+  double demand[OWNERS];
+  for (int i = 0; i < OWNERS; i++)
+    demand[i] = 80;
+  run_requests (f, demand, 8);
+  for (int i = 0; i < 2 * OWNERS; i++)
+    {
+      f->dead[i % OWNERS] = true;
+      run_requests (f, demand, 0.5);
+      start_owner (f, i % OWNERS, 160, 320);
+      run_requests (f, demand, 0.9);
+    }
+  int from = 80, served = 0;
+  for (int i = from; i < from + 224; i++)
+    served += f->served[i];
+  printf ("[%d in a window, %.1f a second] ", max_served_in_window (f),
+          served / 22.4);
+  CU_ASSERT_TRUE (max_served_in_window (f)
+                  <= max_allowed_in_window (160, 320));
+  CU_ASSERT_TRUE (served <= 22.4 * 160 + 320 + 20);
+  CU_ASSERT_TRUE (served >= 22.4 * 160 * 0.9);
+  free_fleet (f);
+}
+
+/* Guards against refusals within the rate because a daemon joins: its bucket
+   starts empty, which says nothing about the bucket of the fleet. */
+static void
+new_owner_empties_no_bucket (void)
+{
+  struct limits_usage report[4];
+  struct limits *old = limits_create (NULL), *young = limits_create (NULL);
+  bool full;
+  int retry, served = 0;
+  limits_configure (old, ORGANISATION, 10, 100, 1);
+  limits_begin_period (old, true, 1000000, 20000000);
+  limits_configure (young, ORGANISATION, 10, 100, 20000000);
+  limits_begin_period (young, true, 1000000, 20000000);
+  limits_take_token (young, ORGANISATION, 20300000, &retry);
+  int count = limits_write_report (young, report, 4, 20400000, &full);
+  CU_ASSERT_EQUAL (count, 1);
+  limits_record_report (old, &(struct limits_sender){ 1, 1, 1, true, full },
+                        report, count, 20400000);
+  for (int i = 0; i < 60; i++)
+    served += limits_take_token (old, ORGANISATION, 20400000, &retry);
+  CU_ASSERT_EQUAL (served, 60);
+  talloc_free (old);
+  talloc_free (young);
+}
+
 /* Guards against refusals while the demand is below the rate but unevenly
    distributed over the owners. */
 static void
@@ -551,6 +607,9 @@
   { "hot_organisation_stays_within_its_limit",
     hot_organisation_stays_within_its_limit },
   { "restarts_give_no_second_burst", restarts_give_no_second_burst },
+  { "restarts_in_turn_spend_no_more_than_the_rate",
+    restarts_in_turn_spend_no_more_than_the_rate },
+  { "new_owner_empties_no_bucket", new_owner_empties_no_bucket },
   { "little_is_refused_below_the_rate", little_is_refused_below_the_rate },
   { "owner_after_a_cut_refuses_little", owner_after_a_cut_refuses_little },
   { "reports_that_were_held_up_take_nothing",
