bus: room for the connections of a whole fleet, attempts that end

Cause: ZeroMQ lets 100 connections wait to be accepted. After a loss of power 295 daemons connect to the same nine voters at once; opening packets that found no room were sent again after a second, and the observers knew no owner until then (event=daemon_heard at 8.64 s of daemons that served from 7.70 s on). Change: 2,048 may wait; a connection attempt that gets no answer is repeated after 400 ms, as the system would do so ever more slowly while a VM is down. Test: bus/whole_fleet_may_connect_at_once, red before.

--- a/net/bus.c
+++ b/net/bus.c
@@ -7,6 +7,14 @@
    peer that was out of reach. */
 #define DEFAULT_SEND_QUEUE_MESSAGES 64
 #define RECEIVE_QUEUE_MESSAGES 4096
+/* Connections that wait to be accepted.  After a loss of power all daemons of
+   a fleet connect to the same few at once; the system drops the opening packet
+   of one that finds no room, and it is sent again after a second or more. */
+#define LISTEN_BACKLOG 2048
+/* Time after which a connection attempt is given up and repeated.  The opening
+   packet to a VM that is down is otherwise repeated ever more slowly, also
+   once the VM is up. */
+#define CONNECT_TIMEOUT_MS 400
 
 /** Connection to one peer. */
 struct peer_socket
@@ -114,6 +122,7 @@
   bus->receiver = zmq_socket (bus->context, ZMQ_PULL);
   set_option (bus->receiver, ZMQ_LINGER, 0);
   set_option (bus->receiver, ZMQ_RCVHWM, RECEIVE_QUEUE_MESSAGES);
+  set_option (bus->receiver, ZMQ_BACKLOG, LISTEN_BACKLOG);
   zmq_setsockopt (bus->receiver, ZMQ_MAXMSGSIZE, &max_message,
                   sizeof max_message);
   snprintf (bound_address, sizeof bound_address, "%s", options->address);
@@ -150,6 +159,7 @@
   set_option (p->socket, ZMQ_SNDHWM, bus->send_queue);
   set_option (p->socket, ZMQ_RECONNECT_IVL, 100);
   set_option (p->socket, ZMQ_RECONNECT_IVL_MAX, 1000);
+  set_option (p->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
   if (zmq_connect (p->socket, address) != 0)
     {
       zmq_close (p->socket);
--- a/tests/test_bus.c
+++ b/tests/test_bus.c
@@ -4,6 +4,7 @@
 #include "tests/tests.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/socket.h>
@@ -229,11 +230,49 @@
   talloc_free (ev);
 }
 
+/* @return the number of connections that may wait to be accepted at the
+   listening socket with this port; -1: there is none. */
+static int
+backlog_of_port (int port)
+{
+  for (int fd = 3; fd < 256; fd++)
+    {
+      struct sockaddr_in address;
+      struct tcp_info info = { 0 };
+      int listens = 0;
+      socklen_t address_len = sizeof address, info_len = sizeof info,
+                listens_len = sizeof listens;
+      if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_len)
+              == 0
+          && listens
+          && getsockname (fd, (struct sockaddr *)&address, &address_len) == 0
+          && address.sin_family == AF_INET && ntohs (address.sin_port) == port
+          && getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &info_len) == 0)
+        /* Of a listening socket this field is the limit of its queue. */
+        return (int)info.tcpi_sacked;
+    }
+  return -1;
+}
+
+/* Guards against daemons that reach a voter seconds late after a loss of power
+   of the whole fleet, as the queue of its new connections was full. */
+static void
+whole_fleet_may_connect_at_once (void)
+{
+  struct tevent_context *ev = tevent_context_init (NULL);
+  struct receiver r;
+  open_receiver (&r, ev, on_received, "tcp://127.0.0.1:*");
+  const char *port = strrchr (bus_address (r.bus), ':') + 1;
+  CU_ASSERT (backlog_of_port ((int)strtol (port, NULL, 10)) >= 820);
+  talloc_free (ev);
+}
+
 static const struct test_case cases[] = {
   { "unreachable_peer_never_blocks", unreachable_peer_never_blocks },
   { "oversized_messages_are_dropped", oversized_messages_are_dropped },
   { "garbage_is_not_taken", garbage_is_not_taken },
   { "removed_peers_are_disconnected", removed_peers_are_disconnected },
+  { "whole_fleet_may_connect_at_once", whole_fleet_may_connect_at_once },
   { NULL, NULL },
 };
 TEST_SUITE (bus, cases)
