callers: START waits for the first configuration of a process

Cause: a daemon that has just started refused sessions until it had read its configuration, a few round trips later. Change: START waits for up to 300 ms; then, or when the configuration does not come, it is answered as before. Test: sessiond/restarted_daemon_lets_callers_wait, 5 of 5 refused before.

--- a/session/callers.c
+++ b/session/callers.c
@@ -19,6 +19,10 @@
 /* Retry time in the answer to a caller whose service has no owner.  Together
    with OWNER_WAIT_US this is the duration of one lease. */
 #define NO_OWNER_RETRY_MS 700
+/* Maximum time that START waits for the first configuration of a process: a
+   daemon that was restarted reads it within a few round trips.  A caller that
+   is refused would come back sooner. */
+#define FIRST_CONFIG_WAIT_US (300 * USEC_PER_MSEC)
 /* A configuration that may be out of date is used for this time; a new one
    reaches all members sooner.  Meanwhile, a database or key that it does not
    contain gets OUTCOME_BUSY instead of a denial; afterwards, every database
@@ -72,6 +76,9 @@
   uint64_t sequence; /**< Number of the newest statement sent to an owner. */
   struct session *session;
   bool is_started; /**< The caller's database and key were accepted. */
+  /** Until when START waits for the first configuration; 0: it does not
+   * wait. */
+  int64_t start_until;
   struct bstr database;
   struct bstr key;
   struct route route; /**< Copy that stays valid during a transaction. */
@@ -485,12 +492,12 @@
   talloc_free (c);
 }
 
+/* Answer START: accept the caller, or refuse it and end it. */
 static void
-start_session (struct caller *c, const struct wire_request *request)
+answer_start (struct caller *c)
 {
-  c->database = bstr_copy (c, request->database);
-  c->key = bstr_copy (c, request->key);
   enum outcome outcome = check_access (c);
+  c->start_until = 0;
   if (outcome != OUTCOME_OK)
     {
       sessiond_log_request (PART,
@@ -507,6 +514,32 @@
                                 (struct position){ 0, 0 }));
 }
 
+static void
+start_session (struct caller *c, const struct wire_request *request)
+{
+  c->database = bstr_copy (c, request->database);
+  c->key = bstr_copy (c, request->key);
+  if (c->callers->sessiond->config == NULL)
+    c->start_until = clock_now () + FIRST_CONFIG_WAIT_US;
+  else
+    answer_start (c);
+}
+
+/* Answer a START that waits, once the configuration is known or the wait is
+   over, and handle the lines that followed it. */
+static void
+check_start (struct caller *c, int64_t now)
+{
+  struct callers *f = c->callers;
+  uint64_t number = c->number;
+  if (c->start_until == 0
+      || (f->sessiond->config == NULL && now < c->start_until))
+    return;
+  answer_start (c);
+  if (find_caller (f, number) == c)
+    handle_queued_lines (c);
+}
+
 /* Answer the next statement after a BEGIN that was answered at once but has
    failed at the owner since. */
 static void
@@ -606,7 +639,7 @@
 on_line (void *data, struct bstr line)
 {
   struct caller *c = data;
-  if (!has_unanswered_statement (c))
+  if (c->start_until == 0 && !has_unanswered_statement (c))
     {
       handle_line (c, line);
       return;
@@ -748,9 +781,19 @@
   handle_queued_lines (c);
 }
 
+void
+callers_config_known (struct callers *f)
+{
+  int64_t now = clock_now ();
+  for (unsigned i = 0; i < f->slot_count; i++)
+    if (f->slots[i] != NULL)
+      check_start (f->slots[i], now);
+}
+
 static void
 on_tick (void *data)
 {
+  callers_config_known (data);
   callers_owners_changed (data);
 }
 
@@ -784,7 +827,7 @@
 static bool
 is_idle (const struct caller *c)
 {
-  return c->forwarded == NULL && c->queued_lines == NULL
+  return c->forwarded == NULL && c->queued_lines == NULL && c->start_until == 0
          && c->session->state == SESSION_IDLE;
 }
 
--- a/session/callers.h
+++ b/session/callers.h
@@ -17,6 +17,9 @@
 /** Must be called when owners may have changed: sends the statements that wait
  * for an owner and handles those whose owner is gone. */
 void callers_owners_changed (struct callers *f);
+/** Must be called when the first configuration is known: answers the callers
+ * whose START waits for it. */
+void callers_config_known (struct callers *f);
 /** @return the number of open sessions. */
 int callers_count (const struct callers *f);
 /** @return the number of sessions with an unfinished statement or
--- a/session/sessiond.c
+++ b/session/sessiond.c
@@ -122,6 +122,7 @@
 sessiond_config_changed (struct sessiond *r, const struct config *config)
 {
   int64_t now = clock_now ();
+  bool is_first = r->config == NULL;
   r->config = config;
   for (int i = 0; i < config->organisation_count; i++)
     limits_configure (r->limits, config->organisations[i].id,
@@ -132,6 +133,8 @@
     owner_config_changed (r->owner);
   if (r->fleet != NULL)
     fleet_services_changed (r->fleet);
+  if (is_first && r->callers != NULL)
+    callers_config_known (r->callers);
 }
 
 void
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -390,6 +390,30 @@
   talloc_free (s);
 }
 
+/* Guards against callers that are refused by a daemon that has just started
+   and reads its configuration: their sessions were lost with its previous
+   process, so they come at once. */
+static void
+restarted_daemon_lets_callers_wait (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int round = 0; round < 5; round++)
+    {
+      struct line_answer a = { .code = "" };
+      process_signal (s->daemons[1], SIGKILL);
+      CU_ASSERT_TRUE (sessiond_site_start_daemon (s, 1));
+      struct line_caller *c = line_open (s, sessiond_site_port (s, 1));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+      CU_ASSERT_TRUE (line_start (c, "main1", "key-a1", &a));
+      CU_ASSERT_STRING_EQUAL (a.code, "");
+      talloc_free (c);
+      CU_ASSERT_TRUE (sessiond_site_wait (s, 1, 1, SERVE_MS));
+    }
+  talloc_free (s);
+}
+
 /* Guards against open sessions that keep a revoked key or a removed route. */
 static void
 configuration_reaches_open_sessions (void)
@@ -1018,6 +1042,7 @@
   { "values_set_before_begin_is_sent", values_set_before_begin_is_sent },
   { "fleet_starts_again_after_a_kill_of_all",
     fleet_starts_again_after_a_kill_of_all },
+  { "restarted_daemon_lets_callers_wait", restarted_daemon_lets_callers_wait },
   { "configuration_reaches_open_sessions",
     configuration_reaches_open_sessions },
   { "fleet_serves_without_the_store", fleet_serves_without_the_store },
