placement: one member assigns services while a fleet starts

Cause: after a restart of all, members become ready one after the other and each claims the services that it ranks first for in its own view. Change: for 1.5 s after a member is ready, the ready member with the smallest id names the owners in its heartbeats, as for a released service; whoever is named claims at once. Services without an owner for 400 ms are claimed by anybody, as before.

--- a/core/placement.c
+++ b/core/placement.c
@@ -7,6 +7,10 @@
    some ten milliseconds, and two daemons may choose the same target. */
 #define REBALANCE_PERCENT 150
 
+/* After this time any daemon claims a service that has no owner: the best
+   candidate, or the one that assigns services, may not know that. */
+#define OTHERS_CLAIM_DELAY_US 400000
+
 /* A lag up to this is usual on a VM that has a small part of a core. */
 #define USUAL_LAG_US 15000
 /* Upper bound for one measurement, so that a single pause of the whole process
@@ -79,6 +83,24 @@
   return best;
 }
 
+enum placement_action
+placement_decide (const struct placement_view *view,
+                  const struct placement_service *service, int64_t unowned_us,
+                  int *chosen)
+{
+  *chosen = placement_choose_owner (view->daemons, view->count, service);
+  if (*chosen < 0)
+    return PLACEMENT_WAIT;
+  bool is_own = view->daemons[*chosen].id == view->self;
+  if (unowned_us > OTHERS_CLAIM_DELAY_US)
+    return PLACEMENT_CLAIM;
+  if (view->assigner != 0 && view->assigner != view->self)
+    return PLACEMENT_WAIT;
+  if (is_own)
+    return PLACEMENT_CLAIM;
+  return view->assigner == view->self ? PLACEMENT_ASSIGN : PLACEMENT_WAIT;
+}
+
 int
 placement_choose_rebalance_target (const struct placement_daemon *daemons,
                                    int count, int self)
--- a/core/placement.h
+++ b/core/placement.h
@@ -30,6 +30,26 @@
   uint64_t (*rank) (uint64_t service, uint64_t daemon);
 };
 
+/** What a daemon does for a service that has no owner. */
+enum placement_action
+{
+  PLACEMENT_WAIT,  /**< Another daemon claims or assigns it. */
+  PLACEMENT_CLAIM, /**< Claim it. */
+  PLACEMENT_ASSIGN /**< Tell the chosen daemon to claim it. */
+};
+
+/** What a daemon knows when services have no owner. */
+struct placement_view
+{
+  uint64_t self;
+  /** While a fleet starts, one daemon assigns the services: the others have
+   * different views of who is ready, and would claim the same ones.  0: each
+   * daemon claims those that it ranks first for. */
+  uint64_t assigner;
+  const struct placement_daemon *daemons;
+  int count;
+};
+
 /** How late the event loop of a daemon runs its timers. */
 struct placement_lag
 {
@@ -50,6 +70,14 @@
  * is 0. */
 int placement_choose_owner (const struct placement_daemon *daemons, int count,
                             const struct placement_service *service);
+/** Decides who claims a service that has no owner.
+ * @param unowned_us for how long it could have been claimed.
+ * @param chosen set to the index of the daemon that is to own it; -1: there is
+ * none. */
+enum placement_action
+placement_decide (const struct placement_view *view,
+                  const struct placement_service *service, int64_t unowned_us,
+                  int *chosen);
 /** @return the index of a daemon to which the daemon at @p self should move
  * one of its services; -1 if the load is balanced well enough. */
 int placement_choose_rebalance_target (const struct placement_daemon *daemons,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -291,6 +291,7 @@
   if (!was_alive || is_new)
     log_info (PART, "event=daemon_heard name=%s restarted=%d",
               p->name != NULL ? p->name : "unknown", is_new);
+  bool is_named = false;
   for (int i = 0; i < h->successor_count; i++)
     {
       struct ownership *t = ownership_find (f, h->successors[i].service);
@@ -298,6 +299,7 @@
         continue;
       t->successor = h->successors[i].member;
       t->successor_until = now + SUCCESSOR_CLAIM_US;
+      is_named |= t->successor == f->sessiond->self && t->claimed_at == 0;
     }
   if (p->is_voter)
     limits_record_report (
@@ -326,6 +328,8 @@
       && (changed
           || (p->is_voter && (is_new || has_unreported_services (f, now)))))
     fleet_schedule_heartbeats (f);
+  if (is_named)
+    ownerships_update (f, now);
   directory_compare_revisions (f->sessiond->directory, p->id, h);
   if (p->is_voter)
     owner_check_leases (f->sessiond->owner);
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -6,9 +6,10 @@
 /* A claim that has no majority after this time is cancelled and repeated after
    a random pause, so that two claims do not block each other. */
 #define CLAIM_TIMEOUT_US (300 * USEC_PER_MSEC)
-/* At first only the best candidate claims a service; the others may claim it
-   after this time. */
-#define OTHERS_CLAIM_DELAY_US (400 * USEC_PER_MSEC)
+/* For this time after a member is ready, one member assigns the services that
+   have no owner.  In a fleet that starts, members become ready over some
+   hundred milliseconds. */
+#define ASSIGN_US (1500 * USEC_PER_MSEC)
 /* For this time after a member is ready, it leaves services to voters that are
    not ready yet: long enough for a heartbeat and a copy of the
    configuration. */
@@ -190,11 +191,37 @@
   return best >= 0 && claimants[best].id != f->sessiond->self;
 }
 
-/* Cancel a claim that fails, or claim a service that has no owner if this
-   member is its best candidate. */
+/* @return the member that assigns services: the one with the smallest id that
+   is able to own some; 0: members claim services themselves. */
+static uint64_t
+find_assigner (const struct fleet *f, int64_t now)
+{
+  uint64_t best = may_own (f, now) ? f->sessiond->self : 0;
+  if (f->ready_since == 0 || now - f->ready_since >= ASSIGN_US)
+    return 0;
+  for (const struct peer *p = f->peers; p != NULL; p = p->next)
+    if (peer_is_alive (p, now) && p->is_voter && p->ready && !p->leaving
+        && (best == 0 || p->id < best))
+      best = p->id;
+  return best;
+}
+
+/* Name a member as the next owner of a service in the next heartbeats. */
+static void
+assign_service (struct fleet *f, struct ownership *t, uint64_t member,
+                int64_t now)
+{
+  t->release_to = t->successor = member;
+  t->release_until = t->successor_until = now + SUCCESSOR_CLAIM_US;
+  fleet_schedule_heartbeats (f);
+}
+
+/* Cancel a claim that fails, or claim or assign a service that has no
+   owner. */
 static void
 update_ownership (struct fleet *f, struct ownership *t,
-                  struct placement_daemon *daemons, int count, int64_t now)
+                  struct placement_daemon *daemons, int count,
+                  uint64_t assigner, int64_t now)
 {
   uint64_t owner = lease_owner (f->leases, t->service, now);
   log_owner (f, t, owner);
@@ -224,19 +251,21 @@
   int64_t claimable_since
       = t->unowned_since > granting_since ? t->unowned_since : granting_since;
   struct placement_service service = describe_service (t);
-  int best
-      = has_successor ? -1 : placement_choose_owner (daemons, count, &service);
-  bool should_claim
-      = has_successor
-            ? t->successor == f->sessiond->self
-            : best >= 0
-                  && (daemons[best].id == f->sessiond->self
-                      || now - claimable_since > OTHERS_CLAIM_DELAY_US);
+  struct placement_view view = { f->sessiond->self, assigner, daemons, count };
+  int best = -1;
+  enum placement_action action
+      = t->successor == f->sessiond->self ? PLACEMENT_CLAIM : PLACEMENT_WAIT;
+  if (!has_successor)
+    action = placement_decide (&view, &service, now - claimable_since, &best);
   /* The choices for the services that follow count this one as placed. */
   if (best >= 0)
     daemons[best].owned++;
-  if (should_claim && may_own (f, now) && now >= t->pause_until)
+  if (!may_own (f, now) || now < t->pause_until)
+    return;
+  if (action == PLACEMENT_CLAIM)
     ownership_claim (f, t, true, now);
+  else if (action == PLACEMENT_ASSIGN)
+    assign_service (f, t, daemons[best].id, now);
 }
 
 void
@@ -251,8 +280,9 @@
   /* All members go through the services in the same order, so that they
      arrive at the same distribution. */
   int count = list_candidates (f, daemons, &self, now);
+  uint64_t assigner = find_assigner (f, now);
   for (int i = 0; i < f->ownership_count; i++)
-    update_ownership (f, &f->ownerships[i], daemons, count, now);
+    update_ownership (f, &f->ownerships[i], daemons, count, assigner, now);
 }
 
 void
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -174,6 +174,121 @@
   CU_ASSERT_EQUAL (placement_choose_rebalance_target (d, DAEMONS, 0), -1);
 }
 
+#define START_SERVICES 20
+#define START_TICK_MS 10
+#define START_TICKS 40
+
+/* @return when the member is ready; the one with the smallest id is neither
+   the first nor the last. */
+static int
+ready_at (int member)
+{
+  return 200 + (member * 4 + 2) % DAEMONS * 20;
+}
+
+/* Nine members of a fleet that starts become ready within 160 ms.  The others
+   know of it, and of claims, 30 ms later.  Members act once they know of a
+   majority.
+   @return the number of claims beyond one for each service. */
+static int
+count_surplus_claims (bool has_assigner)
+{
+  int claimed_at[START_SERVICES][DAEMONS], assigned_at[START_SERVICES] = { 0 };
+  int assigned_to[START_SERVICES] = { 0 }, surplus = 0;
+  memset (claimed_at, 0, sizeof claimed_at);
+  for (int now = 200; now < 200 + START_TICKS * START_TICK_MS;
+       now += START_TICK_MS)
+    for (int self = 0; self < DAEMONS; self++)
+      {
+        struct placement_daemon d[DAEMONS];
+        struct placement_view view = { (uint64_t)self + 1, 0, d, 0 };
+        struct placement_daemon all[DAEMONS];
+        make_daemons (all);
+        if (now < ready_at (self))
+          continue;
+        for (int i = 0; i < DAEMONS; i++)
+          {
+            int delay = i == self ? 0 : 30;
+            if (now < ready_at (i) + delay)
+              continue;
+            for (int s = 0; s < START_SERVICES; s++)
+              all[i].owned
+                  += claimed_at[s][i] != 0 && now >= claimed_at[s][i] + delay;
+            d[view.count++] = all[i];
+          }
+        if (view.count <= DAEMONS / 2)
+          continue;
+        if (has_assigner)
+          view.assigner = d[0].id;
+        for (int s = 0; s < START_SERVICES; s++)
+          {
+            struct placement_service service = { (uint64_t)s, "b", rank };
+            bool is_claimed = false;
+            int chosen = -1;
+            for (int i = 0; i < DAEMONS; i++)
+              is_claimed |= claimed_at[s][i] != 0
+                            && now >= claimed_at[s][i] + (i == self ? 0 : 30);
+            if (is_claimed)
+              continue;
+            bool is_named
+                = assigned_to[s] == self + 1 && now >= assigned_at[s] + 30;
+            enum placement_action action
+                = is_named ? PLACEMENT_CLAIM
+                  : assigned_to[s] != 0
+                      ? PLACEMENT_WAIT
+                      : placement_decide (&view, &service, 0, &chosen);
+            if (chosen >= 0)
+              d[chosen].owned++;
+            if (action == PLACEMENT_CLAIM)
+              claimed_at[s][self] = now;
+            if (action == PLACEMENT_ASSIGN)
+              {
+                assigned_to[s] = (int)d[chosen].id;
+                assigned_at[s] = now;
+              }
+          }
+      }
+  for (int s = 0; s < START_SERVICES; s++)
+    {
+      int claims = 0;
+      for (int i = 0; i < DAEMONS; i++)
+        claims += claimed_at[s][i] != 0;
+      CU_ASSERT_TRUE (claims >= 1);
+      surplus += claims - 1;
+    }
+  return surplus;
+}
+
+/* Guards against members of a fleet that starts which claim the same services,
+   as each ranks first in its own view. */
+static void
+members_that_start_claim_no_service_twice (void)
+{
+  int without = count_surplus_claims (false);
+  printf ("[%d surplus claims without an assigner] ", without);
+  CU_ASSERT_TRUE (without > 0);
+  CU_ASSERT_EQUAL (count_surplus_claims (true), 0);
+}
+
+/* Guards against services that nobody claims because the member that assigns
+   them does not act. */
+static void
+assigner_is_not_waited_for_long (void)
+{
+  struct placement_daemon d[DAEMONS];
+  struct placement_view view = { 2, 1, d, DAEMONS };
+  struct placement_service service = { 7, "c", rank };
+  int chosen;
+  make_daemons (d);
+  CU_ASSERT_EQUAL (placement_decide (&view, &service, 300000, &chosen),
+                   PLACEMENT_WAIT);
+  CU_ASSERT_EQUAL (placement_decide (&view, &service, 500000, &chosen),
+                   PLACEMENT_CLAIM);
+  view.count = 0;
+  CU_ASSERT_EQUAL (placement_decide (&view, &service, 500000, &chosen),
+                   PLACEMENT_WAIT);
+}
+
 static const struct test_case cases[] = {
   { "services_follow_the_size", services_follow_the_size },
   { "near_daemon_comes_first", near_daemon_comes_first },
@@ -181,6 +296,9 @@
   { "moves_come_to_an_end", moves_come_to_an_end },
   { "even_load_stays", even_load_stays },
   { "slow_owner_is_relieved", slow_owner_is_relieved },
+  { "members_that_start_claim_no_service_twice",
+    members_that_start_claim_no_service_twice },
+  { "assigner_is_not_waited_for_long", assigner_is_not_waited_for_long },
   { NULL, NULL },
 };
 
