pool: few connections go round, and reads stay where one is

Causes: a connection belongs to one organisation. (2) A read went to whichever replica was free and opened a connection there, which occupies a slot as long as a statement: 20,684 connections for 51,202 requests. (3) Before six failure domains two thirds of a replica's connections were for its reader, which has a sixth of the reads. Changes: (1) for 500 ms after a refusal the pool has no more connections than the endpoint accepted, and the least recently used free one makes room; (2) a read that needs a new connection counts as two statements; (3) reader and owner divide the connections by the number of failure domains. Tests: sessiond/few_connections_go_round (no statement of the second organisation served before), replicas/reads_stay_where_a_connection_is, connections_follow_the_failure_domains.

--- a/core/replicas.c
+++ b/core/replicas.c
@@ -20,6 +20,9 @@
    of these factors, as the primary has the writes to run. */
 #define PRIMARY_COST 3
 #define REPLICA_COST 2
+/* Largest part of the connections to a replica that its reader gets, in
+   percent: the owner also sends the reads that a reader cannot run. */
+#define MAX_READER_PERCENT 67
 /* Factor for endpoints in other failure domains: bytes between these are
    expensive, but a read does not wait at a near endpoint for the time of
    another read. */
@@ -77,7 +80,9 @@
 static int64_t
 read_cost (const struct replica_view *r, bool prefer_primary)
 {
-  int64_t cost = (r->running + 1) * (r->latency_us + 1) / r->slots;
+  /* A new connection occupies a slot for about as long as a statement. */
+  int64_t cost = (r->running + 1 + r->needs_connection) * (r->latency_us + 1)
+                 / r->slots;
   if (!r->is_near)
     cost *= FAR_COST;
   if (prefer_primary)
@@ -118,6 +123,18 @@
   return choice;
 }
 
+int
+replicas_reader_connections (int limit, int replicas, int domains)
+{
+  /* Each failure domain has an equal part of the reads.  The reader of a
+     replica has one such part; the owner divides those of the domains without
+     a replica among all replicas. */
+  int share = domains > 0 ? limit * replicas / domains : limit;
+  if (share > limit * MAX_READER_PERCENT / 100)
+    share = limit * MAX_READER_PERCENT / 100;
+  return share;
+}
+
 int
 replicas_choose_successor (const struct replica_view *replicas, int count)
 {
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -15,6 +15,7 @@
   bool usable; /**< Answers, accepts statements, belongs to the group. */
   bool is_primary;
   bool is_near;             /**< In the failure domain of this daemon. */
+  bool needs_connection;    /**< The read would open a new connection. */
   int slots;                /**< Statements that it can run at a time. */
   int running;              /**< Statements sent and not answered. */
   int64_t latency_us;       /**< Moving average of a statement's time. */
@@ -55,6 +56,13 @@
 int64_t replicas_silence_limit (const struct replica_view *view);
 /** @return how many unanswered statements an endpoint may have. */
 int replicas_max_statements (const struct replica_view *view);
+/** @return how many of the connections to a replica are for the daemon that
+ * runs bounded reads of the callers in the replica's failure domain; the
+ * others are for the owner, which has the reads of all other callers.
+ * @param limit number of all of them.
+ * @param replicas number of replicas in the group.
+ * @param domains number of failure domains with callers. */
+int replicas_reader_connections (int limit, int replicas, int domains);
 /** Updates the moving average with the time that a statement took. */
 void replicas_record_latency (struct replica_view *view, int64_t latency_us);
 
--- a/session/directory.c
+++ b/session/directory.c
@@ -65,6 +65,7 @@
   struct collection collections[OBJECT_KIND_COUNT];
   struct endpoint_entry *endpoints;
   int endpoint_count;
+  int domain_count; /**< See directory_domain_count. */
   void *endpoint_memory;
   const struct config *config;
   bool reaches_store;
@@ -156,6 +157,22 @@
   return clock_now ();
 }
 
+static int
+count_domains (const struct endpoint_entry *entries, int count)
+{
+  int domains = 0;
+  for (int i = 0; i < count; i++)
+    {
+      int k = 0;
+      while (k < i
+             && !bstr_equals (entries[k].failure_domain,
+                              entries[i].failure_domain))
+        k++;
+      domains += k == i;
+    }
+  return domains;
+}
+
 static void
 decode_endpoints (struct directory *d, const json_t *items)
 {
@@ -181,6 +198,7 @@
   d->endpoint_memory = memory;
   d->endpoints = entries;
   d->endpoint_count = count;
+  d->domain_count = count_domains (entries, count);
   sessiond_endpoints_changed (d->sessiond);
 }
 
@@ -453,6 +471,12 @@
              : 1;
 }
 
+int
+directory_domain_count (const struct directory *d)
+{
+  return d->domain_count;
+}
+
 bool
 directory_has (const struct directory *d, enum object_kind kind)
 {
--- a/session/directory.h
+++ b/session/directory.h
@@ -17,6 +17,8 @@
 /** Read the list of voters, unless a watch on it is active already. */
 void directory_read_voters (struct directory *d);
 
+/** @return the number of failure domains that endpoints are in. */
+int directory_domain_count (const struct directory *d);
 /** @return the entries of endpoints without the invalid ones; valid until the
  * next change. */
 const struct endpoint_entry *directory_endpoints (const struct directory *d,
--- a/session/owner.c
+++ b/session/owner.c
@@ -131,12 +131,17 @@
     return;
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     e->is_listed = false;
+  s->listed_count = 0;
   for (int i = 0; i < count; i++)
-    if (bstr_equals_text (entries[i].service, s->name)
-        && (!s->reads_only
-            || bstr_equals_text (entries[i].failure_domain,
-                                 s->sessiond->options->failure_domain)))
-      update_endpoint (s, &entries[i]);
+    {
+      if (!bstr_equals_text (entries[i].service, s->name))
+        continue;
+      s->listed_count++;
+      if (!s->reads_only
+          || bstr_equals_text (entries[i].failure_domain,
+                               s->sessiond->options->failure_domain))
+        update_endpoint (s, &entries[i]);
+    }
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     if (!e->is_listed && e->missing_since == 0)
       {
--- a/session/pool.c
+++ b/session/pool.c
@@ -1,4 +1,5 @@
 #include "common/log.h"
+#include "session/directory.h"
 #include "session/service.h"
 
 /* Part of an endpoint's connections that the pool does not use: they are for
@@ -7,6 +8,10 @@
 #define RESERVED_CONNECTIONS 2
 /* Connections that the pool may open at any setting. */
 #define MIN_CONNECTIONS 2
+/* For this time after an endpoint has refused a connection, the pool has no
+   more than the endpoint accepted.  After a loss of power the endpoint keeps
+   the connections of the previous process for some seconds. */
+#define REFUSED_LIMIT_US (500 * USEC_PER_MSEC)
 /* Cost of a connection that must be reset: more than that of setting
    SESSION_MAX_VALUES values. */
 #define RESET_COST 1000
@@ -121,9 +126,18 @@
   return best;
 }
 
+bool
+pool_has_free_link (const struct endpoint *e, struct bstr organisation)
+{
+  for (const struct pooled_link *p = e->links; p != NULL; p = p->next)
+    if (link_is_free (p)
+        && bstr_equals (link_organisation (p->link), organisation))
+      return true;
+  return false;
+}
+
 /* @return how many connections to an endpoint the pool may have: at a replica
-   two thirds are for the reader in its failure domain, the others for the
-   owner. */
+   the reader in its failure domain and the owner divide them. */
 static int
 connection_limit (const struct endpoint *e)
 {
@@ -134,11 +148,25 @@
             : NULL;
   int limit = config != NULL ? config->max_connections - RESERVED_CONNECTIONS
                              : MIN_CONNECTIONS;
+  int for_reader = replicas_reader_connections (
+      limit, s->listed_count - 1,
+      directory_domain_count (s->sessiond->directory));
   if (s->reads_only)
-    limit = limit * 2 / 3;
+    limit = for_reader;
   else if (e != s->primary)
-    limit = limit / 3;
-  return limit > MIN_CONNECTIONS ? limit : MIN_CONNECTIONS;
+    limit -= for_reader;
+  if (limit < MIN_CONNECTIONS)
+    limit = MIN_CONNECTIONS;
+  return clock_now () < e->refused_until && limit > e->refused_limit
+             ? e->refused_limit
+             : limit;
+}
+
+void
+pool_limit_connections (struct endpoint *e, int64_t now)
+{
+  e->refused_limit = e->link_count > 1 ? e->link_count : 1;
+  e->refused_until = now + REFUSED_LIMIT_US;
 }
 
 /* Close the least recently used free connection.
@@ -165,9 +193,12 @@
       = find_free_link (e, organisation, values, value_count);
   if (p != NULL)
     return p;
-  if (clock_now () < e->no_connection_until)
-    return NULL;
-  if (e->link_count >= connection_limit (e) && !close_oldest_free_link (e))
+  if (e->link_count >= connection_limit (e))
+    {
+      if (!close_oldest_free_link (e))
+        return NULL;
+    }
+  else if (clock_now () < e->no_connection_until)
     return NULL;
   return pool_open (e, organisation);
 }
--- a/session/service.c
+++ b/session/service.c
@@ -315,6 +315,8 @@
       replicas[count].is_near
           = strcmp (e->failure_domain, s->sessiond->options->failure_domain)
             == 0;
+      replicas[count].needs_connection
+          = !pool_has_free_link (e, ps->statement->organisation);
       /* A draining primary still has all commits, so reads outside of
          transactions may go to it. */
       replicas[count].usable = e->is_listed && !e->is_wrong_endpoint
@@ -696,7 +698,10 @@
   struct transaction *t = p->transaction;
   int64_t now = clock_now ();
   if (loss->outcome == OUTCOME_NO_CONNECTION)
-    e->no_connection_until = now + NO_CONNECTION_PAUSE_US;
+    {
+      e->no_connection_until = now + NO_CONNECTION_PAUSE_US;
+      pool_limit_connections (e, now);
+    }
   else if (loss->outcome == OUTCOME_WRONG_ENDPOINT)
     {
       e->is_wrong_endpoint = true;
--- a/session/service.h
+++ b/session/service.h
@@ -67,7 +67,12 @@
   int64_t
       next_probe_at; /**< Earliest time of the next probe after it failed. */
   int64_t next_status_at; /**< Earliest time of the next status request. */
-  int64_t no_connection_until; /**< No connection is opened before. */
+  int64_t no_connection_until; /**< No connection is opened before, unless it
+                                  takes the place of another one. */
+  /** Until refused_until, most connections that the pool has: as many as the
+   * endpoint accepted when it refused one. */
+  int refused_limit;
+  int64_t refused_until;
   int64_t status_at;    /**< Time of its newest answer to STATUS; 0: none. */
   uint64_t status_term; /**< Term in its newest answer to STATUS. */
   uint64_t reached_by;  /**< Member that reaches it while this daemon does not;
@@ -150,6 +155,8 @@
   enum service_phase phase;
   int64_t phase_since;
   struct endpoint *endpoints;
+  int listed_count; /**< Entries of endpoints of the service, those included
+                       that this daemon sends nothing to. */
   struct endpoint *primary;     /**< NULL: not known. */
   uint64_t term;                /**< Term of the primary. */
   struct position branch_point; /**< Where the current term began, as far as
@@ -251,6 +258,11 @@
 struct pooled_link *pool_acquire (struct endpoint *e, struct bstr organisation,
                                   const struct session_value *values,
                                   int value_count);
+/** The endpoint refused a connection because it has too many: keep to those
+ * that it accepted for a while. */
+void pool_limit_connections (struct endpoint *e, int64_t now);
+/** @return whether a connection for @p organisation is free. */
+bool pool_has_free_link (const struct endpoint *e, struct bstr organisation);
 /** Open a connection. @return NULL if it cannot be started. */
 struct pooled_link *pool_open (struct endpoint *e, struct bstr organisation);
 /** Close a connection and remove it from the pool. */
--- a/tests/test_replicas.c
+++ b/tests/test_replicas.c
@@ -52,6 +52,42 @@
   CU_ASSERT_EQUAL (index, 0);
 }
 
+/* Guards against reads of many organisations that go to whichever replica is
+   free: each would open a connection, which occupies a slot, at every replica.
+   A replica that has a connection serves them unless it is much busier. */
+static void
+reads_stay_where_a_connection_is (void)
+{
+  struct replica_view r[]
+      = { make_view (true, 0, 50), make_view (false, 0, 50),
+          make_view (false, 0, 50) };
+  int index = -1;
+  r[0].needs_connection = r[1].needs_connection = true;
+  for (int running = 0; running < 2; running++)
+    {
+      r[2].running = running;
+      CU_ASSERT_EQUAL (
+          replicas_choose_for_read (r, 3, position_at (40), false, 0, &index),
+          REPLICAS_FOUND);
+      CU_ASSERT_EQUAL (index, running == 0 ? 2 : 1);
+    }
+  r[1].needs_connection = false;
+  r[2].running = 1;
+  replicas_choose_for_read (r, 3, position_at (40), false, 0, &index);
+  CU_ASSERT_EQUAL (index, 1);
+}
+
+/* Guards against an owner with few connections to replicas before many
+   failure domains, and against a reader with too few before three. */
+static void
+connections_follow_the_failure_domains (void)
+{
+  CU_ASSERT_EQUAL (replicas_reader_connections (30, 2, 3), 20);
+  CU_ASSERT_EQUAL (replicas_reader_connections (30, 2, 6), 10);
+  CU_ASSERT_EQUAL (replicas_reader_connections (30, 2, 1), 20);
+  CU_ASSERT_EQUAL (replicas_reader_connections (30, 2, 0), 20);
+}
+
 /* Guards against reads that go to replicas whose log lacks the required
    position, as when they replay a hundred times as late. */
 static void
@@ -435,6 +471,9 @@
 
 static const struct test_case cases[] = {
   { "replicas_serve_bounded_reads", replicas_serve_bounded_reads },
+  { "reads_stay_where_a_connection_is", reads_stay_where_a_connection_is },
+  { "connections_follow_the_failure_domains",
+    connections_follow_the_failure_domains },
   { "replicas_that_lag_are_left_out", replicas_that_lag_are_left_out },
   { "newest_data_comes_from_the_primary_first",
     newest_data_comes_from_the_primary_first },
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -414,6 +414,57 @@
   talloc_free (s);
 }
 
+/* Open connections to a database until it refuses one, as those of a daemon
+   that lost power do for some seconds. */
+static void
+use_up_connections (void *parent, const json_t *entry)
+{
+  struct line_answer a;
+  const char *address = json_string_value (
+      json_object_get (json_object_get (entry, "spec"), "address"));
+  int port = (int)strtol (strrchr (address, ':') + 1, NULL, 10);
+  for (int i = 0; i < 100; i++)
+    {
+      struct line_caller *c = line_open (parent, port);
+      if (c == NULL || !line_start (c, "ledger-1", "alpha", &a))
+        return;
+    }
+  CU_FAIL ("the database takes any number of connections");
+}
+
+/* Guards against organisations that are not served while an endpoint has too
+   many connections: those that the pool has must go round. */
+static void
+few_connections_go_round (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  char url[100];
+  char *body = NULL;
+  struct line_answer a;
+  const json_t *entry;
+  size_t i;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *alpha = start_session (s, 0, "main1", "key-a1");
+  struct line_caller *beta = start_session (s, 0, "main1", "key-b");
+  CU_ASSERT_TRUE (line_query (alpha, &a, "WRITE one x"));
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers",
+            process_port (s->platform));
+  CU_ASSERT_EQUAL (process_http (s, "GET", url, NULL, &body), 200);
+  json_t *list = json_loads (body, 0, NULL);
+  json_array_foreach (json_object_get (list, "items"), i, entry)
+      use_up_connections (s, entry);
+  int served = 0;
+  for (int round = 0; round < 10; round++)
+    {
+      served += line_query (beta, &a, "WRITE two y");
+      served += line_query (alpha, &a, "WRITE one x");
+    }
+  CU_ASSERT_EQUAL (served, 20);
+  json_decref (list);
+  talloc_free (s);
+}
+
 /* Guards against open sessions that keep a revoked key or a removed route. */
 static void
 configuration_reaches_open_sessions (void)
@@ -1043,6 +1094,7 @@
   { "fleet_starts_again_after_a_kill_of_all",
     fleet_starts_again_after_a_kill_of_all },
   { "restarted_daemon_lets_callers_wait", restarted_daemon_lets_callers_wait },
+  { "few_connections_go_round", few_connections_go_round },
   { "configuration_reaches_open_sessions",
     configuration_reaches_open_sessions },
   { "fleet_serves_without_the_store", fleet_serves_without_the_store },
