--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -390,6 +390,27 @@
          == (ssize_t)strlen (text);
 }
 
+bool
+line_send (struct line_caller *c, const char *lines)
+{
+  return send_text (c, lines);
+}
+
+int
+line_count_answers (struct line_caller *c, int expected)
+{
+  int answered = 0;
+  while (answered < expected)
+    {
+      struct line_answer a = { .state = 0 };
+      read_answer (c, &a);
+      if (a.state == 0)
+        break;
+      answered++;
+    }
+  return answered;
+}
+
 bool
 line_start (struct line_caller *c, const char *database, const char *key,
             struct line_answer *answer)
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -122,6 +122,12 @@
 bool line_query (struct line_caller *c, struct line_answer *answer,
                  const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
+/** Send lines without waiting for answers. */
+bool line_send (struct line_caller *c, const char *lines);
+/** Read answers until there are @p expected of them, one is late or the
+ * session is closed.
+ * @return their number. */
+int line_count_answers (struct line_caller *c, int expected);
 /** @return whether the daemon has closed the session. */
 bool line_is_closed (struct line_caller *c, int timeout_ms);
 
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -692,6 +692,89 @@
   talloc_free (s);
 }
 
+#define STOP_CALLERS 20
+#define PIPELINED 10
+
+/* Guards against statements that SIGTERM cuts off under load: each of many
+   callers has sent several statements at once, of which some were only read,
+   some are queued and some run; a new configuration and SIGHUP come too. */
+static void
+planned_stop_answers_what_was_sent (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 3, .services = 1, .grace_ms = 3000 });
+  struct line_caller *c[STOP_CALLERS];
+  int answered = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < STOP_CALLERS; i++)
+    c[i] = start_session (s, 0, "main1", "key-a1");
+  for (int i = 0; i < STOP_CALLERS; i++)
+    {
+      char lines[PIPELINED * 60] = "";
+      for (int k = 0; k < PIPELINED; k++)
+        snprintf (lines + strlen (lines), sizeof lines - strlen (lines),
+                  "QUERY %08x%08x %s item%d%s\r\n", i + 1, k + 1,
+                  k % 3 == 0 ? "WRITE" : "READ", i, k % 3 == 0 ? " x" : "");
+      CU_ASSERT_TRUE (line_send (c[i], lines));
+      if (i == STOP_CALLERS / 2)
+        {
+          CU_ASSERT_TRUE (sessiond_site_configure (s));
+          process_signal (s->daemons[0], SIGHUP);
+          process_signal (s->daemons[0], SIGTERM);
+        }
+    }
+  for (int i = 0; i < STOP_CALLERS; i++)
+    answered += line_count_answers (c[i], PIPELINED);
+  CU_ASSERT_EQUAL (answered, STOP_CALLERS * PIPELINED);
+  CU_ASSERT_EQUAL (process_wait (s->daemons[0], 6000), 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
+/* @return whether a session with the key is accepted. */
+static bool
+accepts_key (struct sessiond_site *s, int daemon, const char *key)
+{
+  struct line_answer a;
+  struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
+  bool accepted = c != NULL && line_start (c, "main1", key, &a)
+                  && line_query (c, &a, "READ one");
+  talloc_free (c);
+  return accepted;
+}
+
+/* Guards against a withdrawn key that is in use again after a restart while
+   the store is down: one of the daemons that give the restarted one its copy
+   was paused when the key was withdrawn, and knows it still. */
+static void
+restarted_daemon_uses_no_withdrawn_key (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 4, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (accepts_key (s, 3, "key-a2"));
+  process_signal (s->daemons[2], SIGSTOP);
+  json_t *organisation
+      = json_array_get (json_object_get (s->config, "tenants"), 0);
+  json_array_remove (json_object_get (organisation, "api-keys"), 1);
+  CU_ASSERT_TRUE (sessiond_site_configure (s));
+  usleep (700000);
+  CU_ASSERT_FALSE (accepts_key (s, 3, "key-a2"));
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  process_signal (s->daemons[3], SIGKILL);
+  process_signal (s->daemons[2], SIGCONT);
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, 3));
+  int accepted = 0;
+  for (int64_t end = sessiond_site_now_ms () + 3000;
+       sessiond_site_now_ms () < end; usleep (20000))
+    accepted += accepts_key (s, 3, "key-a2");
+  CU_ASSERT_EQUAL (accepted, 0);
+  CU_ASSERT_TRUE (accepts_key (s, 3, "key-a1"));
+  CU_ASSERT_FALSE (accepts_key (s, 2, "key-a2"));
+  talloc_free (s);
+}
+
 /* @return the value of a metric, -1 if there is none. */
 static double
 read_metric (struct sessiond_site *s, int daemon, const char *name)
@@ -1078,6 +1161,72 @@
   talloc_free (s);
 }
 
+/* Guards against messages that end a daemon: packets of all kinds that are
+   truncated, changed in one byte, repeated or of another version, and lines
+   that no caller should send. */
+static void
+malformed_messages_end_no_daemon (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  struct error err = { 0 };
+  unsigned seed = 11;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct scripted_member d = { .ev = tevent_context_init (s) };
+  d.bus = bus_create (s,
+                      &(struct bus_options){ .ev = d.ev,
+                                             .address = "tcp://127.0.0.1:*",
+                                             .max_message = PACKET_MAX_BYTES,
+                                             .send_queue = 4000,
+                                             .received = count_result,
+                                             .data = &d },
+                      &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (d.bus);
+  snprintf (d.address, sizeof d.address, "tcp://127.0.0.1:%d",
+            sessiond_site_port (s, 0) + 3);
+  for (int kind = 0; kind < PACKET_KIND_COUNT; kind++)
+    {
+      struct packet *m = talloc_zero (s, struct packet);
+      m->kind = (enum packet_kind)kind;
+      if (m->kind == PACKET_HEARTBEAT)
+        m->heartbeat.capacity = 1000;
+      m->sender = (struct packet_sender){ 78, 1, 0, clock_now (), 0 };
+      struct bstr bytes = packet_encode (m, m);
+      for (int i = 0; i < 100; i++)
+        {
+          char *changed = bstr_to_text (m, bytes);
+          changed[(size_t)rand_r (&seed) % bytes.len] ^= (char)rand_r (&seed);
+          bus_send (d.bus, d.address,
+                    (struct bstr){ changed,
+                                   i % 2 == 0 ? bytes.len
+                                              : bytes.len * (size_t)i / 100 });
+        }
+      bus_send (d.bus, d.address, bytes);
+      bus_send (d.bus, d.address, bytes);
+      loop_run (d.ev, 50, has_results, &d);
+      talloc_free (m);
+    }
+  static const char *const lines[]
+      = { "\r\n",
+          "START\r\n",
+          "QUERY x\r\n",
+          "RELEASE now\r\n",
+          "START a b c d e f\r\nQUERY 1 BEGIN\r\n",
+          "\xff\xfe\r\n" };
+  for (size_t i = 0; i < sizeof lines / sizeof lines[0]; i++)
+    {
+      struct line_caller *c = line_open (s, sessiond_site_port (s, 0));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+      CU_ASSERT_TRUE (line_send (c, lines[i]));
+      line_is_closed (c, 100);
+      talloc_free (c);
+    }
+  CU_ASSERT_EQUAL (process_wait (s->daemons[0], 100), -1);
+  CU_ASSERT_TRUE (sessiond_site_wait (s, 0, 1, SERVE_MS));
+  CU_ASSERT_TRUE (sessiond_site_wait (s, 1, 1, SERVE_MS));
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "statement_behind_a_forgotten_begin", statement_behind_a_forgotten_begin },
   { "session_reads_its_writes", session_reads_its_writes },
@@ -1105,6 +1254,10 @@
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
+  { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
+  { "restarted_daemon_uses_no_withdrawn_key",
+    restarted_daemon_uses_no_withdrawn_key },
+  { "malformed_messages_end_no_daemon", malformed_messages_end_no_daemon },
   { "former_owner_acknowledges_no_lost_commit",
     former_owner_acknowledges_no_lost_commit },
   { "owner_of_all_gives_services_away", owner_of_all_gives_services_away },
