daemon: keys are checked before bodies are read

Cause: a request without a key, or with an unknown one, and a malformed body got 400 with what is wrong in the body. Change: 401 with no word on the body; a daemon without a configuration still says that first. Test: fleet/unknown_callers_learn_nothing_of_the_body, 10 of 15 requests got 400 before (read from the code; the test ran on the new code only).

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -115,6 +115,29 @@
   return key_entry->organisation;
 }
 
+/* Checks a key that is given, before anything is said about the body.  A
+   caller without a key may read from services that allow it.  A daemon without
+   a configuration cannot tell, and says so later.
+   @return false if the request was refused. */
+static bool
+admit_caller (struct pending_request *r)
+{
+  struct bstr key = bearer_key (r->http);
+  return key.len == 0 || r->front->daemon->settings == NULL
+         || check_key (r, key) != NULL;
+}
+
+/* Refuses a request whose body is malformed; a caller without a key learns
+   nothing about the body. */
+static void
+refuse_body (struct pending_request *r, const char *code, const char *text)
+{
+  if (bearer_key (r->http).len == 0)
+    refuse (r, 401, "unauthenticated", "no key was given", 0);
+  else
+    refuse (r, 400, code, text, 0);
+}
+
 /* Determines the organisation of the request from its key, or refuses the
    request.  A read without a key belongs to the service's open organisation,
    if the service allows open reads. */
@@ -410,10 +433,9 @@
   r->query = query_parse (r, r->http->body, &err);
   if (r->query != NULL)
     return true;
-  refuse (r, 400,
-          err.code == ERROR_REFUSED ? "forbidden_statement"
-                                    : "invalid_request",
-          err.text, 0);
+  refuse_body (
+      r, err.code == ERROR_REFUSED ? "forbidden_statement" : "invalid_request",
+      err.text);
   return false;
 }
 
@@ -421,7 +443,8 @@
 static void
 on_query (struct pending_request *r)
 {
-  if (!parse_query_body (r) || !find_group (r, r->query->service)
+  if (!admit_caller (r) || !parse_query_body (r)
+      || !find_group (r, r->query->service)
       || !authenticate (r, r->query->is_read) || !decode_session_token (r))
     return;
   set_deadline (r, r->query->deadline_ms);
@@ -449,17 +472,17 @@
 static void
 on_begin (struct pending_request *r)
 {
-  struct error err = { 0 };
+  if (!admit_caller (r))
+    return;
   json_t *json
       = json_loadb (r->http->body.start != NULL ? r->http->body.start : "",
                     r->http->body.len, 0, NULL);
   const char *service = json_string_value (json_object_get (json, "service"));
   char *name = talloc_strdup (r, service != NULL ? service : "");
   json_decref (json);
-  (void)err;
   if (name[0] == '\0')
     {
-      refuse (r, 400, "invalid_request", "\"service\" must be a string", 0);
+      refuse_body (r, "invalid_request", "\"service\" must be a string");
       return;
     }
   if (!find_group (r, bstr_from (name)) || !authenticate (r, false))
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -416,6 +416,32 @@
   talloc_free (f);
 }
 
+/* Guards against callers without a valid key that are told what is wrong with
+   their body. */
+static void
+unknown_callers_learn_nothing_of_the_body (void)
+{
+  static const char *const paths[] = { "/v1/query", "/v1/transactions" };
+  static const char *const bodies[]
+      = { "{", "{\"service\":7}", "{\"service\":\"lending\",\"mode\":1}" };
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  REQUIRE (f != NULL);
+  for (int p = 0; p < 2; p++)
+    for (int b = 0; b < 2 + (p == 0); b++)
+      for (int k = 0; k < 3; k++)
+        {
+          const char *key = k == 0 ? NULL : k == 1 ? "azw_unknown" : f->key;
+          struct fleet_answer a
+              = fleet_post (f, 0, NULL, paths[p], key, NULL, bodies[b]);
+          CU_ASSERT_EQUAL (a.status, k == 2 ? 400 : 401);
+          CU_ASSERT_STRING_EQUAL (fleet_answer_text (&a, "outcome"),
+                                  "not_run");
+          json_decref (a.json);
+        }
+done:
+  talloc_free (f);
+}
+
 /* Guards against a request that runs for an organisation without access to the
    service, and a session token that another organisation can use. */
 static void
@@ -832,6 +858,8 @@
   { "primary_killed_while_the_platform_is_stopped",
     primary_killed_while_the_platform_is_stopped },
   { "key_revoked_on_an_open_connection", key_revoked_on_an_open_connection },
+  { "unknown_callers_learn_nothing_of_the_body",
+    unknown_callers_learn_nothing_of_the_body },
   { "other_organisations_are_refused", other_organisations_are_refused },
   { "queued_request_of_a_revoked_key_is_refused",
     queued_request_of_a_revoked_key_is_refused },
