--- a/core/lease.h
+++ b/core/lease.h
@@ -2,7 +2,8 @@
  * Ownership of services by session daemons, agreed by leases that a majority
  * of the voters grants.  Grants travel in heartbeats and are kept in memory
  * only: a voter that has just started grants nothing for one lease, so that it
- * cannot contradict a grant that it made before its restart.
+ * cannot contradict a grant that it made before its restart, unless heartbeats
+ * of the other voters show sooner that no such grant counts.
  *
  * A process that is not in the list of voters is an observer: it grants and
  * owns nothing, and learns the owners from their claims.
@@ -30,7 +31,8 @@
   uint64_t self;        /**< Id of this member. */
   uint64_t incarnation; /**< Grows with every start of the process. */
   int64_t duration_us;  /**< Duration of a lease. */
-  int64_t now;          /**< Time at which the process started. */
+  int64_t now;          /**< Time at which the process started; the stamps of
+                           its heartbeats are not smaller. */
 };
 
 /** A list of voters.  The next list may follow only once
@@ -83,7 +85,8 @@
   uint64_t incarnation;
   int64_t stamp;  /**< Sender's clock when it was sent. */
   int64_t echo;   /**< Newest stamp of this member that the sender has;
-                     0: none. */
+                     0: none.  A stamp of an earlier process of this member
+                     is smaller than lease_options.now. */
   uint64_t epoch; /**< Epoch of the sender's list of voters. */
   const struct lease_claim
       *claims; /**< Services that the sender owns or wants to own. */
