--- a/session/callers.c
+++ b/session/callers.c
@@ -19,9 +19,8 @@
 /* Retry time in the answer to a caller whose service has no owner.  Together
    with OWNER_WAIT_US this is the duration of one lease. */
 #define NO_OWNER_RETRY_MS 700
-/* Maximum time that START waits for the first configuration of a process: a
-   daemon that was restarted reads it within a few round trips.  A caller that
-   is refused would come back sooner. */
+/* Maximum time that START waits for the first configuration of a process.  A
+   refusal would cost the caller one of its few attempts. */
 #define FIRST_CONFIG_WAIT_US (300 * USEC_PER_MSEC)
 /* A configuration that may be out of date is used for this time; a new one
    reaches all members sooner.  Meanwhile, a database or key that it does not
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -7,8 +7,8 @@
    a random pause, so that two claims do not block each other. */
 #define CLAIM_TIMEOUT_US (300 * USEC_PER_MSEC)
 /* For this time after a member is ready, one member assigns the services that
-   have no owner.  In a fleet that starts, members become ready over some
-   hundred milliseconds. */
+   have no owner, as members of a fleet that starts have different views of
+   who is ready. */
 #define ASSIGN_US (1500 * USEC_PER_MSEC)
 /* For this time after a member is ready, it leaves services to voters that are
    not ready yet: long enough for a heartbeat and a copy of the
