--- a/session/sessiond.c
+++ b/session/sessiond.c
@@ -436,8 +436,10 @@
   printf ("ready port=%s\n", strrchr (options->listen, ':') + 1);
   fflush (stdout);
   log_info (PART,
-            "event=started name=%s failure_domain=%s incarnation=%" PRIx64,
-            options->name, options->failure_domain, r->incarnation);
+            "event=started name=%s failure_domain=%s incarnation=%" PRIx64
+            " clock_ms=%" PRId64,
+            options->name, options->failure_domain, r->incarnation,
+            clock_now () / USEC_PER_MSEC);
   while (!r->stopped && tevent_loop_once (r->ev) == 0)
     ;
   log_info (PART, "event=stopped sessions=%d", callers_count (r->callers));
