tests: the store comes back from an older copy

The stand-in's store sends Store-Era in all answers, takes a copy and comes back from it: revisions and history are those of the copy, watches that wait end, and a watch from a revision above the newest gets 410. The writes of the operator and of the databases are repeated after a time that the test sets, those of the daemons are not.

configuration_after_a_restore_is_in_force: routes after0, after1 and after2 are refused with NODB by all three daemons for 3 s. The store's revision is still below that of the daemons, which ignore its lists.

reused_revision_hides_no_configuration: "[vm-0: third key-a1 is "NODB" instead of ""] [vm-0: main1 key-a2 is "" instead of "NOAUTH"]", the same on vm-1 and vm-2, and with both ways in which watches end. The store is at the daemons' revision again, so their watches wait and no list is read.

--- a/standins/site.h
+++ b/standins/site.h
@@ -40,7 +40,8 @@
 int site_store_port (const struct site_store *s);
 
 /** Create or replace an object, as the operator and databases do; an object
- * with an equal spec keeps its revision.
+ * with an equal spec keeps its revision.  If a restore from a copy loses the
+ * change, it is written again; a write by HTTP is not.
  * @param spec takes over the reference. */
 void site_store_write (struct site_store *s, const char *kind,
                        const char *name, json_t *spec);
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -46,21 +46,34 @@
                                first_holder. */
   bool refuse_all_holders;  /**< Refuse all promotion records. */
   bool lose_answers;        /**< Run writes, but answer them with 500. */
+  uint64_t era;      /**< Number of restores plus 1; header Store-Era. */
+  uint64_t requests; /**< Calls but those of the test. */
+  /** Copy of kinds, events, revision and oldest_revision; NULL: none. */
+  json_t *snapshot;
+  /** What the operator and the databases wrote last, in this order:
+   * {kind, name, spec}; the spec of a deleted object is null. */
+  json_t *outside_writes;
+  struct tevent_timer *rewrite_timer; /**< NULL: no rewrite is due. */
 };
 
 static void
-reply_json (struct http_request *request, unsigned status, json_t *body)
+reply_json (const struct site_store *s, struct http_request *request,
+            unsigned status, json_t *body)
 {
   void *scratch = talloc_new (NULL);
+  const struct http_header headers[]
+      = { { "Store-Era", talloc_asprintf (scratch, "%" PRIu64, s->era) },
+          { NULL, NULL } };
   http_reply (request, status, "application/json",
-              json_text_take (scratch, body, JSON_COMPACT), NULL);
+              json_text_take (scratch, body, JSON_COMPACT), headers);
   talloc_free (scratch);
 }
 
 static void
-reply_empty (struct http_request *request, unsigned status)
+reply_empty (const struct site_store *s, struct http_request *request,
+             unsigned status)
 {
-  reply_json (request, status, json_object ());
+  reply_json (s, request, status, json_object ());
 }
 
 /* @return the objects of @p kind by name; the map is created if the kind is
@@ -99,17 +112,23 @@
   return found;
 }
 
+static void
+unlink_watch (struct watcher *w)
+{
+  struct watcher **at = &w->store->watchers;
+  while (*at != w)
+    at = &(*at)->next;
+  *at = w->next;
+}
+
 /* Answer a watch with the events since its start, and free it. */
 static void
 finish_watch (struct watcher *w)
 {
   struct site_store *s = w->store;
-  struct watcher **at = &s->watchers;
   json_t *events = events_since (s, w->kind, w->since);
-  while (*at != w)
-    at = &(*at)->next;
-  *at = w->next;
-  reply_json (w->request, 200,
+  unlink_watch (w);
+  reply_json (s, w->request, 200,
               json_pack ("{s:o, s:I}", "events",
                          events != NULL ? events : json_array (),
                          "store-revision", (json_int_t)s->revision));
@@ -158,9 +177,11 @@
                     "finalizers", "deleting", 0, "spec", spec, "status");
 }
 
-void
-site_store_write (struct site_store *s, const char *kind, const char *name,
-                  json_t *spec)
+/* Create or replace an object, unless its spec stays the same.
+   @param spec its reference is taken over. */
+static void
+put_object (struct site_store *s, const char *kind, const char *name,
+            json_t *spec)
 {
   json_t *objects = get_objects (s, kind);
   json_t *old = json_object_get (objects, name);
@@ -174,8 +195,8 @@
   record_event (s, kind, object, false);
 }
 
-void
-site_store_delete (struct site_store *s, const char *kind, const char *name)
+static void
+remove_object (struct site_store *s, const char *kind, const char *name)
 {
   json_t *objects = get_objects (s, kind);
   json_t *object = json_incref (json_object_get (objects, name));
@@ -187,6 +208,140 @@
   json_decref (object);
 }
 
+/* Remember a write of the operator or of a database as the newest one.
+   @param spec its reference is taken over. */
+static void
+record_outside_write (struct site_store *s, const char *kind, const char *name,
+                      json_t *spec)
+{
+  json_t *write;
+  size_t i;
+  json_array_foreach (s->outside_writes, i, write)
+  {
+    if (strcmp (json_string_value (json_object_get (write, "kind")), kind) != 0
+        || strcmp (json_string_value (json_object_get (write, "name")), name)
+               != 0)
+      continue;
+    if (json_equal (json_object_get (write, "spec"), spec))
+      {
+        json_decref (spec);
+        return;
+      }
+    json_array_remove (s->outside_writes, i);
+    break;
+  }
+  json_array_append_new (
+      s->outside_writes,
+      json_pack ("{s:s, s:s, s:o}", "kind", kind, "name", name, "spec", spec));
+}
+
+void
+site_store_write (struct site_store *s, const char *kind, const char *name,
+                  json_t *spec)
+{
+  record_outside_write (s, kind, name, json_incref (spec));
+  put_object (s, kind, name, spec);
+}
+
+void
+site_store_delete (struct site_store *s, const char *kind, const char *name)
+{
+  record_outside_write (s, kind, name, json_null ());
+  remove_object (s, kind, name);
+}
+
+/* Restores from a copy. */
+
+static void
+take_snapshot (struct site_store *s)
+{
+  json_decref (s->snapshot);
+  s->snapshot = json_pack (
+      "{s:o, s:o, s:I, s:I}", "kinds", json_deep_copy (s->kinds), "events",
+      json_copy (s->events), "revision", (json_int_t)s->revision,
+      "oldest_revision", (json_int_t)s->oldest_revision);
+}
+
+/* Write again what a restore has lost of the operator's and the databases'
+   writes.  What the daemons wrote stays lost. */
+static void
+rewrite_outside (struct site_store *s)
+{
+  json_t *write;
+  size_t i;
+  json_array_foreach (s->outside_writes, i, write)
+  {
+    const char *kind = json_string_value (json_object_get (write, "kind"));
+    const char *name = json_string_value (json_object_get (write, "name"));
+    json_t *spec = json_object_get (write, "spec");
+    if (json_is_null (spec))
+      remove_object (s, kind, name);
+    else
+      put_object (s, kind, name, json_incref (spec));
+  }
+}
+
+static void
+on_rewrite_due (struct tevent_context *ev, struct tevent_timer *timer,
+                struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct site_store *s = data;
+  s->rewrite_timer = NULL;
+  rewrite_outside (s);
+}
+
+/* End the watches that wait, without events if @p with_answer, otherwise with
+   503. */
+static void
+end_watches (struct site_store *s, bool with_answer)
+{
+  while (s->watchers != NULL)
+    {
+      struct watcher *w = s->watchers;
+      unlink_watch (w);
+      if (with_answer)
+        reply_json (s, w->request, 200,
+                    json_pack ("{s:[], s:I}", "events", "store-revision",
+                               (json_int_t)s->revision));
+      else
+        reply_empty (s, w->request, 503);
+      talloc_free (w);
+    }
+}
+
+/* Put the copy back, which the next restore can use again.
+   @param rewrite_ms time until the operator's and the databases' writes are
+   repeated; -1: they are not.
+   @return false if there is no copy. */
+static bool
+restore_snapshot (struct site_store *s, json_int_t rewrite_ms,
+                  bool answers_watches)
+{
+  if (s->snapshot == NULL)
+    return false;
+  json_decref (s->kinds);
+  json_decref (s->events);
+  s->kinds = json_deep_copy (json_object_get (s->snapshot, "kinds"));
+  s->events = json_copy (json_object_get (s->snapshot, "events"));
+  s->revision = (uint64_t)json_integer_value (
+      json_object_get (s->snapshot, "revision"));
+  s->oldest_revision = (uint64_t)json_integer_value (
+      json_object_get (s->snapshot, "oldest_revision"));
+  s->era++;
+  end_watches (s, answers_watches);
+  TALLOC_FREE (s->rewrite_timer);
+  if (rewrite_ms == 0)
+    rewrite_outside (s);
+  else if (rewrite_ms > 0)
+    s->rewrite_timer = tevent_add_timer (
+        s->options.ev, s,
+        tevent_timeval_current_ofs ((uint32_t)rewrite_ms / 1000,
+                                    (uint32_t)rewrite_ms % 1000 * 1000),
+        on_rewrite_due, s);
+  return true;
+}
+
 static int
 compare_names (const void *a, const void *b)
 {
@@ -221,13 +376,14 @@
         }
       json_array_append (items, json_object_get (objects, names[i]));
     }
-  reply_json (request, 200,
+  reply_json (s, request, 200,
               json_pack ("{s:o, s:b, s:I}", "items", items, "has-more", more,
                          "store-revision", (json_int_t)s->revision));
 }
 
-/* Answer with the changes since a revision, or wait for the next one. A watch
-   that would need forgotten history is answered with 410. */
+/* Answer with the changes since a revision, or wait for the next one.  A watch
+   that would need forgotten history, or starts from a revision that the store
+   does not have, is answered with 410. */
 static void
 start_watch (struct site_store *s, struct http_request *request,
              const char *kind)
@@ -236,9 +392,9 @@
   struct bstr wait = http_query_value (request, "wait-ms");
   uint64_t revision = strtoull (since.start, NULL, 10);
   long wait_ms = wait.len > 0 ? strtol (wait.start, NULL, 10) : 0;
-  if (revision < s->oldest_revision)
+  if (revision < s->oldest_revision || revision > s->revision)
     {
-      reply_empty (request, 410);
+      reply_empty (s, request, 410);
       return;
     }
   struct watcher *w = talloc_zero (s, struct watcher);
@@ -306,14 +462,13 @@
            && json_integer_value (expected) != current_revision)
     status = 409;
   else
-    site_store_write (s, kind, name,
-                      json_incref (json_object_get (body, "spec")));
+    put_object (s, kind, name, json_incref (json_object_get (body, "spec")));
   json_t *answer
       = name != NULL ? json_object_get (get_objects (s, kind), name) : NULL;
   if (status == 200 && lose)
-    reply_empty (request, 500);
+    reply_empty (s, request, 500);
   else
-    reply_json (request, status,
+    reply_json (s, request, status,
                 answer != NULL ? json_incref (answer) : json_object ());
   json_decref (body);
 }
@@ -329,14 +484,14 @@
   json_int_t current_revision = json_integer_value (
       json_object_get (json_object_get (old, "meta"), "revision"));
   if (old == NULL)
-    reply_empty (request, 404);
+    reply_empty (s, request, 404);
   else if (expected.len > 0
            && strtoll (expected.start, NULL, 10) != current_revision)
-    reply_json (request, 409, json_incref (old));
+    reply_json (s, request, 409, json_incref (old));
   else
     {
-      site_store_delete (s, kind, name);
-      reply_empty (request, 200);
+      remove_object (s, kind, name);
+      reply_empty (s, request, 200);
     }
 }
 
@@ -351,7 +506,7 @@
   if (service != NULL && id != NULL && token.len > 0)
     status = s->options.promote (s->options.data, service, id,
                                  strtoull (token.start, NULL, 10));
-  reply_empty (request, status);
+  reply_empty (s, request, status);
   json_decref (body);
 }
 
@@ -368,7 +523,12 @@
   bool ok = true;
   if (bstr_equals_text (request->method, "GET"))
     {
-      reply_json (request, 200, s->options.get_observations (s->options.data));
+      json_t *observations = s->options.get_observations (s->options.data);
+      json_object_set_new (observations, "requests",
+                           json_integer ((json_int_t)s->requests));
+      json_object_set_new (observations, "revision",
+                           json_integer ((json_int_t)s->revision));
+      reply_json (s, request, 200, observations);
       goto done;
     }
   if (database != NULL && fault != NULL)
@@ -386,9 +546,16 @@
       json_array_clear (s->events);
       s->oldest_revision = s->revision;
     }
+  if (json_is_true (json_object_get (body, "snapshot")))
+    take_snapshot (s);
+  if (json_is_true (json_object_get (body, "restore")))
+    ok = restore_snapshot (
+             s, json_integer_value (json_object_get (body, "rewrite_ms")),
+             json_is_true (json_object_get (body, "answer_watches")))
+         && ok;
   if (config != NULL)
     site_store_write (s, "config", "main", json_incref (config));
-  reply_empty (request, ok ? 200 : 404);
+  reply_empty (s, request, ok ? 200 : 404);
 done:
   json_decref (body);
 }
@@ -405,9 +572,10 @@
       serve_control (s, request);
       return;
     }
+  s->requests++;
   if (s->down)
     {
-      reply_empty (request, 503);
+      reply_empty (s, request, 503);
       return;
     }
   if (strcmp (path, "/promote") == 0)
@@ -417,7 +585,7 @@
     }
   int parts = sscanf (path, "/v1/objects/%100[^/]/%90[^/]", kind, name);
   if (parts < 1)
-    reply_empty (request, 404);
+    reply_empty (s, request, 404);
   else if (!bstr_equals_text (request->method, "GET"))
     {
       if (bstr_equals_text (request->method, "DELETE"))
@@ -429,9 +597,9 @@
     {
       json_t *object = json_object_get (get_objects (s, kind), name);
       if (object != NULL)
-        reply_json (request, 200, json_incref (object));
+        reply_json (s, request, 200, json_incref (object));
       else
-        reply_empty (request, 404);
+        reply_empty (s, request, 404);
     }
   else if (http_query_value (request, "watch").len > 0)
     start_watch (s, request, kind);
@@ -453,6 +621,8 @@
 {
   json_decref (s->kinds);
   json_decref (s->events);
+  json_decref (s->snapshot);
+  json_decref (s->outside_writes);
   return 0;
 }
 
@@ -465,6 +635,8 @@
   s->options = *options;
   s->kinds = json_object ();
   s->events = json_array ();
+  s->outside_writes = json_array ();
+  s->era = 1;
   talloc_set_destructor (s, store_destructor);
   s->revision = 1;
   s->server = http_server_create (
