platform: revisions grow when the store is restored from a copy

Cause: the store may come back from a copy some seconds old. Its revisions go back and are given out again. The directory ordered what it read by the bare revision: it ignored a list that was not above its own revision, went on to watch from its own, was told that this history is gone, and read the list again, without a pause, until the store's revision had passed the old one. Changes under revisions that were given out again were missed for good.

The first watch after a failed call returns at once, as only an answer shows the era. The configuration is ordered by its own version: a member keeps the newest one while the store shows an older one or none, and gives that to members that ask. A second refused watch in a row waits before the next list. The pages of a list are of one era, and count as read at the revision of the first one.

--- a/session/directory.c
+++ b/session/directory.c
@@ -19,6 +19,8 @@
 #define WATCH_SHORT_CONFIG_MS 1500
 #define WATCH_SHORT_ENDPOINTS_MS 3000
 #define SHORT_WATCH_MEMBERS 2
+/* Time-out of the first watch after a failed call. */
+#define RECONNECT_WATCH_MS 1
 /* Time-out of a call that lists a collection. */
 #define CALL_TIMEOUT_MS 1500
 /* Pause after the first failed call.  It doubles with each further one, up to
@@ -45,11 +47,15 @@
   json_t *items; /**< Objects by name. */
   /** Objects of the pages that the running list call has read so far. */
   json_t *pending_items;
-  uint64_t revision; /**< The items include all changes up to it. */
-  uint64_t digest;   /**< See directory_digest. */
+  uint64_t pending_revision; /**< Revision of the first one of these pages. */
+  uint64_t revision;         /**< The items include all changes up to it. */
+  uint64_t digest;           /**< See directory_digest. */
   /** Cached copy for other members; may be empty or of an older revision. */
   struct packet_copy copy;
-  int64_t retry_us; /**< Pause before the next retry; 0: no call failed. */
+  int64_t retry_us;     /**< Pause before the next retry; 0: no call failed. */
+  bool is_reconnecting; /**< No watch was answered since a call failed. */
+  /** The store has refused a watch since one was answered. */
+  bool watch_refused;
   /** Since when another member has had a newer revision; 0: none has. */
   int64_t behind_since;
   int64_t requested_at; /**< Time of the last request for a copy; 0: never. */
@@ -68,6 +74,7 @@
   int domain_count; /**< See directory_domain_count. */
   void *endpoint_memory;
   const struct config *config;
+  json_t *config_object; /**< The object that holds it. */
   bool reaches_store;
   /** Since when it has been uncertain whether the configuration is the newest
    * one; 0: it is the newest. */
@@ -116,24 +123,48 @@
   return digest;
 }
 
+/* Keep the newest configuration in the collection, for the copies that other
+   members request: a store that was restored from a copy shows an older one
+   for a while, or none. */
 static void
-decode_config (struct directory *d, const json_t *items)
+keep_newest_config (struct directory *d, json_t *items)
+{
+  if (d->config_object != NULL)
+    json_object_set (items, objects_config_name (), d->config_object);
+}
+
+static void
+decode_config (struct directory *d, json_t *items)
 {
   struct error err = { 0 };
-  const json_t *object = json_object_get (items, objects_config_name ());
+  json_t *object = json_object_get (items, objects_config_name ());
   if (object == NULL)
-    return;
+    {
+      keep_newest_config (d, items);
+      return;
+    }
   struct config *config = objects_decode_config (d, object, &err);
   if (config == NULL)
     {
       log_error (PART, "event=config_rejected reason=\"%s\"", err.text);
+      keep_newest_config (d, items);
       return;
     }
   if (d->config != NULL && config->version <= d->config->version)
     {
+      if (config->version < d->config->version)
+        {
+          log_warn (PART,
+                    "event=config_ignored version=%" PRIu64
+                    " present_version=%" PRIu64,
+                    config->version, d->config->version);
+          keep_newest_config (d, items);
+        }
       talloc_free (config);
       return;
     }
+  json_decref (d->config_object);
+  d->config_object = json_incref (object);
   const struct config *old = d->config;
   d->config = config;
   log_info (PART,
@@ -227,6 +258,8 @@
   struct directory *d = c->directory;
   c->is_known = true;
   c->behind_since = 0;
+  /* The items may change without a new revision. */
+  c->copy.revision = 0;
   if (c->kind == OBJECT_CONFIG)
     decode_config (d, c->items);
   else if (c->kind == OBJECT_ENDPOINTS)
@@ -255,6 +288,7 @@
 retry_later (struct collection *c, const struct error *err)
 {
   c->has_call = true;
+  c->is_reconnecting = true;
   set_reaches_store (c->directory, false, err->text);
   if (c->retry_us < RETRY_US)
     c->retry_us = RETRY_US;
@@ -280,6 +314,15 @@
     }
   c->retry_us = 0;
   set_reaches_store (c->directory, true, "");
+  uint64_t revision = store_revision (body);
+  if (c->pending_revision == 0)
+    c->pending_revision = revision;
+  if (!store_same_era (c->pending_revision, revision))
+    {
+      /* The pages read so far are of another history. */
+      start_list (c, NULL);
+      return;
+    }
   json_array_foreach (store_items (body), i, object)
   {
     last = objects_name (object);
@@ -293,7 +336,6 @@
       talloc_free (after);
       return;
     }
-  uint64_t revision = store_revision (body);
   if (revision > c->revision || !c->is_known)
     {
       json_decref (c->items);
@@ -317,11 +359,33 @@
     {
       json_decref (c->pending_items);
       c->pending_items = json_object ();
+      c->pending_revision = 0;
     }
   store_list (c->directory->sessiond->store, objects_kind_name (c->kind),
               after, CALL_TIMEOUT_MS, on_list, c);
 }
 
+static void
+on_list_due (void *data)
+{
+  start_list (data, NULL);
+}
+
+/* The store does not have the changes after the revision: read the whole
+   collection.  If a watch from the revision of that list was refused too, wait
+   before the next list, as the store may refuse all. */
+static void
+read_again (struct collection *c)
+{
+  if (!c->watch_refused)
+    start_list (c, NULL);
+  else
+    sessiond_call_after (c->directory->sessiond, c->directory,
+                         RETRY_US + sessiond_random (RETRY_US), on_list_due,
+                         c);
+  c->watch_refused = true;
+}
+
 /* Apply one event of a watch, unless a copy from another member was newer.
    @return whether an item has changed. */
 static bool
@@ -355,7 +419,7 @@
     {
       log_info (PART, "event=history_gone kind=%s revision=%" PRIu64,
                 objects_kind_name (c->kind), c->revision);
-      start_list (c, NULL);
+      read_again (c);
       return;
     }
   if (err->code != ERROR_NONE)
@@ -364,6 +428,8 @@
       return;
     }
   c->retry_us = 0;
+  c->watch_refused = false;
+  c->is_reconnecting = false;
   set_reaches_store (c->directory, true, "");
   if (store_revision (body) > c->revision)
     {
@@ -382,6 +448,10 @@
 watch_timeout_ms (const struct collection *c)
 {
   const struct sessiond *r = c->directory->sessiond;
+  /* The store may have been restored since the last answer and have given out
+     the revision again; the first answer shows its era. */
+  if (c->is_reconnecting)
+    return RECONNECT_WATCH_MS;
   if (c->kind == OBJECT_VOTERS
       || fleet_store_rank (r->fleet) >= SHORT_WATCH_MEMBERS)
     return WATCH_TIMEOUT_MS;
@@ -409,6 +479,7 @@
       json_decref (d->collections[kind].items);
       json_decref (d->collections[kind].pending_items);
     }
+  json_decref (d->config_object);
   return 0;
 }
 
@@ -597,7 +668,11 @@
 directory_apply_copy (struct directory *d, const struct packet_copy *copy)
 {
   struct collection *c = &d->collections[copy->kind];
-  if (copy->revision <= c->revision && c->is_known)
+  /* Versions of the configuration order its copies.  The revision does not: a
+     member keeps the newest configuration while a store that was restored
+     shows an older one. */
+  if (copy->revision <= c->revision && c->is_known
+      && copy->kind != OBJECT_CONFIG)
     return;
   struct error err = { 0 };
   struct bstr text = compress_restore (d, copy->items, copy->length, &err);
@@ -618,6 +693,7 @@
             objects_kind_name (copy->kind), copy->revision, c->revision);
   json_decref (c->items);
   c->items = items;
-  c->revision = copy->revision;
+  if (copy->revision > c->revision)
+    c->revision = copy->revision;
   apply_items (c);
 }
