session: an owner answers the process that asked, not its successor

A result BUSY may be taken for another statement's too.

Cause: the owner keeps the statements of an entry daemon that loses power and answers them later. The result was addressed to the incarnation that the member had when the result was sent, not to the one that had sent the statement. Sessions and statements of every process are numbered from the start again, so the new process took the result for that of its own statement if that had the same session and sequence number and was waiting for the same owner.

Change: results, and the answers to commit queries, go through fleet_answer (), which sends only to the incarnation that asked; the owner logs event=result_dropped otherwise. The receiver already drops messages for another incarnation.

--- a/session/fleet.c
+++ b/session/fleet.c
@@ -77,6 +77,18 @@
   return p != NULL && peer_send (f, p, message);
 }
 
+bool
+fleet_answer (struct fleet *f, const struct packet *question,
+              struct packet *message)
+{
+  const struct packet_sender *to = &question->sender;
+  const struct peer *p = peer_find (f, to->member);
+  if (to->member != f->sessiond->self
+      && (p == NULL || p->incarnation != to->incarnation))
+    return false;
+  return fleet_send (f, to->member, message);
+}
+
 void
 fleet_broadcast (struct fleet *f, struct packet *message)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -20,6 +20,12 @@
  * is delivered from the event loop.
  * @return false if the member or its address is not known. */
 bool fleet_send (struct fleet *f, uint64_t member, struct packet *message);
+/** As fleet_send, to the process that sent @p question: a process that the
+ * member has started since does not get the answer, as it gives the same
+ * numbers to its own sessions and statements.
+ * @return also false if that process has ended. */
+bool fleet_answer (struct fleet *f, const struct packet *question,
+                   struct packet *message);
 /** Apply the newest list of voters. */
 void fleet_voters_changed (struct fleet *f);
 /** Must be called when the configuration or the endpoints have changed. */
--- a/session/owner.c
+++ b/session/owner.c
@@ -240,7 +240,7 @@
   r.result.session = m->statement.session;
   r.result.sequence = m->statement.sequence;
   r.result.moved = true;
-  fleet_send (o->sessiond->fleet, m->sender.member, &r);
+  fleet_answer (o->sessiond->fleet, m, &r);
   talloc_free (m);
 }
 
@@ -345,7 +345,7 @@
       || s->phase == SERVICE_TAKEOVER || !service_is_owned (s))
     return;
   answer.commit.noted = service_confirm_commit (s, m->commit.position);
-  fleet_send (o->sessiond->fleet, m->sender.member, &answer);
+  fleet_answer (o->sessiond->fleet, m, &answer);
 }
 
 void
--- a/session/service.c
+++ b/session/service.c
@@ -56,7 +56,7 @@
 
 /* Results. */
 
-/* Send the result of a statement to the daemon that sent it. */
+/* Send the result of a statement to the process that sent it. */
 static void
 send_result_packet (struct service *s, const struct packet *to,
                     struct packet_result *result)
@@ -69,7 +69,12 @@
   if (result->signature.start == NULL)
     result->signature = empty_text ();
   m.result = *result;
-  fleet_send (s->sessiond->fleet, to->sender.member, &m);
+  if (!fleet_answer (s->sessiond->fleet, to, &m))
+    sessiond_log_request (PART,
+                          "event=result_dropped id=%.*s service=%s outcome=%s"
+                          " reason=\"the process that sent it has ended\"",
+                          BSTR_ARG (to->statement.id), s->name,
+                          wire_outcome_name (result->outcome));
 }
 
 void
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1065,7 +1065,12 @@
   struct tevent_context *ev;
   struct bus *bus;
   char address[64]; /**< Address of the daemon that gets the packets. */
-  int results;      /**< Number of results received. */
+  uint64_t incarnation;
+  uint64_t first_sequence; /**< First statement of this incarnation. */
+  int results;             /**< Number of results received. */
+  /** Number of results that were sent to this incarnation, for its own
+   * statements and for those of the one before it. */
+  int own_results, foreign_results;
 };
 
 static void
@@ -1074,7 +1079,15 @@
   struct scripted_member *d = data;
   void *scratch = talloc_new (NULL);
   struct packet *m = talloc_zero (scratch, struct packet);
-  d->results += packet_decode (scratch, bytes, m) && m->kind == PACKET_RESULT;
+  bool is_result
+      = packet_decode (scratch, bytes, m) && m->kind == PACKET_RESULT;
+  d->results += is_result;
+  if (is_result && m->sender.receiver_incarnation == d->incarnation)
+    {
+      bool is_own = m->result.sequence >= d->first_sequence;
+      d->own_results += is_own;
+      d->foreign_results += !is_own;
+    }
   talloc_free (scratch);
 }
 
@@ -1083,18 +1096,51 @@
 {
   void *scratch = talloc_new (NULL);
   m->sender = (struct packet_sender){ .member = 77,
-                                      .incarnation = 1,
+                                      .incarnation = d->incarnation,
                                       .stamp = clock_now () };
   bus_send (d->bus, d->address, packet_encode (scratch, m));
   talloc_free (scratch);
 }
 
+static void
+send_first_heartbeat (struct scripted_member *d)
+{
+  struct packet m = { .kind = PACKET_HEARTBEAT };
+  m.heartbeat.name = bstr_from ("played");
+  m.heartbeat.address = bstr_from (bus_address (d->bus));
+  m.heartbeat.failure_domain = bstr_from ("zone-a");
+  m.heartbeat.capacity = 1000;
+  send_as_member (d, &m);
+}
+
+/* Join the fleet as a member that sends its packets to daemon 0. */
+static void
+join_fleet (struct sessiond_site *s, struct scripted_member *d)
+{
+  struct error err = { 0 };
+  d->ev = tevent_context_init (s);
+  d->incarnation = 1;
+  d->bus = bus_create (s,
+                       &(struct bus_options){ .ev = d->ev,
+                                              .address = "tcp://127.0.0.1:*",
+                                              .max_message = PACKET_MAX_BYTES,
+                                              .received = count_result,
+                                              .data = d },
+                       &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (d->bus);
+  snprintf (d->address, sizeof d->address, "tcp://127.0.0.1:%d",
+            sessiond_site_port (s, 0) + 3);
+  send_first_heartbeat (d);
+}
+
 static void
 send_statement (struct scripted_member *d, enum statement_verb verb,
                 const char *text, uint64_t sequence)
 {
   struct packet m = { .kind = PACKET_STATEMENT };
   struct bstr empty = { "", 0 };
+  char id[24];
+  snprintf (id, sizeof id, "%da2b", (int)d->incarnation);
   m.statement = (struct packet_statement){
     .session = 1,
     .sequence = sequence,
@@ -1107,7 +1153,7 @@
     .idle_transaction_ms = 3000,
     .verb = verb,
     .is_read = verb == VERB_READ,
-    .id = bstr_from ("1a2b"),
+    .id = bstr_from (id),
     .text = bstr_from (text),
     .shape = empty,
     .arguments = empty,
@@ -1129,26 +1175,9 @@
 {
   struct sessiond_site *s = sessiond_site_start (
       NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
-  struct error err = { 0 };
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  struct scripted_member d = { .ev = tevent_context_init (s) };
-  d.bus = bus_create (s,
-                      &(struct bus_options){ .ev = d.ev,
-                                             .address = "tcp://127.0.0.1:*",
-                                             .max_message = PACKET_MAX_BYTES,
-                                             .received = count_result,
-                                             .data = &d },
-                      &err);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (d.bus);
-  snprintf (d.address, sizeof d.address, "tcp://127.0.0.1:%d",
-            sessiond_site_port (s, 0) + 3);
-  struct packet *beat = talloc_zero (s, struct packet);
-  beat->kind = PACKET_HEARTBEAT;
-  beat->heartbeat.name = bstr_from ("played");
-  beat->heartbeat.address = bstr_from (bus_address (d.bus));
-  beat->heartbeat.failure_domain = bstr_from ("zone-a");
-  beat->heartbeat.capacity = 1000;
-  send_as_member (&d, beat);
+  struct scripted_member d = { 0 };
+  join_fleet (s, &d);
   for (uint64_t i = 0; i < 10; i++)
     {
       send_statement (&d, VERB_BEGIN, "BEGIN", 2 * i + 1);
@@ -1161,6 +1190,37 @@
   talloc_free (s);
 }
 
+/* Guards against a caller that gets the result of another caller's statement:
+   the entry daemon was restarted while the owner ran a statement of the
+   previous process, and a session and statement of the new process have the
+   same numbers. */
+static void
+restarted_daemon_gets_no_results_of_the_previous_one (void)
+{
+  enum
+  {
+    STATEMENTS = 10
+  };
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct scripted_member d = { 0 };
+  join_fleet (s, &d);
+  for (uint64_t i = 1; i <= STATEMENTS; i++)
+    send_statement (&d, VERB_READ, "READ item", i);
+  d.incarnation = 2;
+  d.first_sequence = STATEMENTS + 1;
+  send_first_heartbeat (&d);
+  send_statement (&d, VERB_READ, "READ item", d.first_sequence);
+  loop_run (d.ev, 1500, has_results, &d);
+  CU_ASSERT_EQUAL (d.foreign_results, 0);
+  CU_ASSERT_TRUE (d.own_results > 0);
+  json_t *observed = sessiond_site_observed (s);
+  CU_ASSERT_PTR_NOT_NULL (sessiond_site_run (observed, "1a2b"));
+  json_decref (observed);
+  talloc_free (s);
+}
+
 /* Guards against messages that end a daemon: packets of all kinds that are
    truncated, changed in one byte, repeated or of another version, and lines
    that no caller should send. */
@@ -1229,6 +1289,8 @@
 
 static const struct test_case cases[] = {
   { "statement_behind_a_forgotten_begin", statement_behind_a_forgotten_begin },
+  { "restarted_daemon_gets_no_results_of_the_previous_one",
+    restarted_daemon_gets_no_results_of_the_previous_one },
   { "session_reads_its_writes", session_reads_its_writes },
   { "values_and_names_do_not_mix", values_and_names_do_not_mix },
   { "unfinished_transactions_keep_nothing",
