session: answer all callers before a planned stop ends the process

Cause: at the end of the grace time the loop stopped whatever was open. Now all statements without an answer are refused at that moment (BUSY if they were not sent to an owner; FAILED, UNKNOWN or ABORTED as after the loss of an owner if they were), lines that queue behind them too, the listening socket and all sessions are closed, and the loop runs for one more period of 100 ms, in which the answers are sent.

--- a/session/callers.c
+++ b/session/callers.c
@@ -19,6 +19,8 @@
 /* Retry time in the answer to a caller whose service has no owner.  Together
    with OWNER_WAIT_US this is the duration of one lease. */
 #define NO_OWNER_RETRY_MS 700
+/* Error text of a statement that is refused because the daemon ends. */
+#define ENDING_TEXT "the daemon ends"
 /* Maximum time that START waits for the first configuration of a process.  A
    refusal would cost the caller one of its few attempts. */
 #define FIRST_CONFIG_WAIT_US (300 * USEC_PER_MSEC)
@@ -104,6 +106,7 @@
   uint64_t *generations; /**< How often each slot was used. */
   unsigned slot_count;
   int session_count;
+  bool is_ending; /**< callers_end_all was called. */
 };
 
 static void handle_line (struct caller *c, struct bstr line);
@@ -556,6 +559,22 @@
     answer_error (c, outcome, c->begin_text, c->begin_retry_ms);
 }
 
+/* Refuse a statement that the daemon cannot run before it ends. */
+static void
+refuse_at_end (struct caller *c, const struct statement *statement)
+{
+  if (c->session->state != SESSION_IN_TRANSACTION)
+    {
+      answer_error (c, OUTCOME_BUSY, ENDING_TEXT, NO_OWNER_RETRY_MS);
+      return;
+    }
+  c->begin_outcome = OUTCOME_ABORTED;
+  c->begin_retry_ms = 0;
+  talloc_free (c->begin_text);
+  c->begin_text = talloc_strdup (c, ENDING_TEXT);
+  answer_failed_begin (c, statement);
+}
+
 /* @return whether the session daemon answers the statement without an
    endpoint. */
 static bool
@@ -568,6 +587,12 @@
 handle_statement (struct caller *c, const struct wire_request *request)
 {
   const struct statement *statement = &request->statement;
+  if (c->callers->is_ending && c->session->state != SESSION_FAILED
+      && !is_answered_locally (statement->verb))
+    {
+      refuse_at_end (c, statement);
+      return;
+    }
   /* A key may have been revoked since the session started. */
   bool needs_access_check = c->session->state == SESSION_IDLE
                             && !is_answered_locally (statement->verb);
@@ -849,3 +874,34 @@
         max_count--;
       }
 }
+
+/* Refuse what the caller has sent and has no answer to, and end it. */
+static void
+refuse_and_end (struct caller *c)
+{
+  struct callers *f = c->callers;
+  uint64_t number = c->number;
+  if (c->start_until != 0)
+    {
+      c->start_until = clock_now ();
+      check_start (c, c->start_until);
+    }
+  while (find_caller (f, number) == c && c->forwarded != NULL)
+    if (c->forwarded->member != 0)
+      handle_lost_owner (c->forwarded, ENDING_TEXT, false);
+    else
+      fail_statement (c->forwarded, OUTCOME_BUSY, ENDING_TEXT,
+                      NO_OWNER_RETRY_MS);
+  if (find_caller (f, number) == c)
+    end_caller (c);
+}
+
+void
+callers_end_all (struct callers *f)
+{
+  f->is_ending = true;
+  TALLOC_FREE (f->server);
+  for (unsigned i = 0; i < f->slot_count; i++)
+    if (f->slots[i] != NULL)
+      refuse_and_end (f->slots[i]);
+}
--- a/session/callers.h
+++ b/session/callers.h
@@ -27,5 +27,8 @@
 int callers_busy_count (const struct callers *f);
 /** Close up to @p max_count sessions that have no statement or transaction. */
 void callers_close_idle (struct callers *f, int max_count);
+/** Refuse the statements that have no answer, close all sessions and accept no
+ * more; buffered answers are sent by the event loop. */
+void callers_end_all (struct callers *f);
 
 #endif
--- a/session/sessiond.c
+++ b/session/sessiond.c
@@ -36,8 +36,8 @@
 /* Idle sessions are closed in groups with this period, so that callers
    reconnect spread over time. */
 #define CLOSE_PERIOD_US (100 * USEC_PER_MSEC)
-/* The daemon stops this long before the forced end, to send the remaining
-   results. */
+/* The daemon answers all callers this long before the forced end, and stops a
+   period later, to send the answers. */
 #define END_MARGIN_US (400 * USEC_PER_MSEC)
 /* Period of the check for a changed settings file, which needs no signal. */
 #define SETTINGS_CHECK_PERIOD_US (1000 * USEC_PER_MSEC)
@@ -242,8 +242,8 @@
 /* Shutdown. */
 
 /* Close idle sessions in groups, so that all idle ones are closed at half of
-   the grace time, and stop once nothing is left to do or the grace time
-   ends. */
+   the grace time, and stop once nothing is left to do or, after an answer to
+   every caller, before the grace time ends. */
 static void
 on_stop_tick (void *data)
 {
@@ -260,8 +260,13 @@
     }
   if ((elapsed > BALANCER_NOTICE_US && callers_count (r->callers) == 0
        && owner_pending_count (r->owner) == 0)
-      || elapsed > grace - END_MARGIN_US)
+      || r->ending)
     r->stopped = true;
+  else if (elapsed > grace - END_MARGIN_US)
+    {
+      r->ending = true;
+      callers_end_all (r->callers);
+    }
 }
 
 static void
--- a/session/sessiond.h
+++ b/session/sessiond.h
@@ -39,6 +39,7 @@
   uint64_t incarnation;        /**< Start time: grows with each start. */
   int64_t leaving_since;       /**< Time of SIGTERM or SIGINT; 0: none. */
   int64_t unready_since;       /**< Since when it is not ready; 0: it is. */
+  bool ending;                 /**< All callers were answered for the end. */
   bool stopped;                /**< The event loop is to end. */
 };
 
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -732,6 +732,48 @@
   talloc_free (s);
 }
 
+#define LATE_CALLERS 16
+/* The daemon ends 400 ms before its grace time does; a statement that is sent
+   100 ms earlier was read by then. */
+#define LATE_END_MS 2500
+
+/* Guards against statements that SIGTERM cuts off at the end of the grace
+   time: all daemons leave, so the statements wait for an owner until the
+   process ends. */
+static void
+planned_stop_refuses_what_waits (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 2, .services = 1, .grace_ms = 3000 });
+  struct line_caller *c[LATE_CALLERS];
+  int sent = 0, answered = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  int64_t end = sessiond_site_now_ms () + LATE_END_MS;
+  process_signal (s->daemons[0], SIGTERM);
+  process_signal (s->daemons[1], SIGTERM);
+  usleep ((LATE_END_MS - LATE_CALLERS * 30) * 1000);
+  for (; sent < LATE_CALLERS; sent++)
+    {
+      char lines[100];
+      snprintf (lines, sizeof lines,
+                "START main1 key-a1\r\nQUERY %016x %s item%s\r\n", sent + 1,
+                sent % 2 == 0 ? "READ" : "WRITE", sent % 2 == 0 ? "" : " x");
+      c[sent] = line_open (s, sessiond_site_port (s, 0));
+      if (c[sent] == NULL || !line_send (c[sent], lines)
+          || sessiond_site_now_ms () > end)
+        break;
+      usleep (25000);
+    }
+  CU_ASSERT (sent > LATE_CALLERS / 2);
+  for (int i = 0; i < sent; i++)
+    answered += line_count_answers (c[i], 2);
+  CU_ASSERT_EQUAL (answered, sent * 2);
+  CU_ASSERT_EQUAL (process_wait (s->daemons[0], 6000), 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* @return whether a session with the key is accepted. */
 static bool
 accepts_key (struct sessiond_site *s, int daemon, const char *key)
@@ -1317,6 +1359,7 @@
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
+  { "planned_stop_refuses_what_waits", planned_stop_refuses_what_waits },
   { "restarted_daemon_uses_no_withdrawn_key",
     restarted_daemon_uses_no_withdrawn_key },
   { "malformed_messages_end_no_daemon", malformed_messages_end_no_daemon },
