cell: an echo meant for an earlier process confirms nothing

Callers could get more than the organisation's rate: after a loss of power a member could spend while the others had already given its part away.

Cause: a heartbeat returns the newest send time that a peer knows, and a new process of the same VM gets it at the address of the earlier one. It was told from an own send time only by lying between the start of the process and now, which a time of an earlier boot can also do, as CLOCK_BOOTTIME starts anew.

Heartbeats now name the process for which they are meant, and an echo counts only there. The message gets version 2, so daemons of both versions do not hear each other during an update.

budget_world: `set clock-back` makes each restart one of the VM, whose clock is then lower.

--- a/core/cell.c
+++ b/core/cell.c
@@ -394,8 +394,10 @@
   struct peer *p = peer_add (c, h->from);
   /* A lease counts from the send time in the echo, so an old echo does no
      harm.  A time in the future or before this process started cannot be the
-     echo of its heartbeat. */
-  if (h->echo > p->echo && h->echo >= c->created_at && h->echo <= now)
+     echo of its heartbeat.  That of an earlier process can be between them, as
+     the clock starts anew with the VM. */
+  if (is_self (c, h->to) && h->echo > p->echo && h->echo >= c->created_at
+      && h->echo <= now)
     p->echo = h->echo;
   if (h->sent_at <= p->sent_at)
     return;
@@ -857,6 +859,7 @@
 {
   memset (h, 0, sizeof *h);
   h->from = c->options.self.id;
+  h->to = p->member.id;
   h->version = c->record.version;
   h->settled = c->settled;
   h->sent_at = now;
--- a/core/cell.h
+++ b/core/cell.h
@@ -54,12 +54,14 @@
 struct cell_heartbeat
 {
   uint64_t from;    /**< Id of the sending process. */
+  uint64_t to;      /**< Id of the process for which it is meant; its
+                         successor may get it at the same address. */
   uint64_t version; /**< Version of the member list that the sender uses. */
   uint64_t settled; /**< Newest version whose allotment the sender applied. */
   int64_t sent_at;  /**< Send time, on the sender's clock. */
-  /** Send time of the newest heartbeat that the sender received from the
-   * destination, on the destination's clock; this confirms the destination's
-   * lease.  0: none was received, or the sender does not confirm it. */
+  /** Send time of the newest heartbeat that the sender received from @c to,
+   * on the clock of @c to; this confirms the lease of @c to.  0: none was
+   * received, or the sender does not confirm it. */
   int64_t echo;
   bool leaving; /**< The sender is leaving the cell. */
   /** Members from which the sender received no heartbeat for dead_after_us. */
--- a/proto/message.c
+++ b/proto/message.c
@@ -4,7 +4,7 @@
 
 #include <sodium.h>
 
-#define MESSAGE_VERSION 1
+#define MESSAGE_VERSION 2
 /* Most fractions in one message. */
 #define MAX_FRACTIONS 4096
 
@@ -26,7 +26,8 @@
 static void
 pack_heartbeat (struct pack *p, const struct message *m)
 {
-  pack_array (p, 10);
+  pack_array (p, 11);
+  pack_uint (p, m->heartbeat.to);
   pack_uint (p, m->heartbeat.version);
   pack_uint (p, m->heartbeat.settled);
   pack_array (p, (unsigned)m->heartbeat.silent_count);
@@ -159,8 +160,9 @@
 static void
 unpack_heartbeat (struct unpack *u, void *parent, struct message *m)
 {
-  unpack_array (u, 10);
+  unpack_array (u, 11);
   m->heartbeat.from = m->from;
+  m->heartbeat.to = unpack_uint (u);
   m->heartbeat.version = unpack_uint (u);
   m->heartbeat.settled = unpack_uint (u);
   unsigned silent = unpack_array_any (u, CELL_MAX_MEMBERS);
--- a/tests/budget_world.c
+++ b/tests/budget_world.c
@@ -129,6 +129,9 @@
   int stream_count;
   /* Settings; flags (0: off) are numbers too, so that one table serves all. */
   double platform_down, poisson, static_shares;
+  double clock_back;  /* A start of a daemon is a start of its VM, whose clock
+                         is this many seconds lower than before; 0: it is not.
+                       */
   double silent_wait; /* budget_options.silent_wait_us, but in seconds. */
   double drift;       /* Largest difference of a clock rate from 1. */
   /* Probabilities per message. */
@@ -765,6 +768,8 @@
           = w->silent_wait < 0 ? -1 : (int64_t)(w->silent_wait * SECOND_US),
           .static_shares = w->static_shares > 0 };
   node_stop (n);
+  if (n->start_count > 0)
+    n->offset -= (int64_t)(w->clock_back * SECOND_US);
   n->id = (uint64_t)(at + 1) * 1000 + (uint64_t)++n->start_count;
   n->state = NODE_RUNNING;
   n->lease_valid_at = 0;
@@ -954,6 +959,7 @@
     { "lose-allot", &w->loss_by_kind[MSG_ALLOT] },
     { "lose-budget", &w->loss_by_kind[MSG_BUDGET] },
     { "platform-down", &w->platform_down },
+    { "clock-back", &w->clock_back },
   };
   for (size_t i = 0; i < sizeof values / sizeof *values; i++)
     if (strcmp (values[i].name, name) == 0)
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -9,6 +9,8 @@
 
 /* Number of random schedules that must keep P5. */
 #define SCHEDULES 2000
+/* Number of them that also run with a loss of power at each restart. */
+#define POWER_SCHEDULES 500
 /* Number of faults in a schedule. */
 #define SCHEDULE_STEPS 9
 /* Number of schedules that run with each protection switched off. */
@@ -130,12 +132,16 @@
 }
 
 /* Run the schedule of @p seed.
+   @param power_loss whether a restart is a loss of the VM's power.
    @return the world, in which the last faults still are in effect. */
 static struct budget_world *
-run_schedule (void *parent, long seed, enum budget_world_fault fault)
+run_schedule (void *parent, long seed, enum budget_world_fault fault,
+              bool power_loss)
 {
   struct budget_world *w = budget_world_create (parent, seed, fault);
   char line[64];
+  if (power_loss)
+    CU_ASSERT_FATAL (budget_world_command (w, "set clock-back 1"));
   run_lines (w, schedule_start);
   for (int i = 0; i < SCHEDULE_STEPS; i++)
     {
@@ -148,18 +154,18 @@
   return w;
 }
 
-/* Guards against a combination of faults that lets an organisation exceed its
-   rate and burst, or lets two members hold the same fraction.  Every 16th seed
-   also checks that the cell serves again after the faults have ended. */
+/* Run @p count random schedules and check P5.  Every 16th seed also checks
+   that the cell serves again after the faults have ended. */
 static void
-random_schedules_keep_the_rate (void)
+check_schedules (int count, bool power_loss)
 {
   const char *only = getenv ("AZUREWIND_SEED");
   long first = only != NULL ? atol (only) : 1;
-  long last = only != NULL ? first : SCHEDULES;
+  long last = only != NULL ? first : count;
   for (long seed = first; seed <= last; seed++)
     {
-      struct budget_world *w = run_schedule (NULL, seed, FAULT_NONE);
+      struct budget_world *w
+          = run_schedule (NULL, seed, FAULT_NONE, power_loss);
       bool serves = true;
       if (seed % 16 == 0)
         {
@@ -181,6 +187,22 @@
     }
 }
 
+/* Guards against a combination of faults that lets an organisation exceed its
+   rate and burst, or lets two members hold the same fraction. */
+static void
+random_schedules_keep_the_rate (void)
+{
+  check_schedules (SCHEDULES, false);
+}
+
+/* Guards against a member that exceeds the rate, or never spends again, as the
+   clock of its VM has started anew at a lower value. */
+static void
+losses_of_power_keep_the_rate (void)
+{
+  check_schedules (POWER_SCHEDULES, true);
+}
+
 /* Guards against checks that cannot fail: the same schedules must break P5
    when a protection is switched off. */
 static void
@@ -193,8 +215,8 @@
       int noticed = 0;
       for (long seed = 1; seed <= FAULT_SCHEDULES; seed++)
         {
-          struct budget_world *w
-              = run_schedule (NULL, seed, (enum budget_world_fault)fault);
+          struct budget_world *w = run_schedule (
+              NULL, seed, (enum budget_world_fault)fault, false);
           noticed += !budget_world_limits_held (w);
           talloc_free (w);
         }
@@ -228,11 +250,11 @@
 sessions_match (void)
 {
   static const char *const names[]
-      = { "skew",           "kill",      "pause",      "partition",
-          "coordinator",    "grants",    "rate",       "outage-60",
-          "outage-1800",    "join",      "restart",    "race",
-          "tiny",           "leave",     "gone",       "late-allot",
-          "partition-busy", "join-busy", "kill-holder" };
+      = { "skew",           "kill",      "pause",       "partition",
+          "coordinator",    "grants",    "rate",        "outage-60",
+          "outage-1800",    "join",      "restart",     "race",
+          "tiny",           "leave",     "gone",        "late-allot",
+          "partition-busy", "join-busy", "kill-holder", "power" };
   for (size_t i = 0; i < sizeof names / sizeof *names; i++)
     run_session (names[i], FAULT_NONE, true);
 }
@@ -321,6 +343,7 @@
   { "changes_refuse_nothing_wrongly", changes_refuse_nothing_wrongly },
   { "sessions_fail_without_protection", sessions_fail_without_protection },
   { "random_schedules_keep_the_rate", random_schedules_keep_the_rate },
+  { "losses_of_power_keep_the_rate", losses_of_power_keep_the_rate },
   { "missing_protections_are_noticed", missing_protections_are_noticed },
   { "wrongful_refusals_stay_in_target", wrongful_refusals_stay_in_target },
   { NULL, NULL },
--- a/tests/test_cell.c
+++ b/tests/test_cell.c
@@ -56,7 +56,8 @@
 {
   struct cell_record r = make_record (1, 3);
   struct cell *c = make_cell (NULL, 1, &r);
-  struct cell_heartbeat h = { .from = 2, .version = 1, .sent_at = 10 };
+  struct cell_heartbeat h
+      = { .from = 2, .to = 1, .version = 1, .sent_at = 10 };
   CU_ASSERT_FALSE (cell_lease_valid (c, START_US));
   h.echo = START_US + 100;
   cell_on_heartbeat (c, &h, START_US + 1500000);
@@ -72,6 +73,28 @@
   talloc_free (c);
 }
 
+/* Guards against a lease that a process takes from the echo of a heartbeat
+   that an earlier process sent, before a loss of power after which the clock
+   of the VM started anew: a peer that uses an older list sends it. */
+static void
+echo_for_an_earlier_process_confirms_nothing (void)
+{
+  struct cell_record r = make_record (2, 3);
+  r.members[1].id = 4;
+  struct cell *c = make_cell (NULL, 2, &r);
+  struct cell_heartbeat h
+      = { .from = 1, .to = 2, .version = 1, .sent_at = 10 };
+  int64_t now = START_US + 1000000;
+  h.echo = now - 100000;
+  cell_on_heartbeat (c, &h, now);
+  CU_ASSERT_FALSE (cell_lease_valid (c, now));
+  h.to = 4;
+  h.sent_at = 20;
+  cell_on_heartbeat (c, &h, now);
+  CU_ASSERT_TRUE (cell_lease_valid (c, now));
+  talloc_free (c);
+}
+
 /* Guards against a removed member whose lease is renewed because a restarted
    process, or one that uses a newer version, confirms its heartbeats. */
 static void
@@ -242,6 +265,8 @@
 static const struct test_case cases[] = {
   { "lease_counts_from_the_echoed_heartbeat",
     lease_counts_from_the_echoed_heartbeat },
+  { "echo_for_an_earlier_process_confirms_nothing",
+    echo_for_an_earlier_process_confirms_nothing },
   { "confirms_only_what_it_may", confirms_only_what_it_may },
   { "waking_up_removes_nobody", waking_up_removes_nobody },
   { "grant_moves_once", grant_moves_once },
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -41,6 +41,7 @@
     {
     case MESSAGE_HEARTBEAT:
       m.heartbeat = (struct cell_heartbeat){ .from = m.from,
+                                             .to = 43,
                                              .version = 3,
                                              .settled = 2,
                                              .silent = { 7, 8 },
@@ -130,7 +131,7 @@
 check_heartbeat (const struct message *a, const struct message *b)
 {
   const struct cell_heartbeat *x = &a->heartbeat, *y = &b->heartbeat;
-  CU_ASSERT (x->from == y->from && x->version == y->version
+  CU_ASSERT (x->from == y->from && x->to == y->to && x->version == y->version
              && x->settled == y->settled && x->sent_at == y->sent_at
              && x->echo == y->echo && x->leaving == y->leaving
              && x->silent_count == y->silent_count
@@ -291,9 +292,9 @@
       bytes[1] = (char)version;
       CU_ASSERT_EQUAL (
           is_refused (scratch, encrypt (scratch, plain), fleet_key),
-          version != 1);
+          version != 2);
     }
-  bytes[1] = 1;
+  bytes[1] = 2;
   bytes[2] = 0;
   CU_ASSERT (is_refused (scratch, encrypt (scratch, plain), fleet_key));
   bytes[2] = LAST_TYPE + 1;
