--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -14,6 +14,8 @@
 #define MAX_PAGE_ITEMS ((size_t)500)
 /* Objects of one kind that can be listed; further ones are left out. */
 #define MAX_LISTED_ITEMS ((size_t)2000)
+/* Start of the spec, a string, that stands for a text in raw_specs. */
+#define RAW_SPEC_START "\"raw-spec-"
 
 /** A request that waits for changes of objects of one kind. */
 struct watcher
@@ -54,18 +56,52 @@
    * {kind, name, spec}; the spec of a deleted object is null. */
   json_t *outside_writes;
   struct tevent_timer *rewrite_timer; /**< NULL: no rewrite is due. */
+  /** Texts that answers contain in place of the specs with their names. */
+  json_t *raw_specs;
 };
 
+static void
+reply_text (const struct site_store *s, struct http_request *request,
+            unsigned status, struct bstr text)
+{
+  char *era = talloc_asprintf (NULL, "%" PRIu64, s->era);
+  const struct http_header headers[]
+      = { { "Store-Era", era }, { NULL, NULL } };
+  http_reply (request, status, "application/json", text, headers);
+  talloc_free (era);
+}
+
 static void
 reply_json (const struct site_store *s, struct http_request *request,
             unsigned status, json_t *body)
 {
   void *scratch = talloc_new (NULL);
-  const struct http_header headers[]
-      = { { "Store-Era", talloc_asprintf (scratch, "%" PRIu64, s->era) },
-          { NULL, NULL } };
-  http_reply (request, status, "application/json",
-              json_text_take (scratch, body, JSON_COMPACT), headers);
+  reply_text (s, request, status,
+              json_text_take (scratch, body, JSON_COMPACT));
+  talloc_free (scratch);
+}
+
+/* Reply with objects; a spec that is a name in raw_specs becomes its text. */
+static void
+reply_objects (const struct site_store *s, struct http_request *request,
+               json_t *body)
+{
+  void *scratch = talloc_new (NULL);
+  struct bstr rest = json_text_take (scratch, body, JSON_COMPACT);
+  char *text = talloc_strdup (scratch, "");
+  const char *mark;
+  while ((mark = strstr (rest.start, RAW_SPEC_START)) != NULL)
+    {
+      const char *name = mark + 1, *end = strchr (name, '"');
+      struct bstr key = { name, (size_t)(end - name) };
+      const char *raw = json_string_value (
+          json_object_get (s->raw_specs, bstr_to_text (scratch, key)));
+      text = talloc_asprintf_append_buffer (
+          text, "%.*s%s", (int)(mark - rest.start), rest.start, raw);
+      rest = bstr_from (end + 1);
+    }
+  text = talloc_strdup_append_buffer (text, rest.start);
+  reply_text (s, request, 200, bstr_from (text));
   talloc_free (scratch);
 }
 
@@ -128,10 +164,10 @@
   struct site_store *s = w->store;
   json_t *events = events_since (s, w->kind, w->since);
   unlink_watch (w);
-  reply_json (s, w->request, 200,
-              json_pack ("{s:o, s:I}", "events",
-                         events != NULL ? events : json_array (),
-                         "store-revision", (json_int_t)s->revision));
+  reply_objects (s, w->request,
+                 json_pack ("{s:o, s:I}", "events",
+                            events != NULL ? events : json_array (),
+                            "store-revision", (json_int_t)s->revision));
   talloc_free (w);
 }
 
@@ -376,9 +412,9 @@
         }
       json_array_append (items, json_object_get (objects, names[i]));
     }
-  reply_json (s, request, 200,
-              json_pack ("{s:o, s:b, s:I}", "items", items, "has-more", more,
-                         "store-revision", (json_int_t)s->revision));
+  reply_objects (s, request,
+                 json_pack ("{s:o, s:b, s:I}", "items", items, "has-more",
+                            more, "store-revision", (json_int_t)s->revision));
 }
 
 /* Answer with the changes since a revision, or wait for the next one.  A watch
@@ -510,6 +546,20 @@
   json_decref (body);
 }
 
+/* Write an object whose spec is the text of @p raw in all answers; it need not
+   be valid JSON. */
+static void
+write_raw (struct site_store *s, const json_t *raw)
+{
+  const char *kind = json_string_value (json_object_get (raw, "kind"));
+  const char *name = json_string_value (json_object_get (raw, "name"));
+  char spec[32];
+  snprintf (spec, sizeof spec, "raw-spec-%zu",
+            json_object_size (s->raw_specs));
+  json_object_set (s->raw_specs, spec, json_object_get (raw, "spec"));
+  site_store_write (s, kind, name, json_string (spec));
+}
+
 /* Serve a test's call to set faults or read the observations; the platform has
    no such call. */
 static void
@@ -520,6 +570,7 @@
       = json_string_value (json_object_get (body, "database"));
   const char *fault = json_string_value (json_object_get (body, "fault"));
   json_t *config = json_object_get (body, "config");
+  const json_t *raw = json_object_get (body, "raw");
   bool ok = true;
   if (bstr_equals_text (request->method, "GET"))
     {
@@ -553,6 +604,8 @@
              s, json_integer_value (json_object_get (body, "rewrite_ms")),
              json_is_true (json_object_get (body, "answer_watches")))
          && ok;
+  if (raw != NULL)
+    write_raw (s, raw);
   if (config != NULL)
     site_store_write (s, "config", "main", json_incref (config));
   reply_empty (s, request, ok ? 200 : 404);
@@ -597,7 +650,7 @@
     {
       json_t *object = json_object_get (get_objects (s, kind), name);
       if (object != NULL)
-        reply_json (s, request, 200, json_incref (object));
+        reply_objects (s, request, json_incref (object));
       else
         reply_empty (s, request, 404);
     }
@@ -623,6 +676,7 @@
   json_decref (s->events);
   json_decref (s->snapshot);
   json_decref (s->outside_writes);
+  json_decref (s->raw_specs);
   return 0;
 }
 
@@ -637,6 +691,7 @@
   s->events = json_array ();
   s->outside_writes = json_array ();
   s->era = 1;
+  s->raw_specs = json_object ();
   talloc_set_destructor (s, store_destructor);
   s->revision = 1;
   s->server = http_server_create (
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -103,6 +103,15 @@
       s, json_pack ("{s:s, s:s}", "database", database, "fault", fault));
 }
 
+bool
+sessiond_site_write_raw (struct sessiond_site *s, const char *kind,
+                         const char *name, const char *spec)
+{
+  return sessiond_site_control (s, json_pack ("{s:{s:s, s:s, s:s}}", "raw",
+                                              "kind", kind, "name", name,
+                                              "spec", spec));
+}
+
 json_t *
 sessiond_site_observed (struct sessiond_site *s)
 {
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -79,6 +79,10 @@
 /** Inject a fault into a database. */
 bool sessiond_site_fault (struct sessiond_site *s, const char *database,
                           const char *fault);
+/** Write the object @p name of @p kind; answers of the platform's store
+ * contain @p spec as it is, which need not be valid JSON. */
+bool sessiond_site_write_raw (struct sessiond_site *s, const char *kind,
+                              const char *name, const char *spec);
 /** Publish the current configuration with a higher version. */
 bool sessiond_site_configure (struct sessiond_site *s);
 /** @return the statements and logs of the databases; a new reference. */
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -623,6 +623,139 @@
   talloc_free (s);
 }
 
+/* @return whether a daemon logs @p text in time. */
+static bool
+wait_for_log (struct sessiond_site *s, const char *text, int timeout_ms)
+{
+  int64_t end = sessiond_site_now_ms () + timeout_ms;
+  while (sessiond_site_now_ms () < end)
+    {
+      for (int i = 0; i < s->daemon_count; i++)
+        {
+          char *log = bstr_to_text (s, process_output (s->daemons[i]));
+          bool found = strstr (log, text) != NULL;
+          talloc_free (log);
+          if (found)
+            return true;
+        }
+      usleep (50000);
+    }
+  printf ("no \"%s\" in the logs ", text);
+  return false;
+}
+
+/* Write entries with values that cannot be represented.  The last one is
+   nested deeper than a parser can follow. */
+static void
+write_unreadable_entries (struct sessiond_site *s)
+{
+  const size_t nesting = 100000;
+  static const char *const specs[] = {
+    "{\"service\":\"ledger-1\",\"address\":\"127.0.0.1:1\","
+    "\"state\":\"ready\",\"db-role\":\"primary\","
+    "\"slots\":123456789012345678901234567890}",
+    "{\"service\":\"ledger-1\",\"slots\":1e999}",
+    "{\"service\":\"\\u0000\"}",
+    "{\"service\":\"\\ud800\"}",
+    "{\"service\":}",
+  };
+  for (size_t i = 0; i < sizeof specs / sizeof specs[0]; i++)
+    {
+      char name[20];
+      snprintf (name, sizeof name, "odd-%zu", i);
+      CU_ASSERT_TRUE (sessiond_site_write_raw (s, "servers", name, specs[i]));
+    }
+  char *deep = talloc_array (s, char, 2 * nesting + 1);
+  memset (deep, '[', nesting);
+  memset (deep + nesting, ']', nesting);
+  deep[2 * nesting] = '\0';
+  CU_ASSERT_TRUE (sessiond_site_write_raw (s, "servers", "odd-deep", deep));
+  talloc_free (deep);
+}
+
+/* @return whether no daemon has ended or lost the store. */
+static bool
+all_follow_the_store (struct sessiond_site *s)
+{
+  for (int i = 0; i < s->daemon_count; i++)
+    {
+      char *log = bstr_to_text (s, process_output (s->daemons[i]));
+      bool ok = strstr (log, "event=store_lost") == NULL
+                && process_wait (s->daemons[i], 0) == -1;
+      talloc_free (log);
+      if (!ok)
+        return false;
+    }
+  return true;
+}
+
+/* Guards against daemons that end or no longer follow the list of databases
+   because one entry cannot be parsed: the state of a database must still be
+   noticed, and a configuration must still take effect. */
+static void
+unreadable_entry_does_not_stop_the_list (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  write_unreadable_entries (s);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "drain"));
+  CU_ASSERT_TRUE (
+      wait_for_log (s, "endpoint=db-1-b draining=1", SERVE_MS / 2));
+  json_array_remove (json_object_get (s->config, "routes"), 1);
+  CU_ASSERT_TRUE (sessiond_site_configure (s));
+  usleep (1500000);
+  for (int i = 0; i < 2; i++)
+    {
+      struct line_caller *c = line_open (s, sessiond_site_port (s, i));
+      CU_ASSERT_FALSE (line_start (c, "browse1", "key-a1", &a));
+      CU_ASSERT_STRING_EQUAL (a.code, "NODB");
+      CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
+    }
+  CU_ASSERT_TRUE (all_follow_the_store (s));
+  talloc_free (s);
+}
+
+/* Guards against daemons that do not serve after a start because an entry
+   among those of the databases cannot be parsed. */
+static void
+fleet_starts_beside_unreadable_entries (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  write_unreadable_entries (s);
+  for (int i = 0; i < 2; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
+  CU_ASSERT_TRUE (all_follow_the_store (s));
+  talloc_free (s);
+}
+
+/* Guards against a database that stays in use by its older entry when its
+   entry can no longer be parsed. */
+static void
+unreadable_entry_replaces_the_older_one (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (sessiond_site_write_raw (
+      s, "servers", "db-1-b", "{\"service\":\"ledger-1\",\"born\":1e999}"));
+  CU_ASSERT_TRUE (wait_for_log (
+      s, "event=endpoint_missing service=ledger-1 endpoint=db-1-b",
+      SERVE_MS / 2));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "drain"));
+  CU_ASSERT_TRUE (
+      wait_for_log (s, "endpoint=db-1-b draining=1", SERVE_MS / 2));
+  CU_ASSERT_TRUE (all_follow_the_store (s));
+  talloc_free (s);
+}
+
 /* Guards against an organisation that exceeds its rate by sending through all
    daemons and to all services, and against other organisations that are
    refused because of it. */
@@ -1356,6 +1489,12 @@
   { "other_daemon_records_the_promotion", other_daemon_records_the_promotion },
   { "left_primary_gets_no_work", left_primary_gets_no_work },
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
+  { "unreadable_entry_does_not_stop_the_list",
+    unreadable_entry_does_not_stop_the_list },
+  { "fleet_starts_beside_unreadable_entries",
+    fleet_starts_beside_unreadable_entries },
+  { "unreadable_entry_replaces_the_older_one",
+    unreadable_entry_replaces_the_older_one },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
