--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -1,3 +1,4 @@
+#include "common/address.h"
 #include "common/compress.h"
 #include "common/error.h"
 #include "common/json_number.h"
@@ -83,6 +84,48 @@
   json_decref (json);
 }
 
+/* Guards against an address that is taken for another one: a port beyond 65535
+   that loses its upper bits, or text after the port. */
+static void
+addresses_are_exact (void)
+{
+  static const char *const bad[] = { "",
+                                     ":1",
+                                     "127.0.0.1",
+                                     "127.0.0.1:",
+                                     "127.0.0.1:65536",
+                                     "127.0.0.1:99999",
+                                     "127.0.0.1:-1",
+                                     "127.0.0.1:+1",
+                                     "127.0.0.1: 1",
+                                     "127.0.0.1:4294967297",
+                                     "127.0.0.1:18446744073709551617",
+                                     "127.0.0.1:99999999999999999999999999",
+                                     "127.0.0.1:80x",
+                                     "127.0.0.1:80 ",
+                                     "127.0.0.1:80\r\nQUERY",
+                                     " 127.0.0.1:80",
+                                     "127.0.0.1:80:81",
+                                     "127.0.0:80",
+                                     "256.0.0.1:80",
+                                     "nowhere:80",
+                                     "[::1]:80" };
+  struct sockaddr_in address;
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      bool accepted = address_parse (bad[i], &address);
+      if (accepted)
+        printf ("accepted \"%s\" with port %d ", bad[i],
+                ntohs (address.sin_port));
+      CU_ASSERT_FALSE (accepted);
+    }
+  CU_ASSERT_TRUE (address_parse ("127.0.0.1:65535", &address));
+  CU_ASSERT_EQUAL (ntohs (address.sin_port), 65535);
+  CU_ASSERT_EQUAL (ntohl (address.sin_addr.s_addr), INADDR_LOOPBACK);
+  CU_ASSERT_TRUE (address_parse ("0.0.0.0:0", &address));
+  CU_ASSERT_EQUAL (ntohs (address.sin_port), 0);
+}
+
 /* Guards against a network link that is saturated by copies of a large
    configuration: one daemon sends it to about thirty others, and a change must
    be in force within three seconds. */
@@ -145,6 +188,7 @@
   { "errors_hold_whole_characters", errors_hold_whole_characters },
   { "copies_keep_every_byte", copies_keep_every_byte },
   { "json_numbers_are_exact", json_numbers_are_exact },
+  { "addresses_are_exact", addresses_are_exact },
   { "large_configuration_is_compressed", large_configuration_is_compressed },
   { "places_in_sorted_arrays", places_in_sorted_arrays },
   { NULL, NULL },
