--- /dev/null
+++ b/tests/test_objects.c
@@ -0,0 +1,95 @@
+#include "platform/objects.h"
+#include "tests/tests.h"
+
+static const char good_entry[]
+    = "{\"service\":\"ledger-1\",\"address\":\"127.0.0.1:8000\",\"zone\":"
+      "\"z\","
+      "\"slots\":2,\"state\":\"ready\",\"db-role\":\"primary\",\"born\":17}";
+
+/* Decode an entry of which one member is replaced.
+   @param value JSON text of the member; NULL: it is missing.
+   @return whether it names a database to use. */
+static bool
+is_accepted (const char *id, const char *name, const char *value,
+             struct endpoint_entry *entry)
+{
+  void *scratch = talloc_new (NULL);
+  struct error err = { 0 };
+  json_t *spec = json_loads (good_entry, 0, NULL);
+  json_object_del (spec, name);
+  if (value != NULL)
+    json_object_set_new (spec, name,
+                         json_loads (value, JSON_DECODE_ANY, NULL));
+  json_t *object
+      = json_pack ("{s:{s:s}, s:o}", "meta", "name", id, "spec", spec);
+  bool accepted = objects_decode_endpoint (scratch, object, entry, &err);
+  json_decref (object);
+  talloc_free (scratch);
+  return accepted;
+}
+
+static void
+check_refused (const char *name, const char *const *values)
+{
+  struct endpoint_entry entry;
+  for (; *values != NULL; values++)
+    {
+      bool accepted = is_accepted ("db-1", name, *values, &entry);
+      if (accepted)
+        printf ("accepted %s %.30s ", name, *values);
+      CU_ASSERT_FALSE (accepted);
+    }
+}
+
+/* Guards against an id or a service that adds fields or lines to what is sent
+   to a database, or to the log. */
+static void
+ids_and_services_are_words (void)
+{
+  static const char *const bad[]
+      = { "a b",      " a", "a\r\nQUERY 1 WRITE x y", "a\tb", "a\x7f",
+          "a\x1b[0m", "" };
+  static const char *const services[]
+      = { "\"a b\"",  "\"a\\r\\nQUERY 1 WRITE x y\"",
+          "\"a\\n\"", "\"\\u007f\"",
+          "\"\"",     NULL };
+  struct endpoint_entry entry;
+  void *scratch = talloc_new (NULL);
+  char *longest = talloc_zero_size (scratch, 1 << 20);
+  memset (longest, 'a', (1 << 20) - 1);
+  CU_ASSERT_TRUE (is_accepted ("db-1", "", NULL, &entry));
+  CU_ASSERT_TRUE (is_accepted ("\xc3\xa9.-_:/", "", NULL, &entry));
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CU_ASSERT_FALSE (is_accepted (bad[i], "", NULL, &entry));
+  CU_ASSERT_FALSE (is_accepted (longest, "", NULL, &entry));
+  check_refused ("service", services);
+  check_refused (
+      "service",
+      (const char *[]){ talloc_asprintf (scratch, "\"%s\"", longest), NULL });
+  talloc_free (scratch);
+}
+
+/* Guards against a database at an address that no database can have. */
+static void
+address_needs_a_port (void)
+{
+  static const char *const bad[] = { "\"127.0.0.1:0\"",
+                                     "\"127.0.0.1:65536\"",
+                                     "\"127.0.0.1:-8000\"",
+                                     "\"127.0.0.1:4294975296\"",
+                                     "\"127.0.0.1\"",
+                                     "8000",
+                                     "[\"127.0.0.1:8000\"]",
+                                     "null",
+                                     NULL };
+  struct endpoint_entry entry;
+  check_refused ("address", bad);
+  CU_ASSERT_FALSE (is_accepted ("db-1", "address", NULL, &entry));
+}
+
+static const struct test_case cases[] = {
+  { "ids_and_services_are_words", ids_and_services_are_words },
+  { "address_needs_a_port", address_needs_a_port },
+  { NULL, NULL },
+};
+TEST_SUITE (objects, cases)
