platform: slots and zone of an entry have their types

What could be seen: an entry of another writer whose slots or zone is of another type ("slots": "2", true, 2.5, 1e30) was used as a database, with two slots or a thousand million; the users' pages say that such an entry names none.

--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -87,9 +87,36 @@
   CU_ASSERT_FALSE (is_accepted ("db-1", "address", NULL, &entry));
 }
 
+/* Guards against an entry of another writer that names a database to use
+   although a member has another type or cannot be true. */
+static void
+members_have_their_types (void)
+{
+  static const char *const slots[]
+      = { "\"2\"", "2.5",  "1e30", "-1e30", "0",
+          "-1",    "true", "null", "[2]",   "9223372036854775807",
+          NULL };
+  static const char *const born[]
+      = { "\"17\"", "17.5", "1e30", "null", "{}", NULL };
+  static const char *const zones[] = { "1", "null", "[]", NULL };
+  static const char *const states[]
+      = { "\"asleep\"", "\"READY\"", "1", "null", NULL };
+  struct endpoint_entry entry;
+  check_refused ("slots", slots);
+  check_refused ("born", born);
+  check_refused ("zone", zones);
+  check_refused ("state", states);
+  check_refused ("db-role", states);
+  CU_ASSERT_FALSE (is_accepted ("db-1", "state", NULL, &entry));
+  CU_ASSERT_FALSE (is_accepted ("db-1", "db-role", NULL, &entry));
+  CU_ASSERT_TRUE (is_accepted ("db-1", "slots", "1000000000", &entry));
+  CU_ASSERT_EQUAL (entry.slots, 1000000000);
+}
+
 static const struct test_case cases[] = {
   { "ids_and_services_are_words", ids_and_services_are_words },
   { "address_needs_a_port", address_needs_a_port },
+  { "members_have_their_types", members_have_their_types },
   { NULL, NULL },
 };
 TEST_SUITE (objects, cases)
