service: slots of all endpoints are added in 64 bits

What could be seen: entries of one service that state very large numbers of slots, a thousand million each, overflowed the sum from which the expected wait is computed; undefined, in practice a negative sum and no estimate. Cause: each number is cut to a thousand million, the sum was an int. Test: sessiond/slots_of_any_size_are_added with SANITIZE=1, before: "session/service.c:821:13: runtime error: signed integer overflow: + cannot be represented in type 'int'", both daemons ended, 4 checks failed; passes now. Without sanitizers the test passes before, too.

--- a/session/service.c
+++ b/session/service.c
@@ -820,7 +820,7 @@
     if (needs_primary (q) == needs_primary (ps)
         && q->statement->priority <= ps->statement->priority)
       ahead++;
-  int slots = 0;
+  int64_t slots = 0;
   for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     if (e->failed_since == 0 && (e == s->primary || !needs_primary (ps)))
       slots += e->replica.slots;
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -756,6 +756,42 @@
   talloc_free (s);
 }
 
+/* Guards against a sum of slots that exceeds an int when databases state very
+   large numbers (red with UBSan). */
+static void
+slots_of_any_size_are_added (void)
+{
+  static const char *const ids[] = { "db-1-a", "db-1-b", "db-1-c" };
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (size_t i = 0; i < sizeof ids / sizeof ids[0]; i++)
+    {
+      char url[100], *answer = NULL;
+      snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers/%s",
+                process_port (s->platform), ids[i]);
+      CU_ASSERT_EQUAL (process_http (s, "GET", url, NULL, &answer), 200);
+      json_t *object = json_loads (answer, 0, NULL);
+      json_object_set_new (json_object_get (object, "spec"), "slots",
+                           json_integer (1000000000));
+      char *body = json_dumps (object, JSON_COMPACT);
+      CU_ASSERT_EQUAL (process_http (s, "PUT", url, body, NULL), 200);
+      free (body);
+      json_decref (object);
+    }
+  usleep (300000);
+  for (int i = 0; i < 2; i++)
+    {
+      struct line_caller *c = start_session (s, i, "browse1", "key-a1");
+      CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+      CU_ASSERT_TRUE (line_query (c, &a, "READ one"));
+      CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
+    }
+  CU_ASSERT_TRUE (all_follow_the_store (s));
+  talloc_free (s);
+}
+
 /* Guards against an organisation that exceeds its rate by sending through all
    daemons and to all services, and against other organisations that are
    refused because of it. */
@@ -1495,6 +1531,7 @@
     fleet_starts_beside_unreadable_entries },
   { "unreadable_entry_replaces_the_older_one",
     unreadable_entry_replaces_the_older_one },
+  { "slots_of_any_size_are_added", slots_of_any_size_are_added },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
