--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -792,6 +792,42 @@
   talloc_free (s);
 }
 
+/* Write an entry that names no database.
+   @param name JSON text of its name. */
+static void
+write_foreign_entry (struct sessiond_site *s, const char *name)
+{
+  char url[100], body[300];
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers",
+            process_port (s->platform));
+  snprintf (body, sizeof body, "{\"meta\":{\"name\":%s},\"spec\":{}}", name);
+  CU_ASSERT_EQUAL (process_http (s, "POST", url, body, NULL), 200);
+}
+
+/* Guards against a list whose second page is never read, as the name after
+   which it begins is no part of a URL. */
+static void
+pages_begin_after_any_name (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 1005; i++)
+    {
+      char name[40];
+      snprintf (name, sizeof name, "\"a%04d &after=z#%%41+ \\\\\\\"?\"", i);
+      write_foreign_entry (s, name);
+    }
+  for (int i = 0; i < 2; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
+  CU_ASSERT_TRUE (all_follow_the_store (s));
+  talloc_free (s);
+}
+
 /* Guards against an organisation that exceeds its rate by sending through all
    daemons and to all services, and against other organisations that are
    refused because of it. */
@@ -1532,6 +1568,7 @@
   { "unreadable_entry_replaces_the_older_one",
     unreadable_entry_replaces_the_older_one },
   { "slots_of_any_size_are_added", slots_of_any_size_are_added },
+  { "pages_begin_after_any_name", pages_begin_after_any_name },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
