log: control characters of a message become question marks

What could be seen: the name of an entry that another writer left added lines to the log of each daemon, with line ends and terminal escapes. Cause: texts went into the log as they were.

--- a/common/log.c
+++ b/common/log.c
@@ -130,6 +130,10 @@
     return;
   char text[1024];
   vsnprintf (text, sizeof text, format, args);
+  /* Texts of others must not add lines. */
+  for (char *c = text; *c != '\0'; c++)
+    if ((unsigned char)*c < ' ' || *c == '\x7f')
+      *c = '?';
   log4c_category_log (category, priority, "%s: %s", component, text);
 }
 
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -804,6 +804,24 @@
   CU_ASSERT_EQUAL (process_http (s, "POST", url, body, NULL), 200);
 }
 
+/* Guards against names of entries that add lines to the log. */
+static void
+log_lines_cannot_be_forged (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  write_foreign_entry (s, "\"odd\\r\\nforged: event=stopped\\u001b[2J\"");
+  CU_ASSERT_TRUE (wait_for_log (s, "name=\"odd", SERVE_MS / 2));
+  for (int i = 0; i < 2; i++)
+    {
+      char *log = bstr_to_text (s, process_output (s->daemons[i]));
+      CU_ASSERT_PTR_NULL (strstr (log, "\nforged"));
+      CU_ASSERT_PTR_NULL (strpbrk (log, "\r\x1b"));
+    }
+  talloc_free (s);
+}
+
 /* Guards against a list whose second page is never read, as the name after
    which it begins is no part of a URL. */
 static void
@@ -1568,6 +1586,7 @@
   { "unreadable_entry_replaces_the_older_one",
     unreadable_entry_replaces_the_older_one },
   { "slots_of_any_size_are_added", slots_of_any_size_are_added },
+  { "log_lines_cannot_be_forged", log_lines_cannot_be_forged },
   { "pages_begin_after_any_name", pages_begin_after_any_name },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
