directory: an ignored entry is logged once

What could be seen: each change of any entry logged all entries that are ignored again, so that thousands of odd ones flood the log and other lines are dropped. Cause: all entries are decoded at each change, and each decoding logged. Change: an entry is logged when it is first ignored, or for another reason than before.

--- a/session/directory.c
+++ b/session/directory.c
@@ -73,6 +73,8 @@
   int endpoint_count;
   int domain_count; /**< See directory_domain_count. */
   void *endpoint_memory;
+  /** Why entries of endpoints are ignored, by name; these were logged. */
+  json_t *ignored;
   const struct config *config;
   json_t *config_object; /**< The object that holds it. */
   bool reaches_store;
@@ -204,6 +206,19 @@
   return domains;
 }
 
+/* Record in @p ignored that an entry is ignored; log it, unless the same was
+   logged when the entries were decoded last. */
+static void
+note_ignored (struct directory *d, json_t *ignored, const char *name,
+              const char *reason)
+{
+  const char *before = json_string_value (json_object_get (d->ignored, name));
+  if (before == NULL || strcmp (before, reason) != 0)
+    log_warn (PART, "event=endpoint_ignored name=\"%.40s\" reason=\"%s\"",
+              name, reason);
+  json_object_set_new (ignored, name, json_string (reason));
+}
+
 static void
 decode_endpoints (struct directory *d, const json_t *items)
 {
@@ -213,6 +228,7 @@
   struct endpoint_entry *entries = talloc_zero_array (
       memory, struct endpoint_entry, json_object_size (items) + 1);
   int count = 0;
+  json_t *ignored = json_object ();
   json_object_foreach ((json_t *)items, name, object)
   {
     struct error err = { 0 };
@@ -222,9 +238,10 @@
         count++;
       }
     else
-      log_warn (PART, "event=endpoint_ignored name=\"%.40s\" reason=\"%s\"",
-                name, err.text);
+      note_ignored (d, ignored, name, err.text);
   }
+  json_decref (d->ignored);
+  d->ignored = ignored;
   talloc_free (d->endpoint_memory);
   d->endpoint_memory = memory;
   d->endpoints = entries;
@@ -480,6 +497,7 @@
       json_decref (d->collections[kind].pending_items);
     }
   json_decref (d->config_object);
+  json_decref (d->ignored);
   return 0;
 }
 
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -822,6 +822,33 @@
   talloc_free (s);
 }
 
+/* Guards against a log that fills with the same line about an entry at each
+   change of another one. */
+static void
+ignored_entry_is_logged_once (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  char name[] = "\"odd-0\"";
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (; name[5] < '9'; name[5]++)
+    {
+      write_foreign_entry (s, name);
+      usleep (20000);
+    }
+  CU_ASSERT_TRUE (wait_for_log (s, "name=\"odd-8\"", SERVE_MS / 2));
+  for (int i = 0; i < 2; i++)
+    {
+      int count = 0;
+      const char *at = bstr_to_text (s, process_output (s->daemons[i]));
+      for (; (at = strstr (at, "name=\"odd-0\"")) != NULL; at++)
+        count++;
+      printf ("[%d lines] ", count);
+      CU_ASSERT_TRUE (count <= 1);
+    }
+  talloc_free (s);
+}
+
 /* Guards against a list whose second page is never read, as the name after
    which it begins is no part of a URL. */
 static void
@@ -1587,6 +1614,7 @@
     unreadable_entry_replaces_the_older_one },
   { "slots_of_any_size_are_added", slots_of_any_size_are_added },
   { "log_lines_cannot_be_forged", log_lines_cannot_be_forged },
+  { "ignored_entry_is_logged_once", ignored_entry_is_logged_once },
   { "pages_begin_after_any_name", pages_begin_after_any_name },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
