--- a/tests/fuzz/objects.c
+++ b/tests/fuzz/objects.c
@@ -4,6 +4,7 @@
  * fields or give them other types.
  */
 #include "platform/objects.h"
+#include "common/address.h"
 #include "platform/store.h"
 #include "tests/fuzz/fuzz.h"
 
@@ -27,6 +28,18 @@
           != NULL);
 }
 
+/* The id and the service are parts of lines that are sent to the endpoint. */
+static void
+check_endpoint (const struct endpoint_entry *entry)
+{
+  struct sockaddr_in address;
+  FUZZ_CHECK (entry->id.len > 0 && entry->service.len > 0 && entry->slots > 0);
+  FUZZ_CHECK (strcspn (entry->id.start, " \t\r\n") == entry->id.len);
+  FUZZ_CHECK (strcspn (entry->service.start, " \t\r\n") == entry->service.len);
+  FUZZ_CHECK (address_parse (entry->address.start, &address)
+              && address.sin_port != 0);
+}
+
 static void
 check_voters (const struct voter_list *list)
 {
@@ -51,7 +64,7 @@
   if (config != NULL)
     check_config (config);
   if (objects_decode_endpoint (scratch, object, &entry, &err))
-    FUZZ_CHECK (entry.id.len > 0 && entry.slots > 0);
+    check_endpoint (&entry);
   struct voter_list list = objects_decode_voters (scratch, object);
   check_voters (&list);
   objects_decode_promotion (scratch, object);
