--- a/standins/site.c
+++ b/standins/site.c
@@ -18,10 +18,11 @@
 };
 
 static unsigned
-on_promote (void *data, const char *service, const char *id, uint64_t token)
+on_promote (void *data, const char *service, const char *id,
+            struct bstr holder, uint64_t token)
 {
   struct site *site = data;
-  return site_databases_promote (site->databases, service, id, token);
+  return site_databases_promote (site->databases, service, id, holder, token);
 }
 
 static bool
--- a/standins/site.h
+++ b/standins/site.h
@@ -21,10 +21,11 @@
   struct tevent_context *ev;
   const char *address; /**< IP:PORT. */
   /** Promote a database to primary of its service.
+   * @param holder name of the caller.
    * @param token fencing token of the caller.
    * @return the HTTP status of the answer. */
   unsigned (*promote) (void *data, const char *service, const char *id,
-                       uint64_t token);
+                       struct bstr holder, uint64_t token);
   /** Set or end a fault of a database; requested by POST /control.
    * @return false if the database or the fault is unknown. */
   bool (*set_fault) (void *data, const char *id, const char *fault);
@@ -74,7 +75,8 @@
 /* Callbacks for struct site_store_options; @p data is the site_databases. */
 
 unsigned site_databases_promote (void *data, const char *service,
-                                 const char *id, uint64_t token);
+                                 const char *id, struct bstr holder,
+                                 uint64_t token);
 bool site_databases_set_fault (void *data, const char *id, const char *fault);
 json_t *site_databases_get_observations (void *data);
 
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -55,6 +55,7 @@
   struct database *databases[MAX_DATABASES];
   int count;
   uint64_t newest_token; /**< Highest fencing token of a promotion so far. */
+  char *newest_holder;   /**< Who sent newest_token; NULL: nobody yet. */
   json_t *runs;          /**< Every statement of a caller that ran. */
   json_t *violations;    /**< Broken guarantees: {rule, id}. */
 };
@@ -671,14 +672,21 @@
 
 unsigned
 site_databases_promote (void *data, const char *service, const char *id,
-                        uint64_t token)
+                        struct bstr holder, uint64_t token)
 {
   struct site_databases *g = data;
   struct database *d = find_database (g, id);
   if (token < g->newest_token)
     record_violation (g, "a lower fencing token was used", id);
+  else if (token == g->newest_token && g->newest_holder != NULL
+           && !bstr_equals_text (holder, g->newest_holder))
+    record_violation (g, "two holders used the same fencing token", id);
   else
-    g->newest_token = token;
+    {
+      g->newest_token = token;
+      talloc_free (g->newest_holder);
+      g->newest_holder = bstr_to_text (g, holder);
+    }
   if (d == NULL || d->dead || strcmp (d->service, service) != 0)
     return 409;
   if (d->is_primary)
@@ -777,8 +785,9 @@
                      d->dead, "term", (json_int_t)d->term, "log", log,
                      "connections", d->connections));
     }
-  return json_pack ("{s:o, s:O, s:O}", "databases", databases, "runs", g->runs,
-                    "violations", g->violations);
+  return json_pack ("{s:o, s:O, s:O, s:I}", "databases", databases, "runs",
+                    g->runs, "violations", g->violations, "token",
+                    (json_int_t)g->newest_token);
 }
 
 static int
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -541,6 +541,7 @@
   unsigned status = 400;
   if (service != NULL && id != NULL && token.len > 0)
     status = s->options.promote (s->options.data, service, id,
+                                 http_header_value (request, "X-Duty-Holder"),
                                  strtoull (token.start, NULL, 10));
   reply_empty (s, request, status);
   json_decref (body);
