voters: the list outlives a restore of the store

Two daemons owned a service at a time, or none did for seconds.

Cause: the list of voters is an object in the store, and its epoch was the object's revision. A store that was restored from a copy shows an older list under a new revision, or none. Members that read it followed an older majority, and a daemon that started without a list added itself alone and owned all services.

Change: the list carries its own epoch, a count of its changes and, as the smaller part, the era in which it was written. A member never goes back to an older list. The voter that maintains the list writes it again if the store has lost it. A daemon that starts without a list waits four seconds before it adds itself, unless the whole fleet starts for the first time.

--- a/session/directory.c
+++ b/session/directory.c
@@ -313,7 +313,8 @@
 {
   voters_apply (d->sessiond->voters,
                 json_object_get (d->collections[OBJECT_VOTERS].items,
-                                 objects_voters_name ()));
+                                 objects_voters_name ()),
+                d->collections[OBJECT_VOTERS].revision);
   for (int kind = 0; kind < OBJECT_KIND_COUNT && is_voter (d); kind++)
     start_reading (&d->collections[kind]);
 }
--- a/session/fleet_voters.c
+++ b/session/fleet_voters.c
@@ -76,7 +76,12 @@
 {
   struct voters *voters = f->sessiond->voters;
   const struct voter_list *list = voters_list (voters);
-  if (!maintains_voter_list (f, now)
+  if (!maintains_voter_list (f, now))
+    return;
+  /* The same voters, so this list may follow one that is not established. */
+  if (voters_list_is_lost (voters))
+    voters_write_again (voters);
+  if (voters_list_is_lost (voters)
       || !lease_list_is_established (f->leases, now))
     return;
   const struct voter_entry *silent = find_silent_voter (f, now);
--- a/session/model.h
+++ b/session/model.h
@@ -91,7 +91,9 @@
 {
   struct voter_entry *entries;
   int count;
-  uint64_t epoch; /**< Grows with every change; 0: there is no list. */
+  /** Grows with every change, also after the store was restored from a copy
+   * that holds an older list; 0: there is no list. */
+  uint64_t epoch;
   /** No change of the list is in progress; see struct lease_voters. */
   bool settled;
 };
--- a/session/voters.c
+++ b/session/voters.c
@@ -26,6 +26,14 @@
 /* If there was no majority of the voters for this time, too many of them are
    gone for good; members add themselves until there is a majority again. */
 #define MAJORITY_LOST_US (30 * USEC_PER_SEC)
+/* A member that starts while there is no list waits this long before it adds
+   itself, unless the whole fleet starts for the first time: a store that was
+   restored from a copy may lack the list until a voter has written it
+   again. */
+#define NO_LIST_WAIT_US (4 * USEC_PER_SEC)
+/* Bits of an epoch for the era of the store in which the list was written.
+   They tell two lists apart that follow the same one in different eras. */
+#define ERA_BITS 16
 /* Period of the checks whether this member is in a quorum. */
 #define QUORUM_CHECK_PERIOD_US (1 * USEC_PER_SEC)
 
@@ -35,6 +43,10 @@
   struct sessiond *sessiond;
   void *memory; /**< Talloc context of the list's entries. */
   struct voter_list list;
+  uint64_t read_at;  /**< Newest revision of the store at which the object
+                        was read. */
+  uint64_t revision; /**< Of the object; 0: there is none. */
+  bool list_is_lost; /**< See voters_list_is_lost. */
   int64_t started_at;
   int64_t last_in_quorum; /**< Last time when there was a quorum. */
   /** Time of the last write; 0: the next write need not wait for RETRY_US. */
@@ -88,7 +100,7 @@
          again. */
       v->written_at = 0;
       v->may_add_self = true;
-      voters_apply (v, body);
+      voters_apply (v, body, objects_revision (body));
       return;
     }
   v->may_add_self = false;
@@ -102,13 +114,16 @@
 /* Write the list to the store, unless the list there has changed since it was
    read. */
 static void
-write_list (struct voters *v, const struct voter_list *list)
+write_list (struct voters *v, struct voter_list *list)
 {
+  uint64_t era = store_era (v->sessiond->store);
   v->is_writing = true;
   v->written_at = clock_now ();
+  list->epoch = ((v->list.epoch >> ERA_BITS) + 1) << ERA_BITS
+                | (era & ((1U << ERA_BITS) - 1));
   store_put (v->sessiond->store, objects_kind_name (OBJECT_VOTERS),
-             objects_voters_name (), v->list.epoch,
-             objects_encode_voters (list), CALL_TIMEOUT_MS, on_written, v);
+             objects_voters_name (), v->revision, objects_encode_voters (list),
+             CALL_TIMEOUT_MS, on_written, v);
 }
 
 static bool
@@ -170,6 +185,22 @@
   write_list (v, &list);
 }
 
+bool
+voters_list_is_lost (const struct voters *v)
+{
+  return v->list_is_lost;
+}
+
+void
+voters_write_again (struct voters *v)
+{
+  struct voter_list list = v->list;
+  if (!may_write (v))
+    return;
+  log_info (PART, "event=list_written_again voters=%d", list.count);
+  write_list (v, &list);
+}
+
 /* Add this member to the list, or replace its entry. */
 static void
 add_self (struct voters *v)
@@ -188,10 +219,10 @@
 members_add_themselves (const struct voters *v)
 {
   int64_t now = clock_now ();
-  if (v->list.count == 0)
-    return true;
   if (v->sessiond->options->bootstrap && now - v->started_at < BOOTSTRAP_US)
     return v->list.count < VOTERS_WANTED;
+  if (v->list.count == 0)
+    return now - v->started_at >= NO_LIST_WAIT_US;
   return now - v->last_in_quorum > MAJORITY_LOST_US
          && v->list.count < LEASE_MAX_VOTERS;
 }
@@ -222,17 +253,25 @@
 }
 
 void
-voters_apply (struct voters *v, const json_t *object)
+voters_apply (struct voters *v, const json_t *object, uint64_t revision)
 {
-  uint64_t epoch = object != NULL ? objects_revision (object) : 0;
-  if (epoch > v->list.epoch)
+  void *memory = talloc_new (v);
+  struct voter_list list = objects_decode_voters (memory, object);
+  if (revision >= v->read_at)
+    {
+      v->read_at = revision;
+      v->revision = object != NULL ? objects_revision (object) : 0;
+      v->list_is_lost = list.epoch < v->list.epoch;
+    }
+  if (list.epoch > v->list.epoch)
     {
-      void *memory = talloc_new (v);
-      v->list = objects_decode_voters (memory, object);
+      v->list = list;
       talloc_free (v->memory);
       v->memory = memory;
+      memory = NULL;
       sessiond_voters_changed (v->sessiond);
     }
+  talloc_free (memory);
   update_own_entry (v);
 }
 
--- a/session/voters.h
+++ b/session/voters.h
@@ -21,8 +21,9 @@
 struct voters *voters_create (struct sessiond *r);
 /** Apply the list as it was read from the store or from a copy, and add this
  * member to it if that is due.
- * @param object NULL: there is no list. */
-void voters_apply (struct voters *v, const json_t *object);
+ * @param object NULL: there is no list.
+ * @param revision revision of the store at which it was read. */
+void voters_apply (struct voters *v, const json_t *object, uint64_t revision);
 /** @return the current list, valid until the next change. */
 const struct voter_list *voters_list (const struct voters *v);
 /** @return whether this member asks to be added to the list. */
@@ -35,6 +36,11 @@
 /** Add a voter, or replace the entry with its id. */
 void voters_add (struct voters *v, const struct voter_entry *entry);
 void voters_remove (struct voters *v, uint64_t id);
+/** @return whether the store has an older list than this member, or none: it
+ * was restored from a copy. */
+bool voters_list_is_lost (const struct voters *v);
+/** Write the list that the store has lost again. */
+void voters_write_again (struct voters *v);
 /** Mark the list as settled (no change of it is in progress) or not.  Voters
  * are added and removed only while the list is not settled. */
 void voters_set_settled (struct voters *v, bool settled);
