promotion: records that a restore of the store brings back are removed

Cause: the record of a promotion that has ended may be in the store again when that was restored from a copy. The next owner would take it for a promotion that the previous one had begun, and would replace a primary that serves.

Change: the owner of a service that is served removes a record that it finds after a restore.

No test brings a removed record back: this change is by reading only.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -117,6 +117,7 @@
     return;
   promotion_cancel (s);
   s->planned = planned;
+  s->record_outdated = false;
   s->promotion_decided_at = now;
   service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
@@ -216,6 +217,43 @@
              CALL_TIMEOUT_MS, on_record_read, begin_call (s));
 }
 
+static void
+on_outdated_record_read (void *data, const struct error *err,
+                         const json_t *body)
+{
+  struct service *s = end_call (data);
+  if (s == NULL)
+    return;
+  s->record_outdated = err->code != ERROR_NONE && err->code != ERROR_NOT_FOUND;
+  if (err->code == ERROR_NONE)
+    {
+      log_warn (PART, "event=record_outdated service=%s", s->name);
+      remove_record (s, objects_revision (body));
+    }
+  else if (s->record_outdated)
+    {
+      log_warn (PART, "event=record_unread service=%s code=%s reason=\"%s\"",
+                s->name, error_name (err->code), err->text);
+      s->next_attempt_at = clock_now () + RETRY_DELAY_US;
+    }
+}
+
+/* A record that was removed may be there again.  The next owner would take it
+   for a promotion that this one has begun. */
+static void
+remove_outdated_record (struct service *s, int64_t now)
+{
+  if (s->record_outdated && !s->call_in_progress && now >= s->next_attempt_at)
+    store_get (s->sessiond->store, objects_promotion_kind (), s->name,
+               CALL_TIMEOUT_MS, on_outdated_record_read, begin_call (s));
+}
+
+void
+promotion_store_restored (struct service *s)
+{
+  s->record_outdated = s->phase == SERVICE_SERVING;
+}
+
 /* The store may refuse this daemon and serve others.  Release the service to
    one of them, which can record the promotion.
    @return whether it was released. */
@@ -461,6 +499,8 @@
       look_for_primary (s, now);
       return;
     }
+  if (s->phase == SERVICE_SERVING)
+    remove_outdated_record (s, now);
   if (s->phase != SERVICE_HANDOFF && s->phase != SERVICE_REPLACING)
     return;
   if (!s->planned && s->primary != NULL && s->primary->failed_since == 0
