session: a success needs a database's signature

What callers saw: a read, write or commit that came back with outcome OK but without a signature was answered as a success, "COMPLETE -".

Cause: the entry daemon looked at the outcome of a result only.

Change: a READ, WRITE, EXECUTE or COMMIT whose result has no signature is failed like one whose owner was lost after it had been sent: FAILED for a read outside of transactions, INDOUBT for a write there and for the COMMIT of writes, ABORTED for the rest of a transaction. The entry daemon logs event=unsigned_result with the incarnation of the process that has sent the result. The stand-in database has the fault "unsigned", for the next signed answer.

The signature of another statement is not recognised by this: only the database and the caller can check it.

--- a/session/callers.c
+++ b/session/callers.c
@@ -308,6 +308,20 @@
   return w->statement.verb == VERB_COMMIT && w->caller->session->has_written;
 }
 
+/* Fail a statement that may have run. */
+static void
+fail_unknown (struct forwarded_statement *w, const char *reason)
+{
+  const struct packet_statement *s = &w->message.statement;
+  if (s->in_transaction || w->is_begin)
+    fail_statement (
+        w, is_commit_of_writes (w) ? OUTCOME_UNKNOWN : OUTCOME_ABORTED, reason,
+        0);
+  else
+    fail_statement (w, s->is_read ? OUTCOME_FAILED : OUTCOME_UNKNOWN, reason,
+                    0);
+}
+
 /* Handle a statement that the owner will no longer answer: send it again if
    that is safe, else fail it. */
 static void
@@ -318,12 +332,8 @@
   bool is_read = s->is_read && !s->in_transaction;
   if (may_resend && (is_read || (w->is_begin && w->next == NULL)))
     w->member = 0;
-  else if (s->in_transaction || w->is_begin)
-    fail_statement (
-        w, is_commit_of_writes (w) ? OUTCOME_UNKNOWN : OUTCOME_ABORTED, reason,
-        0);
   else
-    fail_statement (w, is_read ? OUTCOME_FAILED : OUTCOME_UNKNOWN, reason, 0);
+    fail_unknown (w, reason);
 }
 
 /* Send a statement that waits for an owner, or fail one that has timed out or
@@ -767,6 +777,14 @@
     w->caller->transaction_member = 0;
 }
 
+/* @return whether the success of a statement needs a database's signature. */
+static bool
+needs_signature (enum statement_verb verb)
+{
+  return verb == VERB_READ || verb == VERB_WRITE || verb == VERB_EXECUTE
+         || verb == VERB_COMMIT;
+}
+
 void
 callers_handle_result (struct callers *f, const struct packet *m)
 {
@@ -795,6 +813,16 @@
       remove_statement (w);
       return;
     }
+  if (needs_signature (w->statement.verb) && !wire_is_signature (r->signature))
+    {
+      log_warn (PART,
+                "event=unsigned_result id=%.*s database=%.*s "
+                "owner_incarnation=%" PRIx64 " reader=%d",
+                BSTR_ARG (w->message.statement.id), BSTR_ARG (c->database),
+                m->sender.incarnation, w->message.statement.for_reader);
+      fail_unknown (w, "the result has no signature");
+      return;
+    }
   count_result (c, w, OUTCOME_OK);
   session_record_result (c->session, &w->statement, OUTCOME_OK, r->position);
   remove_statement (w);
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -39,6 +39,7 @@
   /** Fault: run the next statement of a caller and close the connection
    * instead of answering. */
   bool lose_next_answer;
+  bool omit_next_signature;
   uint64_t term;   /**< Newest term that it knows. */
   int64_t born_ms; /**< Start time that it publishes. */
   struct stream_server *server;
@@ -278,6 +279,12 @@
 static void
 add_done (struct session *s, const char *row, const char *signature)
 {
+  struct database *d = s->database;
+  if (d->omit_next_signature && strcmp (signature, "-") != 0)
+    {
+      d->omit_next_signature = false;
+      signature = "-";
+    }
   if (row != NULL)
     s->answer = talloc_asprintf_append (s->answer, "ROW %s\r\n", row);
   s->answer = talloc_asprintf_append (s->answer, "COMPLETE %s\r\n", signature);
@@ -757,6 +764,8 @@
     d->replication_stopped = false;
   else if (strcmp (fault, "lose") == 0)
     d->lose_next_answer = true;
+  else if (strcmp (fault, "unsigned") == 0)
+    d->omit_next_signature = true;
   else if (strcmp (fault, "drain") == 0)
     {
       d->draining = true;
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -209,6 +209,42 @@
   talloc_free (s);
 }
 
+/* Guards against a success that no database has signed: a read, a write or a
+   commit whose result came without a signature. */
+static void
+result_without_signature_is_no_success (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *c = start_session (s, 1, "main1", "key-a1");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "unsigned"));
+  CU_ASSERT_FALSE (line_query (c, &a, "READ one"));
+  CU_ASSERT_STRING_EQUAL (a.code, "FAILED");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "unsigned"));
+  CU_ASSERT_FALSE (line_query (c, &a, "WRITE one x"));
+  CU_ASSERT_STRING_EQUAL (a.code, "INDOUBT");
+  CU_ASSERT_EQUAL (a.state, 'I');
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (c, &a, "WRITE two x"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "unsigned"));
+  CU_ASSERT_FALSE (line_query (c, &a, "COMMIT"));
+  CU_ASSERT_STRING_EQUAL (a.code, "INDOUBT");
+  CU_ASSERT_EQUAL (a.state, 'I');
+  CU_ASSERT_TRUE (line_query (c, &a, "BEGIN"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "unsigned"));
+  CU_ASSERT_FALSE (line_query (c, &a, "WRITE three x"));
+  CU_ASSERT_STRING_EQUAL (a.code, "ABORTED");
+  CU_ASSERT_EQUAL (a.state, 'E');
+  CU_ASSERT_TRUE (line_query (c, &a, "ROLLBACK"));
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, a.id), 0);
+  CU_ASSERT_TRUE (line_query (c, &a, "READ three"));
+  CU_ASSERT_STRING_EQUAL (a.row, "none");
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against lost writes and stale reads when the primary crashes and
    returns as a replica. */
 static void
@@ -1588,6 +1624,8 @@
   { "unfinished_transactions_keep_nothing",
     unfinished_transactions_keep_nothing },
   { "lost_answers_are_told_truly", lost_answers_are_told_truly },
+  { "result_without_signature_is_no_success",
+    result_without_signature_is_no_success },
   { "crashed_primary_is_replaced", crashed_primary_is_replaced },
   { "silent_primary_is_replaced", silent_primary_is_replaced },
   { "draining_primary_hands_over", draining_primary_hands_over },
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -71,6 +71,12 @@
   CU_ASSERT_EQUAL (r.state, SESSION_IN_TRANSACTION);
   CU_ASSERT_EQUAL (r.position.term, 3);
   CU_ASSERT_EQUAL (r.position.number, 1209);
+  r = wire_parse_reply (bstr_from ("COMPLETE 7.1f3.c"));
+  CU_ASSERT_EQUAL (r.kind, WIRE_COMPLETE);
+  CU_ASSERT_TRUE (wire_is_signature (r.text));
+  CU_ASSERT_FALSE (
+      wire_is_signature (wire_parse_reply (bstr_from ("COMPLETE -")).text));
+  CU_ASSERT_FALSE (wire_is_signature (bstr_from ("")));
   r = wire_parse_reply (bstr_from ("READY I -"));
   CU_ASSERT_EQUAL (r.kind, WIRE_READY);
   CU_ASSERT_EQUAL (r.position.term, 0);
