service: endpoints that cannot be used take no place among the replicas

What callers saw: with 20 well-formed entries of databases that do not exist, reads were answered BUSY and a primary that crashed was not replaced within 15 s. Cause: the first 16 endpoints of a service were looked at, the newest ones first, whether they can be used or not; the choice then ignored those that cannot. Change: only usable endpoints, or those that answered the survey, take a place. Test: sessiond/dead_entries_hide_no_database, before: the read BUSY "Connection refused", no write within 8 s (2 checks failed); passes now.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -345,7 +345,8 @@
       endpoints[count] = e;
       replicas[count] = e->replica;
       replicas[count].is_primary = false;
-      replicas[count++].usable = e->status_at >= since;
+      replicas[count].usable = e->status_at >= since;
+      count += replicas[count].usable;
     }
   int best = replicas_choose_successor (replicas, count);
   return best >= 0 ? endpoints[best] : NULL;
--- a/session/service.c
+++ b/session/service.c
@@ -329,7 +329,7 @@
                                && (!e->draining
                                    || (e == s->primary && !ps->transaction
                                        && !drain_time_is_over (e, now)));
-      count++;
+      count += replicas[count].usable;
     }
   /* The position of the newest acknowledged commit is not known yet. */
   if (s->commit_history.newest.term == 0)
@@ -931,10 +931,11 @@
       /* The owner alone fills the slots of the primary, which has the writes
          to run.  The owner may also know a better endpoint than a suspect
          one. */
-      replicas[count++].usable = e->is_listed && !e->claims_primary
-                                 && !e->draining && !e->is_wrong_endpoint
-                                 && e->failed_since == 0
-                                 && e->suspect_since == 0 && e->refusals == 0;
+      replicas[count].usable = e->is_listed && !e->claims_primary
+                               && !e->draining && !e->is_wrong_endpoint
+                               && e->failed_since == 0 && e->suspect_since == 0
+                               && e->refusals == 0;
+      count += replicas[count].usable;
     }
   return replicas_choose_for_read (replicas, count, required, false, now,
                                    &index)
--- a/session/service.h
+++ b/session/service.h
@@ -17,7 +17,7 @@
  * the platform takes one second of it. */
 #define EXPECTED_PROMOTION_US (1300 * USEC_PER_MSEC)
 
-/** Endpoints of one service that are considered for its statements. */
+/** Usable endpoints of one service that are considered for a statement. */
 #define SERVICE_MAX_ENDPOINTS 16
 
 /** What this daemon does for a service.  From SERVICE_SERVING on it sends
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -909,6 +909,35 @@
   talloc_free (s);
 }
 
+/* Guards against a service that cannot read or replace its primary because
+   entries of databases that do not exist take the places of its replicas. */
+static void
+dead_entries_hide_no_database (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  struct line_answer a;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 20; i++)
+    {
+      char name[20];
+      snprintf (name, sizeof name, "dead-%d", i);
+      CU_ASSERT_TRUE (sessiond_site_write_raw (
+          s, "servers", name,
+          "{\"service\":\"ledger-1\",\"address\":\"127.0.0.1:1\","
+          "\"zone\":\"zone-a\",\"slots\":2,\"state\":\"ready\","
+          "\"db-role\":\"replica\",\"born\":1}"));
+    }
+  usleep (1000000);
+  struct line_caller *c = start_session (s, 0, "browse1", "key-a1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  CU_ASSERT_TRUE (line_query (c, &a, "READ one"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "kill"));
+  a = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (a.id, "");
+  talloc_free (s);
+}
+
 /* Guards against an organisation that exceeds its rate by sending through all
    daemons and to all services, and against other organisations that are
    refused because of it. */
@@ -1654,6 +1683,7 @@
   { "log_lines_cannot_be_forged", log_lines_cannot_be_forged },
   { "ignored_entry_is_logged_once", ignored_entry_is_logged_once },
   { "pages_begin_after_any_name", pages_begin_after_any_name },
+  { "dead_entries_hide_no_database", dead_entries_hide_no_database },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
   { "planned_stop_answers_what_was_sent", planned_stop_answers_what_was_sent },
