directory: an entry without a readable name ends no list

What callers saw: with more than a page of entries, and one at the end of a page that is malformed between its members, daemons that started never served. Cause: the next page begins after the name of the last entry; without one the list counted as complete, without the databases of the pages after it. Change: the last name that can be read is taken.

--- a/session/directory.c
+++ b/session/directory.c
@@ -392,9 +392,11 @@
     }
   json_array_foreach (store_items (body), i, object)
   {
-    last = objects_name (object);
-    if (last.start != NULL)
-      json_object_set (c->pending_items, last.start, (json_t *)object);
+    struct bstr name = objects_name (object);
+    if (name.start == NULL)
+      continue;
+    last = name;
+    json_object_set (c->pending_items, name.start, (json_t *)object);
   }
   if (store_has_more (body) && last.start != NULL)
     {
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -909,6 +909,30 @@
   talloc_free (s);
 }
 
+/* Guards against a list that is taken for complete because the last entry of a
+   page has no name that can be read. */
+static void
+nameless_entry_ends_no_list (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  for (int i = 0; i < 499; i++)
+    {
+      char name[20];
+      snprintf (name, sizeof name, "\"a%03d\"", i);
+      write_foreign_entry (s, name);
+    }
+  CU_ASSERT_TRUE (sessiond_site_write_raw (s, "servers", "a499", "1,,2"));
+  for (int i = 0; i < 2; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
+  talloc_free (s);
+}
+
 /* Guards against a service that cannot read or replace its primary because
    entries of databases that do not exist take the places of its replicas. */
 static void
@@ -1683,6 +1707,7 @@
   { "log_lines_cannot_be_forged", log_lines_cannot_be_forged },
   { "ignored_entry_is_logged_once", ignored_entry_is_logged_once },
   { "pages_begin_after_any_name", pages_begin_after_any_name },
+  { "nameless_entry_ends_no_list", nameless_entry_ends_no_list },
   { "dead_entries_hide_no_database", dead_entries_hide_no_database },
   { "rate_holds_over_the_fleet", rate_holds_over_the_fleet },
   { "planned_stop_cuts_nothing", planned_stop_cuts_nothing },
