session: a new owner accepts no replaced primary

What callers saw: after the owner of a service had died, reads lacked commits that had been acknowledged before (STALE), and writes were acknowledged that the present primary never got (LOST).

Cause: after a takeover, look_for_primary accepted any primary 150 ms later if no endpoint that had answered by then knew a newer term. A replaced primary goes on until it reaches its successor. If the previous owner had promoted another endpoint and that one answered late, the new owner served the log of the older term. The promotion record, from which it could have known, was removed as soon as the target led.

A new owner accepts no primary of an older term, and none of the same term if the previous owner announced a change and no record of it is found. A change is announced with the write of its record instead of with the survey, so that a new owner does not wait because of a survey that led to no order. The record is removed only after a majority has confirmed the heartbeat with the new term.

If the primary of the known term does not answer within 0.7 s, the endpoint with the newest log is promoted, as before; among equal logs a primary whose term is acceptable comes first, one whose term is too low last. An endpoint that was ordered to lead is accepted with a term that is too low only 2.5 s after the order, and only if no endpoint knows a newer term: this ends the wait if the order changed nothing, or if a service was created again and its terms begin anew. For the same reason voters keep the newest announced term, not the highest one.

If no voter knows a term (all were started again), an endpoint whose entry claims to be the primary and that has not answered is waited for; after 0.7 s a promotion is ordered, which changes nothing for the present primary, instead of accepting another primary.

Why it works: an order is given only after a majority has heard of the change, and the record stays until a majority has heard of the new term. Any majority that grants the service to a new owner has a voter in common with it, so the new owner knows the term, or that it changes. Voters keep this in memory only: if a voter that alone is in both majorities starts again, it is lost as the flag of a change was before.

--- a/core/lease.c
+++ b/core/lease.c
@@ -62,8 +62,10 @@
   uint64_t granted_incarnation;
   int64_t granted_until;
   enum lease_state
-      state;     /**< State that this member announces with its claim. */
-  bool changing; /**< The newest owner announced LEASE_CHANGING. */
+      state;         /**< State that this member announces with its claim. */
+  bool changing;     /**< The newest owner announced LEASE_CHANGING. */
+  uint64_t own_term; /**< Term that this member announces with its claim. */
+  uint64_t term;     /**< Term that an owner announced last. */
 };
 
 struct lease_table
@@ -381,6 +383,7 @@
     {
       s->claimed_at = now;
       s->state = LEASE_UNKNOWN;
+      s->own_term = 0;
     }
   s->claimed = wanted;
   if (!wanted && s->granted_to == t->options.self)
@@ -395,6 +398,15 @@
     s->changing = state == LEASE_CHANGING;
 }
 
+/* Stores for the next owner the term of the primary.  A smaller one replaces a
+   larger one, as the terms of a service that is created again begin anew. */
+static void
+record_announced_term (struct service_lease *s, uint64_t term)
+{
+  if (term != 0)
+    s->term = term;
+}
+
 void
 lease_set_state (struct lease_table *t, uint64_t service,
                  enum lease_state state)
@@ -406,6 +418,16 @@
   record_announced_state (s, state);
 }
 
+void
+lease_set_term (struct lease_table *t, uint64_t service, uint64_t term)
+{
+  struct service_lease *s = find_service (t, service);
+  if (s == NULL || !s->claimed || term == 0)
+    return;
+  s->own_term = term;
+  record_announced_term (s, term);
+}
+
 static bool
 heartbeat_claims (const struct lease_heartbeat *h, uint64_t service)
 {
@@ -543,7 +565,10 @@
       else
         changed |= record_observed_owner (t, s, h, &h->claims[i], now);
       if (s->granted_to == h->member)
-        record_announced_state (s, h->claims[i].state);
+        {
+          record_announced_state (s, h->claims[i].state);
+          record_announced_term (s, h->claims[i].term);
+        }
     }
   changed |= grant_after_clean_start (t, now);
   return changed;
@@ -664,6 +689,21 @@
   return false;
 }
 
+uint64_t
+lease_newest_term (const struct lease_table *t, uint64_t service)
+{
+  const struct service_lease *s = find_service (t, service);
+  uint64_t newest = s != NULL ? s->term : 0;
+  for (int i = 0; i < t->peer_count; i++)
+    {
+      const struct lease_grant *grant
+          = find_grant_to_self (t, &t->peers[i], service);
+      if (t->peers[i].is_voter && grant != NULL && grant->term > newest)
+        newest = grant->term;
+    }
+  return newest;
+}
+
 uint64_t
 lease_owner (const struct lease_table *t, uint64_t service, int64_t now)
 {
@@ -740,10 +780,10 @@
     {
       const struct service_lease *s = &t->services[i];
       if (s->claimed)
-        out[count++]
-            = (struct lease_claim){ .service = s->service,
-                                    .state = s->state,
-                                    .owned = valid_until (t, s) > now };
+        out[count++] = (struct lease_claim){ .service = s->service,
+                                             .state = s->state,
+                                             .owned = valid_until (t, s) > now,
+                                             .term = s->own_term };
     }
   return count;
 }
@@ -765,7 +805,8 @@
             = (struct lease_grant){ .service = s->service,
                                     .member = s->granted_to,
                                     .incarnation = s->granted_incarnation,
-                                    .changing = s->changing };
+                                    .changing = s->changing,
+                                    .term = s->term };
     }
   return count;
 }
--- a/core/lease.h
+++ b/core/lease.h
@@ -64,7 +64,9 @@
 {
   uint64_t service;
   enum lease_state state;
-  bool owned; /**< A majority has granted it to the sender. */
+  bool owned;    /**< A majority has granted it to the sender. */
+  uint64_t term; /**< Term of the service's primary; 0: the sender does not
+                    know it. */
 };
 
 /** A grant by the sender of a heartbeat: @p member may own @p service. */
@@ -75,6 +77,8 @@
   uint64_t incarnation; /**< Incarnation of the member's process. */
   bool changing;        /**< The newest owner that the sender knows announced
                             LEASE_CHANGING. */
+  uint64_t term;        /**< Term that an owner announced last; 0: the sender
+                           knows none. */
 };
 
 /** The newest stamp that one member has received from another one. */
@@ -127,6 +131,13 @@
  * claims. */
 void lease_set_state (struct lease_table *t, uint64_t service,
                       enum lease_state state);
+/** Sets the term of the service's primary that this member's heartbeats
+ * announce for a service that it claims.
+ * @param term 0 is ignored. */
+void lease_set_term (struct lease_table *t, uint64_t service, uint64_t term);
+/** @return the highest term that this member, or a voter that grants it the
+ * service, knows as the one that an owner announced last; 0: none. */
+uint64_t lease_newest_term (const struct lease_table *t, uint64_t service);
 /** @return whether a majority has renewed its grants after @p since, and so
  * has received the state that was set before. */
 bool lease_is_confirmed_since (const struct lease_table *t, uint64_t service,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -643,12 +643,19 @@
 
 void
 fleet_set_primary_state (struct fleet *f, uint64_t service,
-                         enum lease_state state)
+                         enum lease_state state, uint64_t term)
 {
   lease_set_state (f->leases, service, state);
+  lease_set_term (f->leases, service, term);
   fleet_schedule_heartbeats (f);
 }
 
+uint64_t
+fleet_newest_term (const struct fleet *f, uint64_t service)
+{
+  return lease_newest_term (f->leases, service);
+}
+
 bool
 fleet_confirmed_since (const struct fleet *f, uint64_t service, int64_t since)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -45,10 +45,14 @@
 /** @return the time, own clock, until which this member owns @p service; 0: it
  * does not own it. */
 int64_t fleet_owns_until (const struct fleet *f, uint64_t service);
-/** Set the state of the service's primary that the heartbeats report to the
- * other members. */
+/** Set the state and the term of the service's primary that the heartbeats
+ * report to the other members.
+ * @param term 0: not known; the newest known one stays. */
 void fleet_set_primary_state (struct fleet *f, uint64_t service,
-                              enum lease_state state);
+                              enum lease_state state, uint64_t term);
+/** @return the term of the service's primary that an owner announced last, as
+ * far as a majority knows; 0: none. */
+uint64_t fleet_newest_term (const struct fleet *f, uint64_t service);
 /** @return whether a majority has confirmed the ownership together with the
  * state that was set before @p since. */
 bool fleet_confirmed_since (const struct fleet *f, uint64_t service,
--- a/session/packet.c
+++ b/session/packet.c
@@ -67,20 +67,22 @@
       pack_uint (p, h->revision[i]);
       pack_uint (p, h->digest[i]);
     }
-  pack_array (p, (unsigned)h->claim_count * 3);
+  pack_array (p, (unsigned)h->claim_count * 4);
   for (int i = 0; i < h->claim_count; i++)
     {
       pack_uint (p, h->claims[i].service);
       pack_uint (p, h->claims[i].state);
       pack_bool (p, h->claims[i].owned);
+      pack_uint (p, h->claims[i].term);
     }
-  pack_array (p, (unsigned)h->grant_count * 4);
+  pack_array (p, (unsigned)h->grant_count * 5);
   for (int i = 0; i < h->grant_count; i++)
     {
       pack_uint (p, h->grants[i].service);
       pack_uint (p, h->grants[i].member);
       pack_uint (p, h->grants[i].incarnation);
       pack_bool (p, h->grants[i].changing);
+      pack_uint (p, h->grants[i].term);
     }
   pack_array (p, (unsigned)h->successor_count * 2);
   for (int i = 0; i < h->successor_count; i++)
@@ -130,7 +132,7 @@
       h->revision[i] = unpack_uint (u);
       h->digest[i] = unpack_uint (u);
     }
-  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 3) / 3;
+  h->claim_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 4) / 4;
   h->claims
       = talloc_zero_array (parent, struct lease_claim, (size_t)h->claim_count);
   for (int i = 0; i < h->claim_count; i++)
@@ -140,8 +142,9 @@
       u->failed |= state >= LEASE_STATE_COUNT;
       h->claims[i].state = (enum lease_state)state;
       h->claims[i].owned = unpack_bool (u);
+      h->claims[i].term = unpack_uint (u);
     }
-  h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 4) / 4;
+  h->grant_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 5) / 5;
   h->grants
       = talloc_zero_array (parent, struct lease_grant, (size_t)h->grant_count);
   for (int i = 0; i < h->grant_count; i++)
@@ -150,6 +153,7 @@
       h->grants[i].member = unpack_uint (u);
       h->grants[i].incarnation = unpack_uint (u);
       h->grants[i].changing = unpack_bool (u);
+      h->grants[i].term = unpack_uint (u);
     }
   h->successor_count = (int)unpack_array_any (u, LEASE_MAX_SERVICES * 2) / 2;
   h->successors = talloc_zero_array (parent, struct packet_successor,
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -66,7 +66,8 @@
   return s;
 }
 
-/* Enter a step of the promotion. */
+/* Enter a step of the promotion.  From PROMOTION_RECORD on an order may be
+   given, which the next owner must know. */
 static void
 set_step (struct service *s, enum promotion_step step)
 {
@@ -74,6 +75,12 @@
   s->step = step;
   s->step_since = clock_now ();
   s->next_attempt_at = 0;
+  if (step == PROMOTION_RECORD)
+    {
+      s->change_announced_at = s->step_since;
+      fleet_set_primary_state (s->sessiond->fleet, s->id, LEASE_CHANGING,
+                               s->term);
+    }
   log_info (PART,
             "event=promotion step=%s service=%s target=%s token=%" PRIu64
             " since_ms=%" PRId64,
@@ -86,6 +93,7 @@
 set_target (struct service *s, struct endpoint *e)
 {
   s->target = e;
+  s->ordered_at = 0;
   TALLOC_FREE (s->target_id);
   if (e != NULL)
     s->target_id = talloc_strdup (s, e->id);
@@ -141,6 +149,18 @@
                 revision, CALL_TIMEOUT_MS, on_record_removed, s->sessiond);
 }
 
+/* Remove the record of a promotion that is done, once a majority has learned
+   of the term that it began: until then the next owner needs the record. */
+static void
+remove_done_record (struct service *s)
+{
+  if (s->done_record == 0
+      || !fleet_confirmed_since (s->sessiond->fleet, s->id, s->done_at))
+    return;
+  remove_record (s, s->done_record);
+  s->done_record = 0;
+}
+
 static void write_record (struct service *s, uint64_t revision);
 
 static void
@@ -152,6 +172,7 @@
   if (err->code == ERROR_NONE && objects_revision (body) > 0)
     {
       s->token = objects_revision (body);
+      s->done_record = 0;
       set_step (s, PROMOTION_ORDER);
     }
   else if (err->code == ERROR_CONFLICT && objects_revision (body) > 0)
@@ -284,6 +305,8 @@
   if (err->code == ERROR_NONE)
     {
       set_step (s, PROMOTION_AWAIT);
+      if (s->ordered_at == 0)
+        s->ordered_at = s->step_since;
       s->next_attempt_at = s->step_since + FIRST_STATUS_DELAY_US;
       return;
     }
@@ -322,6 +345,18 @@
     }
 }
 
+/* @return the rank of an endpoint among those with the same log, if the
+   present primary is not known: the order changes nothing for a primary of a
+   term that may be accepted, and a primary of an older term may be replaced
+   already. */
+static int
+candidate_rank (const struct endpoint *e)
+{
+  if (!e->status_is_primary)
+    return 1;
+  return e->status_term >= e->service->least_term ? 2 : 0;
+}
+
 /* @return the endpoint with the newest log among those that answered since
    @p since, NULL if there is none.
    @param all_answered set to whether every endpoint that may be promoted has
@@ -330,7 +365,7 @@
 find_promotion_candidate (const struct service *s, int64_t since,
                           bool *all_answered)
 {
-  struct replica_view replicas[SERVICE_MAX_ENDPOINTS];
+  struct replica_view replicas[SERVICE_MAX_ENDPOINTS] = { 0 };
   struct endpoint *endpoints[SERVICE_MAX_ENDPOINTS] = { NULL };
   int count = 0;
   *all_answered = true;
@@ -349,6 +384,12 @@
       count += replicas[count].usable;
     }
   int best = replicas_choose_successor (replicas, count);
+  for (int i = 0; i < count && best >= 0 && s->primary == NULL; i++)
+    if (replicas[i].usable
+        && position_compare (replicas[i].position, replicas[best].position)
+               == 0
+        && candidate_rank (endpoints[i]) > candidate_rank (endpoints[best]))
+      best = i;
   return best >= 0 ? endpoints[best] : NULL;
 }
 
@@ -405,7 +446,36 @@
   set_step (s, PROMOTION_RECORD);
 }
 
-/* Ask the target whether it leads; repeat the order if it does not in time. */
+/* @return the newest term that an endpoint knows according to its newest
+   answer to STATUS. */
+static uint64_t
+newest_status_term (const struct service *s)
+{
+  uint64_t newest = 0;
+  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    if (e->status_at != 0 && e->status_term > newest)
+      newest = e->status_term;
+  return newest;
+}
+
+/* @return whether the target leads.  Its term is too low while it is a primary
+   that an earlier promotion replaced, or that the order of a previous owner
+   may still replace.  After a time in which any order takes effect it is the
+   present primary all the same, if no endpoint knows a newer term: the order
+   changes nothing for that, and a service that was created again begins with
+   low terms. */
+static bool
+may_lead (const struct service *s, const struct endpoint *e, int64_t now)
+{
+  bool has_settled
+      = s->ordered_at != 0 && now - s->ordered_at > AWAIT_TIMEOUT_US;
+  return e->status_is_primary && e->status_term > s->term
+         && e->status_term >= newest_status_term (s)
+         && (e->status_term >= s->least_term || has_settled);
+}
+
+/* Ask the target whether it leads; repeat the order if it does not in time, or
+   choose again if another endpoint knows a newer term. */
 static void
 await_primary (struct service *s, int64_t now)
 {
@@ -415,9 +485,28 @@
       return;
     }
   if (now >= s->next_attempt_at || s->target->claims_primary)
-    request_status (s->target, now);
+    for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+      if (e == s->target || s->target->status_term < s->least_term)
+        request_status (e, now);
   if (now - s->step_since > AWAIT_TIMEOUT_US)
-    set_step (s, PROMOTION_ORDER);
+    set_step (s, s->primary == NULL
+                         && s->target->status_term < newest_status_term (s)
+                     ? PROMOTION_SURVEY
+                     : PROMOTION_ORDER);
+}
+
+/* Raise the lowest term of a primary that may be accepted to the one that a
+   previous owner announced.  If that owner may have ordered a promotion, its
+   primary may be replaced at any time, and must not be accepted. */
+static void
+raise_least_term (struct service *s)
+{
+  const struct fleet *f = s->sessiond->fleet;
+  uint64_t term = fleet_newest_term (f, s->id);
+  if (term > 0 && fleet_is_changing (f, s->id))
+    term++;
+  if (term > s->least_term)
+    s->least_term = term;
 }
 
 /* Find the primary after a takeover, or start a promotion if none answers. */
@@ -425,8 +514,16 @@
 look_for_primary (struct service *s, int64_t now)
 {
   struct endpoint *best = NULL;
-  uint64_t newest = s->term;
   bool all_answered = true;
+  bool claimant_is_silent = false;
+  bool was_changing = fleet_is_changing (s->sessiond->fleet, s->id);
+  raise_least_term (s);
+  uint64_t newest = s->term > s->least_term ? s->term : s->least_term;
+  /* If most voters have started again, nothing is known of the term: the order
+     of a previous owner may begin a newer one, or an endpoint that is silent
+     may have it. */
+  bool knows_term
+      = s->term != 0 || fleet_newest_term (s->sessiond->fleet, s->id) != 0;
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
     {
       if (!e->is_listed || e->is_wrong_endpoint)
@@ -434,11 +531,12 @@
       if (e->status_at < s->phase_since)
         {
           all_answered = false;
+          claimant_is_silent |= e->claims_primary;
           request_status (e, now);
           continue;
         }
       if (e->status_term > newest)
-        newest = e->status_term;
+        newest = s->least_term = e->status_term;
       if (e->status_is_primary
           && (best == NULL || e->status_term > best->status_term))
         best = e;
@@ -453,11 +551,20 @@
         promotion_resume (s);
       return;
     }
-  if (best != NULL && best->status_term >= newest && (all_answered || waited))
+  bool may_be_replaced = !knows_term && (was_changing || claimant_is_silent);
+  if (best != NULL && best->status_term >= newest && (all_answered || waited)
+      && !may_be_replaced)
     service_set_primary (s, best, best->status_term, best->replica.position);
   else if (now - s->phase_since > NO_PRIMARY_TIMEOUT_US
            && s->endpoints != NULL)
-    promotion_start (s, false, "no primary answers");
+    {
+      log_info (PART,
+                "event=no_primary service=%s least_term=%" PRIu64
+                " changing=%d newest=%s",
+                s->name, s->least_term, was_changing,
+                best != NULL ? best->id : "none");
+      promotion_start (s, false, "no primary answers");
+    }
 }
 
 void
@@ -473,7 +580,7 @@
       if (s->step == PROMOTION_SURVEY)
         run_survey (s, now);
       else if (s->step == PROMOTION_AWAIT && e == s->target
-               && e->status_is_primary && e->status_term > s->term)
+               && may_lead (s, e, now))
         {
           struct endpoint *old = s->primary;
           log_info (PART,
@@ -483,9 +590,10 @@
                     (now - s->promotion_decided_at) / USEC_PER_MSEC);
           if (old != NULL)
             service_drop_links (old, "the primary was replaced");
-          remove_record (s, s->token);
+          s->done_record = s->token;
           promotion_cancel (s);
           service_set_primary (s, e, e->status_term, e->replica.position);
+          s->done_at = clock_now ();
         }
     }
 }
@@ -493,6 +601,7 @@
 void
 promotion_tick (struct service *s, int64_t now)
 {
+  remove_done_record (s);
   if (s->releasing)
     return;
   if (s->phase == SERVICE_TAKEOVER)
@@ -528,7 +637,7 @@
       if (!s->call_in_progress && now >= s->next_attempt_at
           && service_is_owned (s)
           && fleet_confirmed_since (s->sessiond->fleet, s->id,
-                                    s->promotion_decided_at))
+                                    s->change_announced_at))
         order_promotion (s);
       break;
     default:
--- a/session/service.c
+++ b/session/service.c
@@ -49,9 +49,7 @@
   s->phase = phase;
   s->phase_since = clock_now ();
   if (phase == SERVICE_SERVING)
-    fleet_set_primary_state (s->sessiond->fleet, s->id, LEASE_STABLE);
-  else if (phase == SERVICE_HANDOFF || phase == SERVICE_REPLACING)
-    fleet_set_primary_state (s->sessiond->fleet, s->id, LEASE_CHANGING);
+    fleet_set_primary_state (s->sessiond->fleet, s->id, LEASE_STABLE, s->term);
 }
 
 /* Results. */
@@ -792,6 +790,7 @@
       commit_history_restart (&s->commit_history, s->branch_point, now);
     }
   s->term = term;
+  s->least_term = 0;
   s->primary = primary;
   primary->failed_since = 0;
   primary->suspect_since = 0;
@@ -1088,6 +1087,8 @@
     }
   s->primary = NULL;
   s->term = 0;
+  s->least_term = 0;
+  s->done_record = 0;
   s->releasing = false;
   memset (&s->commit_history, 0, sizeof s->commit_history);
 }
--- a/session/service.h
+++ b/session/service.h
@@ -157,8 +157,10 @@
   struct endpoint *endpoints;
   int listed_count; /**< Entries of endpoints of the service, those included
                        that this daemon sends nothing to. */
-  struct endpoint *primary;     /**< NULL: not known. */
-  uint64_t term;                /**< Term of the primary. */
+  struct endpoint *primary; /**< NULL: not known. */
+  uint64_t term;            /**< Term of the primary. */
+  /** Lowest term of a primary that may be accepted after a takeover. */
+  uint64_t least_term;
   struct position branch_point; /**< Where the current term began, as far as
                                    this daemon knows. */
   struct commit_history commit_history; /**< Positions of commits, by time. */
@@ -184,6 +186,13 @@
   bool record_outdated;    /**< The store was restored from a copy: a record
                               that it has is of an earlier promotion. */
   int64_t promotion_decided_at;
+  int64_t change_announced_at; /**< When heartbeats began to announce that the
+                                  primary changes. */
+  int64_t ordered_at;        /**< When the platform first accepted the order to
+                                promote the target; 0: not yet. */
+  uint64_t done_record;      /**< Revision of the record of a promotion that is
+                                done, to be removed; 0: none. */
+  int64_t done_at;           /**< When it was done. */
   uint64_t last_call_number; /**< Identifies the newest call to the platform,
                                 so that late answers are ignored. */
 };
--- a/standins/site.c
+++ b/standins/site.c
@@ -57,6 +57,8 @@
     { "services", '\0', POPT_ARG_INT, &options.services, 0, "Services", "N" },
     { "work-ms", '\0', POPT_ARG_INT, &options.work_ms, 0,
       "Time of a statement", "MS" },
+    { "promote-ms", '\0', POPT_ARG_INT, &options.promote_ms, 0,
+      "Time until a promotion takes effect", "MS" },
     { "lag-ms", '\0', POPT_ARG_INT, &options.lag_ms, 0, "Lag of replicas",
       "MS" },
     { "connections", '\0', POPT_ARG_INT, &options.max_connections, 0,
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -35,6 +35,8 @@
   bool dead;                /**< Fault: killed, does not listen. */
   bool silent;              /**< Fault: runs statements without answering. */
   bool replication_stopped; /**< Fault: receives no commits as a replica. */
+  bool apart; /**< Fault: the other databases do not reach it, so that it
+                 learns of no newer primary either. */
   bool draining;
   /** Fault: run the next statement of a caller and close the connection
    * instead of answering. */
@@ -147,7 +149,7 @@
   (void)ev, (void)timer, (void)at;
   struct delivery *m = data;
   struct database *d = m->replica;
-  if (!d->dead && !d->replication_stopped && !d->is_primary
+  if (!d->dead && !d->replication_stopped && !d->apart && !d->is_primary
       && m->term >= d->term)
     {
       talloc_free (d->log);
@@ -628,7 +630,8 @@
   for (int i = 0; i < new_primary->site->count; i++)
     {
       struct database *d = new_primary->site->databases[i];
-      if (d != new_primary && d->is_primary && d->term < new_primary->term
+      if (d != new_primary && d->is_primary && !d->apart
+          && d->term < new_primary->term
           && strcmp (d->service, new_primary->service) == 0)
         {
           d->is_primary = false;
@@ -707,6 +710,18 @@
   return 200;
 }
 
+/* Make the database a replica if another one leads a newer term. */
+static void
+follow_newer_primary (struct database *d)
+{
+  const struct site_databases *g = d->site;
+  for (int i = 0; i < g->count; i++)
+    if (strcmp (g->databases[i]->service, d->service) == 0
+        && g->databases[i]->term > d->term)
+      d->is_primary = false;
+  publish_database (d);
+}
+
 /* Listen on the port of the database; on any free port the first time. */
 static bool
 start_listening (struct database *d)
@@ -747,11 +762,7 @@
   else if (strcmp (fault, "revive") == 0)
     {
       d->dead = false;
-      for (int i = 0; i < g->count; i++)
-        if (strcmp (g->databases[i]->service, d->service) == 0
-            && g->databases[i]->term > d->term)
-          d->is_primary = false;
-      publish_database (d);
+      follow_newer_primary (d);
       return start_listening (d);
     }
   else if (strcmp (fault, "silence") == 0)
@@ -762,6 +773,13 @@
     d->replication_stopped = true;
   else if (strcmp (fault, "hear") == 0)
     d->replication_stopped = false;
+  else if (strcmp (fault, "part") == 0)
+    d->apart = true;
+  else if (strcmp (fault, "join") == 0)
+    {
+      d->apart = false;
+      follow_newer_primary (d);
+    }
   else if (strcmp (fault, "lose") == 0)
     d->lose_next_answer = true;
   else if (strcmp (fault, "unsigned") == 0)
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -14,6 +14,7 @@
 #define ANSWER_TIMEOUT_MS 4000
 #define START_TIMEOUT_MS 15000
 #define SHORT_GRACE_MS 450
+#define DEFAULT_PROMOTE_MS 200
 /* Below the ephemeral ports of the system (32768 and above), so that no
    outgoing connection takes the port of a session daemon that starts later or
    starts again. */
@@ -280,16 +281,20 @@
 sessiond_site_start (void *parent, const struct sessiond_site_options *o)
 {
   struct sessiond_site *s = talloc_zero (parent, struct sessiond_site);
-  char services[12], lag[12], folder[] = "/tmp/azurewind-site-XXXXXX";
+  char services[12], lag[12], promote[12],
+      folder[] = "/tmp/azurewind-site-XXXXXX";
   snprintf (services, sizeof services, "%d", o->services);
   snprintf (lag, sizeof lag, "%d", o->lag_ms);
+  snprintf (promote, sizeof promote, "%d",
+            o->promote_ms != 0 ? o->promote_ms : DEFAULT_PROMOTE_MS);
   s->daemon_count = o->daemons;
   s->large = o->large;
   s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
   s->first_port = find_free_ports (o->daemons * SITE_PORTS);
-  s->platform = process_start (
-      s, "standin-site",
-      (const char *[]){ "--services", services, "--lag-ms", lag, NULL });
+  s->platform
+      = process_start (s, "standin-site",
+                       (const char *[]){ "--services", services, "--lag-ms",
+                                         lag, "--promote-ms", promote, NULL });
   if (s->platform == NULL || mkdtemp (folder) == NULL || s->first_port == 0)
     goto fail;
   s->folder = talloc_strdup (s, folder);
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -43,9 +43,10 @@
 {
   int daemons;
   int services;
-  int lag_ms;   /**< Replication lag of the databases. */
-  int grace_ms; /**< Longest time from SIGTERM to a daemon's end; 0: 450. */
-  double rate;  /**< Rate and burst of organisation "beta"; 0: 10000. */
+  int lag_ms;     /**< Replication lag of the databases. */
+  int promote_ms; /**< Time until a promotion takes effect; 0: 200. */
+  int grace_ms;   /**< Longest time from SIGTERM to a daemon's end; 0: 450. */
+  double rate;    /**< Rate and burst of organisation "beta"; 0: 10000. */
   /** Number of daemons on large VMs; those after them are on small ones; 0:
    * all are on large VMs. */
   int large;
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -589,6 +589,75 @@
   free_world (w);
 }
 
+/* Starts two of five voters again: they know nothing of the service then. */
+static void
+restart_two (struct world *w, int first, int second)
+{
+  start_member (w, first);
+  start_member (w, second);
+  for (int i = 0; i < w->members; i++)
+    w->m[i].next_decision = INT64_MAX;
+}
+
+/* Guards against a replaced primary that the next owner takes for the present
+   one: the term that the voters have learned of must survive restarts of a
+   minority of them, that of the next owner included, and an owner that does
+   not learn the term. */
+static void
+next_owner_hears_of_the_term (void)
+{
+  for (unsigned seed = 1; seed <= 20; seed++)
+    {
+      struct world *w = make_world (5, seed);
+      int owner = 0;
+      for (uint64_t term = 3; term < 9; term++)
+        {
+          claim_only (w, owner);
+          CU_ASSERT_TRUE (run_until_owned (w, owner, 4000));
+          CU_ASSERT_EQUAL (lease_newest_term (w->m[owner].table, SERVICE),
+                           term > 3 ? term - 1 : 0);
+          lease_set_term (w->m[owner].table, SERVICE, term);
+          for (int k = 0; k < 150; k++)
+            step (w);
+          /* An owner that dies before it knows the term. */
+          int silent = (owner + 1) % 5;
+          restart_two (w, owner, silent);
+          claim_only (w, silent);
+          CU_ASSERT_TRUE (run_until_owned (w, silent, 4000));
+          CU_ASSERT_EQUAL (lease_newest_term (w->m[silent].table, SERVICE),
+                           term);
+          for (int k = 0; k < 150; k++)
+            step (w);
+          restart_two (w, owner, silent);
+        }
+      free_world (w);
+    }
+}
+
+/* Guards against an owner whose term is not known to a majority: one that is
+   cut off announces a term, and a term that only it knows must not be taken
+   for confirmed. */
+static void
+term_is_confirmed_by_a_majority_only (void)
+{
+  struct world *w = make_world (5, 13);
+  claim_only (w, 0);
+  CU_ASSERT_TRUE (run_until_owned (w, 0, 2000));
+  lease_set_term (w->m[0].table, SERVICE, 1);
+  for (int k = 0; k < 80; k++)
+    step (w);
+  partition_network (w, 1);
+  int64_t since = w->now + w->m[0].clock_offset;
+  lease_set_term (w->m[0].table, SERVICE, 2);
+  for (int k = 0; k < 60; k++)
+    step (w);
+  CU_ASSERT_FALSE (lease_is_confirmed_since (w->m[0].table, SERVICE, since));
+  claim_only (w, 2);
+  CU_ASSERT_TRUE (run_until_owned (w, 2, 3000));
+  CU_ASSERT_EQUAL (lease_newest_term (w->m[2].table, SERVICE), 1);
+  free_world (w);
+}
+
 static void
 receive_heartbeat (struct lease_table *t, uint64_t member,
                    uint64_t incarnation, const struct lease_claim *claims,
@@ -750,6 +819,9 @@
   { "change_is_confirmed_by_a_majority_only",
     change_is_confirmed_by_a_majority_only },
   { "next_owner_hears_of_a_change", next_owner_hears_of_a_change },
+  { "next_owner_hears_of_the_term", next_owner_hears_of_the_term },
+  { "term_is_confirmed_by_a_majority_only",
+    term_is_confirmed_by_a_majority_only },
   { "observer_follows_the_owner", observer_follows_the_owner },
   { "every_one_of_many_services_is_owned",
     every_one_of_many_services_is_owned },
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1233,6 +1233,177 @@
     commit_at_previous_owner (wait_ms, true);
 }
 
+/* Repeat a read of the item that retry_write writes until it succeeds.
+   @return its answer; its id is empty if none succeeded in time. */
+static struct line_answer
+retry_read (struct sessiond_site *s, int daemon, int timeout_ms)
+{
+  int64_t end = sessiond_site_now_ms () + timeout_ms;
+  struct line_answer a = { .id = "" };
+  while (sessiond_site_now_ms () < end)
+    {
+      struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
+      bool ok = c != NULL && line_start (c, "main1", "key-a1", &a)
+                && line_query (c, &a, "READ again");
+      talloc_free (c);
+      if (ok)
+        return a;
+      usleep (20000);
+    }
+  a.id[0] = '\0';
+  return a;
+}
+
+/* Kill the owner of the only service and wait until another daemon owns it.
+   @return that daemon. */
+static int
+replace_owner (struct sessiond_site *s, int owner)
+{
+  int next = -1;
+  process_signal (s->daemons[owner], SIGKILL);
+  for (int64_t end = sessiond_site_now_ms () + SERVE_MS;
+       sessiond_site_now_ms () < end && (next < 0 || next == owner);
+       usleep (5000))
+    most_services_owned (s, &next);
+  CU_ASSERT_FATAL (next >= 0 && next != owner);
+  return next;
+}
+
+/* Have the primary replaced by db-1-b, which alone gets a further write and
+   is silent from then on.  The replaced one, db-1-a, answers again and does
+   not learn of its successor.
+   @return the write; before is set to one that all databases have. */
+static struct line_answer
+leave_replaced_primary (struct sessiond_site *s, int daemon,
+                        struct line_answer *before)
+{
+  *before = retry_write (s, daemon, SERVE_MS);
+  usleep (100000);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "part"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
+  struct line_answer after = retry_write (s, daemon, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (after.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, after.id), 1);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "speak"));
+  return after;
+}
+
+/* Check that the present primary serves after leave_replaced_primary, once it
+   answers again. */
+static void
+assert_present_primary_serves (struct sessiond_site *s, int daemon,
+                               const struct line_answer *before,
+                               const struct line_answer *after)
+{
+  usleep (400000);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "speak"));
+  struct line_answer read = retry_read (s, daemon, SERVE_MS);
+  printf ("[read %s, before %s, after %s] ", read.row, before->id, after->id);
+  CU_ASSERT_STRING_EQUAL (read.row, after->id);
+  struct line_answer last = retry_write (s, daemon, SERVE_MS);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, before->id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, after->id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, last.id), 1);
+  assert_no_violation (s);
+}
+
+/* Guards against a new owner that takes a replaced primary for the present
+   one, as the present one answers it late: reads lack acknowledged commits,
+   and writes are acknowledged that the present primary never gets. */
+static void
+new_owner_ignores_a_replaced_primary (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer before;
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  struct line_answer after
+      = leave_replaced_primary (s, (owner + 1) % 3, &before);
+  assert_present_primary_serves (s, replace_owner (s, owner), &before, &after);
+  talloc_free (s);
+}
+
+/* Guards against the same after all daemons have started again, so that no
+   voter knows the term of the present primary. */
+static void
+restarted_fleet_ignores_a_replaced_primary (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer before;
+  int owner = -1;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer after = leave_replaced_primary (s, 0, &before);
+  for (int i = 0; i < 3; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  for (int64_t end = sessiond_site_now_ms () + SERVE_MS;
+       sessiond_site_now_ms () < end && owner < 0; usleep (5000))
+    most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  assert_present_primary_serves (s, owner, &before, &after);
+  talloc_free (s);
+}
+
+/* Guards against a new owner that serves the present primary although the
+   previous owner has ordered the promotion of another endpoint, as the store
+   has lost the record of that: the order takes effect later, and writes that
+   were acknowledged before are lost. */
+static void
+ordered_promotion_outlives_its_record (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 3, .services = 1, .promote_ms = 1500 });
+  char url[120];
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
+            process_port (s->platform));
+  most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
+  /* The silence is noticed only if a statement waits for an answer. */
+  struct line_caller *c
+      = start_session (s, (owner + 1) % 3, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_send (c, "QUERY 0000000100000001 WRITE other x\r\n"));
+  int64_t end = sessiond_site_now_ms () + SERVE_MS;
+  while (process_http (s, "GET", url, NULL, NULL) != 200
+         && sessiond_site_now_ms () < end)
+    usleep (2000);
+  usleep (50000);
+  CU_ASSERT_EQUAL (process_http (s, "DELETE", url, NULL, NULL), 200);
+  process_signal (s->daemons[owner], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  char written[200][24];
+  int count = 0, lost = 0;
+  end = sessiond_site_now_ms () + 5000;
+  while (sessiond_site_now_ms () < end && count < 200)
+    {
+      struct line_answer a = retry_write (s, (owner + 1) % 3, 1000);
+      if (a.id[0] != '\0')
+        snprintf (written[count++], sizeof written[0], "%s", a.id);
+      usleep (20000);
+    }
+  CU_ASSERT_TRUE (count > 0);
+  for (int i = 0; i < count; i++)
+    lost += sessiond_site_committed (s, written[i]) != 1;
+  printf ("[%d of %d writes lost] ", lost, count);
+  CU_ASSERT_EQUAL (lost, 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against one daemon that owns all services for good after the others
    were killed and started again, and against errors other than BUSY while it
    releases services to them. */
@@ -1718,6 +1889,12 @@
   { "malformed_messages_end_no_daemon", malformed_messages_end_no_daemon },
   { "former_owner_acknowledges_no_lost_commit",
     former_owner_acknowledges_no_lost_commit },
+  { "new_owner_ignores_a_replaced_primary",
+    new_owner_ignores_a_replaced_primary },
+  { "restarted_fleet_ignores_a_replaced_primary",
+    restarted_fleet_ignores_a_replaced_primary },
+  { "ordered_promotion_outlives_its_record",
+    ordered_promotion_outlives_its_record },
   { "owner_of_all_gives_services_away", owner_of_all_gives_services_away },
   { "services_without_endpoints_have_no_owner",
     services_without_endpoints_have_no_owner },
