session: a probe of a full endpoint takes the place of a connection

Cause: each status request opens a further connection. When the endpoint has as many as it accepts, every request is refused; the connections that the pool keeps for reads stay open, and the owner never learns that the target leads.

Change: at the limit of the endpoint, the pool closes its least recently used free connection first, as it does for statements.

--- a/session/pool.c
+++ b/session/pool.c
@@ -209,6 +209,9 @@
   const struct config *config = e->service->sessiond->config;
   if (config == NULL || config->organisation_count == 0)
     return;
+  /* The endpoint would refuse one more. */
+  if (e->link_count >= connection_limit (e))
+    close_oldest_free_link (e);
   struct pooled_link *p = pool_open (e, config->organisations[0].name);
   if (p == NULL)
     return;
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -501,6 +501,41 @@
   talloc_free (s);
 }
 
+/* Guards against a primary that is not replaced, as the replicas have too many
+   connections: the pool must give one of its own to the status request. */
+static void
+full_replica_is_promoted (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  char url[100];
+  char *body = NULL;
+  struct line_answer a;
+  const json_t *entry;
+  size_t i;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_caller *c[12];
+  for (int k = 0; k < 12; k++)
+    c[k] = start_session (s, 0, "browse1", k % 2 ? "key-a1" : "key-b");
+  for (int k = 0; k < 120; k++)
+    CU_ASSERT_TRUE (
+        line_send (c[k % 12], "QUERY 0000000100000001 READ one\r\n"));
+  for (int k = 0; k < 12; k++)
+    CU_ASSERT_EQUAL (line_count_answers (c[k], 10), 10);
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers",
+            process_port (s->platform));
+  CU_ASSERT_EQUAL (process_http (s, "GET", url, NULL, &body), 200);
+  json_t *list = json_loads (body, 0, NULL);
+  json_array_foreach (json_object_get (list, "items"), i, entry)
+      use_up_connections (s, entry);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "kill"));
+  a = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (a.id, "");
+  assert_no_violation (s);
+  json_decref (list);
+  talloc_free (s);
+}
+
 /* Guards against open sessions that keep a revoked key or a removed route. */
 static void
 configuration_reaches_open_sessions (void)
@@ -1860,6 +1895,7 @@
     fleet_starts_again_after_a_kill_of_all },
   { "restarted_daemon_lets_callers_wait", restarted_daemon_lets_callers_wait },
   { "few_connections_go_round", few_connections_go_round },
+  { "full_replica_is_promoted", full_replica_is_promoted },
   { "configuration_reaches_open_sessions",
     configuration_reaches_open_sessions },
   { "fleet_serves_without_the_store", fleet_serves_without_the_store },
