lease: a previous process of a member is never heard again

Two daemons could own a service after the time of day had gone back between two starts of a daemon.

Cause: the incarnation, the time of day at the start, fell. A heartbeat of the previous process that was held up then looked like one of a later process, so that the voter took the present one for ended, and revoked its grant while the owner still counted it. Found by looking for the class of the stale reads: a time is compared over a restart that did not keep it.

Change: the incarnation that was replaced last is remembered and stale, whatever its order.

--- a/core/lease.c
+++ b/core/lease.c
@@ -32,6 +32,8 @@
 {
   uint64_t id;
   uint64_t incarnation;
+  /** Incarnation of the process before this one; 0: none is known. */
+  uint64_t previous_incarnation;
   int64_t stamp;       /**< Newest stamp received from it. */
   int64_t received_at; /**< Own clock when its newest heartbeat arrived; 0:
                           none yet. */
@@ -475,7 +477,11 @@
                 uint64_t incarnation, int64_t now)
 {
   const struct peer *p = find_peer (t, member);
-  return p != NULL && incarnation < p->incarnation
+  if (p == NULL)
+    return false;
+  if (incarnation != 0 && incarnation == p->previous_incarnation)
+    return true;
+  return incarnation < p->incarnation
          && now - p->received_at < 2 * t->options.duration_us;
 }
 
@@ -531,7 +537,10 @@
   /* A new process at the member's address shows that its previous one has
      ended. */
   if (p->incarnation != 0 && p->incarnation != h->incarnation)
-    changed = lease_record_process_end (t, h->member, p->incarnation);
+    {
+      changed = lease_record_process_end (t, h->member, p->incarnation);
+      p->previous_incarnation = p->incarnation;
+    }
   if (p->epoch != h->epoch || p->incarnation != h->incarnation)
     p->epoch_since = now;
   if (p->incarnation != h->incarnation)
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -543,6 +543,43 @@
   free_world (w);
 }
 
+/* Guards against a second owner after the time of day went back between two
+   starts of the owner, so that its incarnation fell: a heartbeat of its
+   previous process that was held up must not end the lease of the present
+   one. */
+static void
+held_up_heartbeat_ends_no_later_process (void)
+{
+  static const uint64_t voters[] = { 1, 2, 3 };
+  static const struct lease_claim claim = { .service = SERVICE };
+  const int64_t restart = 3 * LEASE_DURATION;
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 1, .incarnation = 7, .duration_us = LEASE_DURATION });
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 3, .epoch = 1, .settled = true },
+      0);
+  struct lease_heartbeat old
+      = { .member = 2, .incarnation = 100, .stamp = 10, .epoch = 1 };
+  struct lease_heartbeat new = { .member = 2,
+                                 .incarnation = 50,
+                                 .stamp = 5,
+                                 .epoch = 1,
+                                 .claims = &claim,
+                                 .claim_count = 1 };
+  struct lease_heartbeat held_up = old;
+  held_up.stamp = 20;
+  lease_receive_heartbeat (t, &old, 10);
+  lease_receive_heartbeat (t, &new, restart);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, restart), 2);
+  CU_ASSERT_TRUE (lease_is_stale (t, 2, 100, restart + 1));
+  lease_receive_heartbeat (t, &held_up, restart + 1);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, restart + 1), 2);
+  talloc_free (t);
+}
+
 /* Guards against a change of the primary that the next owner does not know of.
    An owner that is cut off announces one in the last part of its lease; as no
    majority confirms it, it must not be ordered. */
@@ -816,6 +853,8 @@
   { "claims_after_a_restart_of_all_do_not_wait",
     claims_after_a_restart_of_all_do_not_wait },
   { "ended_process_owns_nothing", ended_process_owns_nothing },
+  { "held_up_heartbeat_ends_no_later_process",
+    held_up_heartbeat_ends_no_later_process },
   { "change_is_confirmed_by_a_majority_only",
     change_is_confirmed_by_a_majority_only },
   { "next_owner_hears_of_a_change", next_owner_hears_of_a_change },
