promotion: a record that the voters know nothing of starts no promotion

A primary that served was replaced by another endpoint, whatever that had of its log.

Cause: a new owner took any promotion record for a promotion that the previous owner had ordered. A store that was restored from a copy brings back records that were removed; an owner that died between the record and the order leaves one, too.

record_that_came_back_starts_no_promotion failed before (term 2 at all three databases) and passes now; ordered_promotion_outlives_its_record and new_owner_ignores_a_replaced_primary pass.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -217,8 +217,18 @@
     }
   char *id = objects_decode_promotion (s, body);
   struct endpoint *e = id != NULL ? find_endpoint (s, id) : NULL;
-  if (e == NULL || e == s->primary)
-    remove_record (s, objects_revision (body));
+  /* An owner announces a promotion before it orders one.  A record of which
+     the voters know nothing is an old one that a restore of the store has
+     brought back, or of a promotion that was not ordered. */
+  bool is_ordered = fleet_is_changing (s->sessiond->fleet, s->id)
+                    || fleet_newest_term (s->sessiond->fleet, s->id) == 0;
+  if (e == NULL || e == s->primary || !is_ordered)
+    {
+      log_info (PART, "event=record_obsolete service=%s endpoint=%s", s->name,
+                id != NULL ? id : "none");
+      remove_record (s, objects_revision (body));
+      promotion_tick (s, clock_now ());
+    }
   else if (s->phase == SERVICE_TAKEOVER || s->phase == SERVICE_SERVING)
     {
       s->planned = false;
--- a/tests/test_restored.c
+++ b/tests/test_restored.c
@@ -460,6 +460,41 @@
   CU_ASSERT_TRUE_FATAL (sessiond_site_fault (s, id, "kill"));
 }
 
+/* Guards against a primary that is replaced because of a promotion record that
+   was removed and that a restore of the store has brought back. */
+static void
+record_that_came_back_starts_no_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  char url[100];
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  usleep (QUIET_MS * 1000);
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions",
+            process_port (s->platform));
+  CU_ASSERT_EQUAL (process_http (s, "POST", url,
+                                 "{\"meta\":{\"name\":\"ledger-1\"},"
+                                 "\"spec\":{\"holder\":\"vm-0\","
+                                 "\"endpoint\":\"db-1-b\"}}",
+                                 NULL),
+                   200);
+  int owner = 0;
+  while (owner < 2 && read_metric (s, owner, "azurewind_owned_services ") < 1)
+    owner++;
+  process_signal (s->daemons[owner], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_wait (s, (owner + 1) % 3, 1, SERVE_MS));
+  usleep (SERVE_MS * 1000 / 2);
+  json_t *observed = sessiond_site_observed (s), *database;
+  size_t i;
+  json_array_foreach (json_object_get (observed, "databases"), i, database)
+      CU_ASSERT_EQUAL (json_integer_value (json_object_get (database, "term")),
+                       1);
+  json_decref (observed);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a fencing token that is lower than one before the restore,
    as a promotion record gets a revision that was given out already. */
 static void
@@ -822,6 +857,8 @@
     daemon_starts_with_the_newest_configuration },
   { "draining_database_stays_draining", draining_database_stays_draining },
   { "calls_after_a_restore_are_few", calls_after_a_restore_are_few },
+  { "record_that_came_back_starts_no_promotion",
+    record_that_came_back_starts_no_promotion },
   { "fencing_token_never_falls", fencing_token_never_falls },
   { "fencing_token_has_one_holder", fencing_token_has_one_holder },
   { "promotion_survives_a_restore", promotion_survives_a_restore },
