lease: the previous incarnation is stale for two leases only

A member that restarted heard nothing of a live process for good.

Cause: made the incarnation that was replaced last stale without a limit. A member that knows a process, hears nothing of it for two leases and then gets a held-up heartbeat of its predecessor takes that for the present one, and the live process for the previous one.

Change: the rule has the limit of the one for smaller incarnations.

--- a/core/lease.c
+++ b/core/lease.c
@@ -477,12 +477,10 @@
                 uint64_t incarnation, int64_t now)
 {
   const struct peer *p = find_peer (t, member);
-  if (p == NULL)
-    return false;
-  if (incarnation != 0 && incarnation == p->previous_incarnation)
-    return true;
-  return incarnation < p->incarnation
-         && now - p->received_at < 2 * t->options.duration_us;
+  bool is_earlier = p != NULL
+                    && (incarnation < p->incarnation
+                        || incarnation == p->previous_incarnation);
+  return is_earlier && now - p->received_at < 2 * t->options.duration_us;
 }
 
 static void
--- a/core/lease.h
+++ b/core/lease.h
@@ -150,10 +150,10 @@
  * service. */
 bool lease_receive_heartbeat (struct lease_table *t,
                               const struct lease_heartbeat *h, int64_t now);
-/** @return whether a message comes from an earlier process of the member.  A
- * smaller incarnation is accepted again once the member was silent for two
- * leases, in case the time of day went back between two starts; that of the
- * process before the present one never is. */
+/** @return whether a message comes from an earlier process of the member: one
+ * with a smaller incarnation, or the one before the present process.  It is
+ * accepted again once the member was silent for two leases, in case the time
+ * of day went back between two starts. */
 bool lease_is_stale (const struct lease_table *t, uint64_t member,
                      uint64_t incarnation, int64_t now);
 /** Removes what is known of a member that is not a voter. */
