promotion: a record names the term that the promotion replaces

Acknowledged writes were lost, and a primary that was about to be replaced could be served.

Cause: a record did not say which promotion it belongs to. A next owner ordered the endpoint that the record names without asking the others for their logs.

Change: the record has the newest term before its promotion. It is obsolete if a newer term is known, and is removed. Otherwise the next owner accepts only a primary of a newer term, and if there is none it begins a promotion of its own, which chooses the newest log. The removal of records after a restore is not needed any more.

--- a/session/model.h
+++ b/session/model.h
@@ -77,6 +77,13 @@
   bool is_primary; /**< It regards itself as the primary. */
 };
 
+/** What the store says of a promotion that was begun. */
+struct promotion_record
+{
+  struct bstr endpoint; /**< Id of the endpoint to promote; empty: none. */
+  uint64_t term;        /**< Newest term before the promotion; 0: not known. */
+};
+
 /** A voter in the list of voters. */
 struct voter_entry
 {
--- a/session/owner.c
+++ b/session/owner.c
@@ -161,13 +161,6 @@
     update_endpoints (s);
 }
 
-void
-owner_store_restored (struct owner *o)
-{
-  for (struct service *s = o->services; s != NULL; s = s->next)
-    promotion_store_restored (s);
-}
-
 /* @return the reader of the service; it is created with the first read. */
 static struct service *
 get_reader (struct owner *o, struct bstr name)
--- a/session/owner.h
+++ b/session/owner.h
@@ -17,8 +17,6 @@
 void owner_config_changed (struct owner *o);
 /** Adopt the newest entries of the endpoints. */
 void owner_endpoints_changed (struct owner *o);
-/** The store was restored from a copy. */
-void owner_store_restored (struct owner *o);
 /** Run a statement of a caller; takes over @p m. */
 void owner_handle_statement (struct owner *o, struct packet *m);
 /** Write the newest acknowledged positions of the services that this daemon
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -99,15 +99,6 @@
     s->target_id = talloc_strdup (s, e->id);
 }
 
-static struct endpoint *
-find_endpoint (const struct service *s, const char *id)
-{
-  struct endpoint *e = s->endpoints;
-  while (e != NULL && strcmp (e->id, id) != 0)
-    e = e->next;
-  return e;
-}
-
 void
 promotion_cancel (struct service *s)
 {
@@ -125,7 +116,6 @@
     return;
   promotion_cancel (s);
   s->planned = planned;
-  s->record_outdated = false;
   s->promotion_decided_at = now;
   service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
@@ -161,6 +151,15 @@
   s->done_record = 0;
 }
 
+/* @return the newest term of which this member or a voter knows the primary; 0
+   if they know none. */
+static uint64_t
+known_term (const struct service *s)
+{
+  uint64_t term = fleet_newest_term (s->sessiond->fleet, s->id);
+  return s->term > term ? s->term : term;
+}
+
 static void write_record (struct service *s, uint64_t revision);
 
 static void
@@ -191,10 +190,11 @@
 static void
 write_record (struct service *s, uint64_t revision)
 {
-  store_put (
-      s->sessiond->store, objects_promotion_kind (), s->name, revision,
-      objects_encode_promotion (s->sessiond->options->name, s->target_id),
-      CALL_TIMEOUT_MS, on_record_written, begin_call (s));
+  struct promotion_record record
+      = { bstr_from (s->target_id), known_term (s) };
+  store_put (s->sessiond->store, objects_promotion_kind (), s->name, revision,
+             objects_encode_promotion (s->sessiond->options->name, &record),
+             CALL_TIMEOUT_MS, on_record_written, begin_call (s));
 }
 
 static void
@@ -215,30 +215,26 @@
       promotion_tick (s, clock_now ());
       return;
     }
-  char *id = objects_decode_promotion (s, body);
-  struct endpoint *e = id != NULL ? find_endpoint (s, id) : NULL;
-  /* An owner announces a promotion before it orders one.  A record of which
-     the voters know nothing is an old one that a restore of the store has
-     brought back, or of a promotion that was not ordered. */
-  bool is_ordered = fleet_is_changing (s->sessiond->fleet, s->id)
-                    || fleet_newest_term (s->sessiond->fleet, s->id) == 0;
-  if (e == NULL || e == s->primary || !is_ordered)
-    {
-      log_info (PART, "event=record_obsolete service=%s endpoint=%s", s->name,
-                id != NULL ? id : "none");
-      remove_record (s, objects_revision (body));
-      promotion_tick (s, clock_now ());
-    }
-  else if (s->phase == SERVICE_TAKEOVER || s->phase == SERVICE_SERVING)
+  struct promotion_record record = objects_decode_promotion (body);
+  bool is_obsolete = record.term < known_term (s);
+  log_info (PART,
+            "event=record service=%s endpoint=%.*s term=%" PRIu64
+            " known_term=%" PRIu64,
+            s->name, BSTR_ARG (record.endpoint), record.term, known_term (s));
+  if (is_obsolete)
+    remove_record (s, objects_revision (body));
+  else
     {
-      s->planned = false;
-      s->promotion_decided_at = clock_now ();
-      set_target (s, e);
-      service_set_phase (s, SERVICE_REPLACING,
-                         "a previous owner began a promotion");
-      set_step (s, PROMOTION_RECORD);
+      /* The promotion may still take effect. */
+      s->done_record = objects_revision (body);
+      s->done_at = INT64_MAX;
+      if (s->least_term <= record.term)
+        s->least_term = record.term + 1;
     }
-  talloc_free (id);
+  if (!is_obsolete && s->phase == SERVICE_SERVING)
+    promotion_start (s, false, "a previous owner began a promotion");
+  else
+    promotion_tick (s, clock_now ());
 }
 
 void
@@ -248,43 +244,6 @@
              CALL_TIMEOUT_MS, on_record_read, begin_call (s));
 }
 
-static void
-on_outdated_record_read (void *data, const struct error *err,
-                         const json_t *body)
-{
-  struct service *s = end_call (data);
-  if (s == NULL)
-    return;
-  s->record_outdated = err->code != ERROR_NONE && err->code != ERROR_NOT_FOUND;
-  if (err->code == ERROR_NONE)
-    {
-      log_warn (PART, "event=record_outdated service=%s", s->name);
-      remove_record (s, objects_revision (body));
-    }
-  else if (s->record_outdated)
-    {
-      log_warn (PART, "event=record_unread service=%s code=%s reason=\"%s\"",
-                s->name, error_name (err->code), err->text);
-      s->next_attempt_at = clock_now () + RETRY_DELAY_US;
-    }
-}
-
-/* A record that was removed may be there again.  The next owner would take it
-   for a promotion that this one has begun. */
-static void
-remove_outdated_record (struct service *s, int64_t now)
-{
-  if (s->record_outdated && !s->call_in_progress && now >= s->next_attempt_at)
-    store_get (s->sessiond->store, objects_promotion_kind (), s->name,
-               CALL_TIMEOUT_MS, on_outdated_record_read, begin_call (s));
-}
-
-void
-promotion_store_restored (struct service *s)
-{
-  s->record_outdated = s->phase == SERVICE_SERVING;
-}
-
 /* The store may refuse this daemon and serve others.  Release the service to
    one of them, which can record the promotion.
    @return whether it was released. */
@@ -564,7 +523,10 @@
   bool may_be_replaced = !knows_term && (was_changing || claimant_is_silent);
   if (best != NULL && best->status_term >= newest && (all_answered || waited)
       && !may_be_replaced)
-    service_set_primary (s, best, best->status_term, best->replica.position);
+    {
+      s->done_at = clock_now ();
+      service_set_primary (s, best, best->status_term, best->replica.position);
+    }
   else if (now - s->phase_since > NO_PRIMARY_TIMEOUT_US
            && s->endpoints != NULL)
     {
@@ -619,8 +581,6 @@
       look_for_primary (s, now);
       return;
     }
-  if (s->phase == SERVICE_SERVING)
-    remove_outdated_record (s, now);
   if (s->phase != SERVICE_HANDOFF && s->phase != SERVICE_REPLACING)
     return;
   if (!s->planned && s->primary != NULL && s->primary->failed_since == 0
--- a/session/service.h
+++ b/session/service.h
@@ -183,8 +183,6 @@
   bool planned;            /**< Planned change: the primary still answers. */
   bool record_read;        /**< The promotion record was read since the
                               takeover. */
-  bool record_outdated;    /**< The store was restored from a copy: a record
-                              that it has is of an earlier promotion. */
   int64_t promotion_decided_at;
   int64_t change_announced_at; /**< When heartbeats began to announce that the
                                   primary changes. */
@@ -301,7 +299,5 @@
 void promotion_cancel (struct service *s);
 /** Read the promotion record and finish what a previous owner began. */
 void promotion_resume (struct service *s);
-/** The store was restored from a copy. */
-void promotion_store_restored (struct service *s);
 
 #endif
--- a/session/sessiond.c
+++ b/session/sessiond.c
@@ -377,13 +377,6 @@
   return (uint64_t)now.tv_sec * USEC_PER_SEC + (uint64_t)now.tv_nsec / 1000;
 }
 
-static void
-on_store_restored (void *data)
-{
-  struct sessiond *r = data;
-  owner_store_restored (r->owner);
-}
-
 static bool
 start_modules (struct sessiond *r, struct error *err)
 {
@@ -393,15 +386,12 @@
   r->limits = limits_create (r);
   r->self = model_id (bstr_from (o->name));
   r->incarnation = start_time_us ();
-  r->store
-      = store_create (r,
-                      &(struct store_options){ .ev = r->ev,
-                                               .restored = on_store_restored,
-                                               .data = r,
-                                               .objects = o->store,
-                                               .duties = o->duties,
-                                               .holder = o->name },
-                      err);
+  r->store = store_create (r,
+                           &(struct store_options){ .ev = r->ev,
+                                                    .objects = o->store,
+                                                    .duties = o->duties,
+                                                    .holder = o->name },
+                           err);
   if (r->store == NULL)
     return error_wrap (err, ERROR_UNAVAILABLE, "platform");
   r->commit_queries = commit_queries_create (r);
--- a/tests/fuzz/objects.c
+++ b/tests/fuzz/objects.c
@@ -67,7 +67,7 @@
     check_endpoint (&entry);
   struct voter_list list = objects_decode_voters (scratch, object);
   check_voters (&list);
-  objects_decode_promotion (scratch, object);
+  objects_decode_promotion (object);
   objects_name (store_event_object (object, &deleted));
   json_array_size (store_items (object));
   store_has_more (object);
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1439,6 +1439,103 @@
   talloc_free (s);
 }
 
+/* Replace the promotion record of the service by one of an earlier promotion
+   of db-1-b, as a restore of the store does. */
+static void
+bring_back_record (struct sessiond_site *s)
+{
+  char url[120];
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
+            process_port (s->platform));
+  process_http (s, "DELETE", url, NULL, NULL);
+  *strrchr (url, '/') = '\0';
+  CU_ASSERT_EQUAL (process_http (s, "POST", url,
+                                 "{\"meta\":{\"name\":\"ledger-1\"},"
+                                 "\"spec\":{\"holder\":\"vm-0\","
+                                 "\"endpoint\":\"db-1-b\",\"term\":0}}",
+                                 NULL),
+                   200);
+}
+
+/* Acknowledge writes that db-1-b does not receive.
+   @return their number. */
+static int
+write_past_replica (struct sessiond_site *s, char ids[20][24])
+{
+  int count = 0;
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "deaf"));
+  for (int i = 0; i < 20; i++)
+    {
+      struct line_answer a = retry_write (s, 0, 1000);
+      if (a.id[0] != '\0')
+        snprintf (ids[count++], sizeof ids[0], "%s", a.id);
+    }
+  CU_ASSERT_TRUE (count > 0);
+  return count;
+}
+
+static int
+count_lost (struct sessiond_site *s, char ids[20][24], int count)
+{
+  int lost = 0;
+  for (int i = 0; i < count; i++)
+    lost += sessiond_site_committed (s, ids[i]) != 1;
+  printf ("[%d of %d writes lost] ", lost, count);
+  return lost;
+}
+
+/* Guards against a restarted fleet that promotes the endpoint of an old
+   promotion record without asking the others for their logs. */
+static void
+old_record_loses_no_write_after_a_restart (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  char ids[20][24];
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  int count = write_past_replica (s, ids);
+  bring_back_record (s);
+  for (int i = 0; i < 3; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  CU_ASSERT_TRUE (sessiond_site_wait (s, 0, 1, SERVE_MS));
+  usleep (3000000);
+  CU_ASSERT_EQUAL (count_lost (s, ids, count), 0);
+  talloc_free (s);
+}
+
+/* Guards against a next owner that takes an old promotion record for that of
+   the promotion that its predecessor had ordered. */
+static void
+old_record_loses_no_write_during_a_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 3, .services = 1, .promote_ms = 1500 });
+  char ids[20][24], url[120];
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  most_services_owned (s, &owner);
+  int count = write_past_replica (s, ids);
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
+            process_port (s->platform));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "kill"));
+  int64_t end = sessiond_site_now_ms () + SERVE_MS;
+  while (process_http (s, "GET", url, NULL, NULL) != 200
+         && sessiond_site_now_ms () < end)
+    usleep (2000);
+  usleep (300000);
+  bring_back_record (s);
+  process_signal (s->daemons[owner], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_wait (s, (owner + 1) % 3, 1, SERVE_MS));
+  usleep (3000000);
+  CU_ASSERT_EQUAL (count_lost (s, ids, count), 0);
+  talloc_free (s);
+}
+
 /* Guards against one daemon that owns all services for good after the others
    were killed and started again, and against errors other than BUSY while it
    releases services to them. */
@@ -1931,6 +2028,10 @@
     restarted_fleet_ignores_a_replaced_primary },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
+  { "old_record_loses_no_write_after_a_restart",
+    old_record_loses_no_write_after_a_restart },
+  { "old_record_loses_no_write_during_a_promotion",
+    old_record_loses_no_write_during_a_promotion },
   { "owner_of_all_gives_services_away", owner_of_all_gives_services_away },
   { "services_without_endpoints_have_no_owner",
     services_without_endpoints_have_no_owner },
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -231,14 +231,17 @@
 static void
 promotion_records (void)
 {
+  const struct promotion_record written = { bstr_from ("i-1"), 7 };
   json_t *object
-      = json_pack ("{s:o}", "spec", objects_encode_promotion ("vm", "i-1"));
-  char *id = objects_decode_promotion (NULL, object);
-  CU_ASSERT_STRING_EQUAL (id, "i-1");
-  talloc_free (id);
+      = json_pack ("{s:o}", "spec", objects_encode_promotion ("vm", &written));
+  struct promotion_record record = objects_decode_promotion (object);
+  CU_ASSERT_TRUE (bstr_equals_text (record.endpoint, "i-1"));
+  CU_ASSERT_EQUAL (record.term, 7);
   json_decref (object);
-  object = json_pack ("{s:{s:i}}", "spec", "endpoint", 4);
-  CU_ASSERT_PTR_NULL (objects_decode_promotion (NULL, object));
+  object = json_pack ("{s:{s:i, s:i}}", "spec", "endpoint", 4, "term", -3);
+  record = objects_decode_promotion (object);
+  CU_ASSERT_EQUAL (record.endpoint.len, 0);
+  CU_ASSERT_EQUAL (record.term, 0);
   json_decref (object);
 }
 
