voters: restarted members learn the list from their peers

No service had an owner for four to five seconds after most voters had restarted while the store had lost the list of voters.

Cause: copies between members were ordered by the store's revision, which is the same for all after a restore, and carried what the store shows. A member that had read that there is no list sent no heartbeats, so that its peers dropped its requests. Members without a quorum do not write the list again, so all waited until the restarted ones began a new one.

Change: the list is ordered by its epoch between members, too, and copies carry the newest one. A member that knows no voter answers heartbeats. The low bits of an epoch are random: a list that is written late, after a restore, cannot have the epoch of another list.

--- a/session/directory.c
+++ b/session/directory.c
@@ -32,8 +32,7 @@
 #define FETCH_DELAY_US (150 * USEC_PER_MSEC)
 /* Period of the checks whether the configuration may be out of date. */
 #define TICK_US (100 * USEC_PER_MSEC)
-/* An endpoint that has drained and left is remembered for this time: longer
-   than the age of the copies that a store is restored from. */
+/* An endpoint that has drained and left is remembered for this time. */
 #define DRAINING_FORGET_US (120 * USEC_PER_SEC)
 /* An observer waits for SOURCE_WAIT_US for the voter that it fetches copies
    from before it asks another one, and for COPY_WAIT_US for a copy that it has
@@ -306,8 +305,17 @@
     start_list (c, NULL);
 }
 
-/* Apply the list of voters that was read; a member that is a voter then starts
-   to watch all collections. */
+/* A member that is a voter watches all collections. */
+static void
+follow_voters (struct directory *d)
+{
+  for (int kind = 0; kind < OBJECT_KIND_COUNT && is_voter (d); kind++)
+    start_reading (&d->collections[kind]);
+  d->collections[OBJECT_VOTERS].digest
+      = voters_list (d->sessiond->voters)->epoch;
+}
+
+/* Apply the list of voters that was read. */
 static void
 apply_voters (struct directory *d)
 {
@@ -315,8 +323,20 @@
                 json_object_get (d->collections[OBJECT_VOTERS].items,
                                  objects_voters_name ()),
                 d->collections[OBJECT_VOTERS].revision);
-  for (int kind = 0; kind < OBJECT_KIND_COUNT && is_voter (d); kind++)
-    start_reading (&d->collections[kind]);
+  follow_voters (d);
+}
+
+/* Apply the list of voters of another member.  It may be newer than that in a
+   store that was restored, so it does not replace what was read there. */
+static void
+apply_voters_copy (struct collection *c, const json_t *items)
+{
+  struct directory *d = c->directory;
+  c->is_known = true;
+  c->behind_since = 0;
+  voters_apply_copy (d->sessiond->voters,
+                     json_object_get (items, objects_voters_name ()));
+  follow_voters (d);
 }
 
 static void
@@ -335,10 +355,7 @@
       c->digest = compute_endpoints_digest (d);
     }
   else
-    {
-      apply_voters (d);
-      c->digest = voters_list (d->sessiond->voters)->epoch;
-    }
+    apply_voters (d);
 }
 
 static void
@@ -384,7 +401,7 @@
   uint64_t revision = store_revision (body);
   if (c->pending_revision == 0)
     c->pending_revision = revision;
-  if (!store_same_era (c->pending_revision, revision))
+  if (!store_same_history (c->pending_revision, revision))
     {
       /* The pages read so far are of another history. */
       start_list (c, NULL);
@@ -518,7 +535,7 @@
 {
   const struct sessiond *r = c->directory->sessiond;
   /* The store may have been restored since the last answer and have given out
-     the revision again; the first answer shows its era. */
+     the revision again; only an answer shows that. */
   if (c->is_reconnecting)
     return RECONNECT_WATCH_MS;
   if (c->kind == OBJECT_VOTERS
@@ -655,6 +672,8 @@
   const struct collection *c = &d->collections[kind];
   if (kind == OBJECT_CONFIG)
     return h->config_version > (d->config != NULL ? d->config->version : 0);
+  if (kind == OBJECT_VOTERS)
+    return h->epoch > voters_list (d->sessiond->voters)->epoch;
   return h->revision[kind] > c->revision && h->digest[kind] != c->digest
          && h->digest[kind] != 0;
 }
@@ -707,9 +726,17 @@
 {
   struct directory *d = c->directory;
   struct error err = { 0 };
-  if (c->copy.items.len > 0 && c->copy.revision == c->revision)
+  if (c->copy.items.len > 0 && c->copy.revision == c->revision
+      && c->kind != OBJECT_VOTERS)
     return true;
-  struct bstr text = json_text_take (d, json_incref (c->items), JSON_COMPACT);
+  json_t *items = json_incref (c->items);
+  if (c->kind == OBJECT_VOTERS)
+    {
+      json_decref (items);
+      items = json_pack ("{s:O*}", objects_voters_name (),
+                         voters_object (d->sessiond->voters));
+    }
+  struct bstr text = json_text_take (d, items, JSON_COMPACT);
   talloc_free ((char *)c->copy.items.start);
   c->copy = (struct packet_copy){ .kind = c->kind,
                                   .revision = c->revision,
@@ -738,11 +765,11 @@
 directory_apply_copy (struct directory *d, const struct packet_copy *copy)
 {
   struct collection *c = &d->collections[copy->kind];
-  /* Versions of the configuration order its copies.  The revision does not: a
-     member keeps the newest configuration while a store that was restored
-     shows an older one. */
+  /* The configuration and the list of voters have an order of their own.  The
+     revision does not order their copies: a member keeps the newest one while
+     a store that was restored shows an older one. */
   if (copy->revision <= c->revision && c->is_known
-      && copy->kind != OBJECT_CONFIG)
+      && copy->kind == OBJECT_ENDPOINTS)
     return;
   struct error err = { 0 };
   struct bstr text = compress_restore (d, copy->items, copy->length, &err);
@@ -761,6 +788,12 @@
             "event=copy_adopted kind=%s revision=%" PRIu64
             " old_revision=%" PRIu64,
             objects_kind_name (copy->kind), copy->revision, c->revision);
+  if (copy->kind == OBJECT_VOTERS)
+    {
+      apply_voters_copy (c, items);
+      json_decref (items);
+      return;
+    }
   json_decref (c->items);
   c->items = items;
   if (copy->revision > c->revision)
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -183,8 +183,7 @@
   /* An observer sends heartbeats to the voters only.  A voter, or a member
      that does not know the voters yet, also sends them to the other peers
      that it has received heartbeats from. */
-  bool voters_known
-      = directory_has (p->fleet->sessiond->directory, OBJECT_VOTERS);
+  bool voters_known = voters_list (p->fleet->sessiond->voters)->count > 0;
   if (!p->is_voter
       && (p->received_at == 0
           || (voters_known && !lease_is_voter (p->fleet->leases))))
--- a/session/voters.c
+++ b/session/voters.c
@@ -31,9 +31,9 @@
    restored from a copy may lack the list until a voter has written it
    again. */
 #define NO_LIST_WAIT_US (4 * USEC_PER_SEC)
-/* Bits of an epoch for the era of the store in which the list was written.
-   They tell two lists apart that follow the same one in different eras. */
-#define ERA_BITS 16
+/* Random low bits of an epoch.  They tell two lists apart that follow the same
+   one, the first of which was lost when the store was restored. */
+#define EPOCH_RANDOM_BITS 16
 /* Period of the checks whether this member is in a quorum. */
 #define QUORUM_CHECK_PERIOD_US (1 * USEC_PER_SEC)
 
@@ -43,10 +43,11 @@
   struct sessiond *sessiond;
   void *memory; /**< Talloc context of the list's entries. */
   struct voter_list list;
-  uint64_t read_at;  /**< Newest revision of the store at which the object
-                        was read. */
-  uint64_t revision; /**< Of the object; 0: there is none. */
-  bool list_is_lost; /**< See voters_list_is_lost. */
+  uint64_t read_at;      /**< Newest revision of the store at which the object
+                            was read. */
+  uint64_t revision;     /**< Of the object; 0: there is none. */
+  uint64_t stored_epoch; /**< Epoch of the list in the object. */
+  json_t *object;        /**< Object that holds the list; may be NULL. */
   int64_t started_at;
   int64_t last_in_quorum; /**< Last time when there was a quorum. */
   /** Time of the last write; 0: the next write need not wait for RETRY_US. */
@@ -104,7 +105,12 @@
       return;
     }
   v->may_add_self = false;
-  if (err->code == ERROR_NONE)
+  if (err->code == ERROR_NONE && body != NULL)
+    {
+      voters_apply (v, body, objects_revision (body));
+      directory_read_voters (v->sessiond->directory);
+    }
+  else if (err->code == ERROR_NONE)
     directory_read_voters (v->sessiond->directory);
   else
     log_warn (PART, "event=list_not_written code=%s reason=\"%s\"",
@@ -116,11 +122,10 @@
 static void
 write_list (struct voters *v, struct voter_list *list)
 {
-  uint64_t era = store_era (v->sessiond->store);
   v->is_writing = true;
   v->written_at = clock_now ();
-  list->epoch = ((v->list.epoch >> ERA_BITS) + 1) << ERA_BITS
-                | (era & ((1U << ERA_BITS) - 1));
+  list->epoch = ((v->list.epoch >> EPOCH_RANDOM_BITS) + 1) << EPOCH_RANDOM_BITS
+                | sessiond_random (1U << EPOCH_RANDOM_BITS);
   store_put (v->sessiond->store, objects_kind_name (OBJECT_VOTERS),
              objects_voters_name (), v->revision, objects_encode_voters (list),
              CALL_TIMEOUT_MS, on_written, v);
@@ -188,7 +193,7 @@
 bool
 voters_list_is_lost (const struct voters *v)
 {
-  return v->list_is_lost;
+  return v->read_at != 0 && v->stored_epoch < v->list.epoch;
 }
 
 void
@@ -252,29 +257,60 @@
     wait_to_add_self (v);
 }
 
-void
-voters_apply (struct voters *v, const json_t *object, uint64_t revision)
+/* Adopt the list of an object if it is newer than the present one.
+   @return the epoch of that list. */
+static uint64_t
+adopt_list (struct voters *v, const json_t *object)
 {
   void *memory = talloc_new (v);
   struct voter_list list = objects_decode_voters (memory, object);
-  if (revision >= v->read_at)
-    {
-      v->read_at = revision;
-      v->revision = object != NULL ? objects_revision (object) : 0;
-      v->list_is_lost = list.epoch < v->list.epoch;
-    }
   if (list.epoch > v->list.epoch)
     {
       v->list = list;
       talloc_free (v->memory);
       v->memory = memory;
       memory = NULL;
+      json_decref (v->object);
+      v->object = json_incref ((json_t *)object);
       sessiond_voters_changed (v->sessiond);
     }
   talloc_free (memory);
+  return list.epoch;
+}
+
+void
+voters_apply (struct voters *v, const json_t *object, uint64_t revision)
+{
+  uint64_t epoch = adopt_list (v, object);
+  if (revision >= v->read_at)
+    {
+      v->read_at = revision;
+      v->revision = object != NULL ? objects_revision (object) : 0;
+      v->stored_epoch = epoch;
+    }
   update_own_entry (v);
 }
 
+void
+voters_apply_copy (struct voters *v, const json_t *object)
+{
+  adopt_list (v, object);
+  update_own_entry (v);
+}
+
+const json_t *
+voters_object (const struct voters *v)
+{
+  return v->object;
+}
+
+static int
+voters_destructor (struct voters *v)
+{
+  json_decref (v->object);
+  return 0;
+}
+
 static void
 on_check (void *data)
 {
@@ -292,6 +328,7 @@
 voters_create (struct sessiond *r)
 {
   struct voters *v = talloc_zero (r, struct voters);
+  talloc_set_destructor (v, voters_destructor);
   v->sessiond = r;
   v->started_at = v->last_in_quorum = clock_now ();
   sessiond_call_every (r, v, QUORUM_CHECK_PERIOD_US, on_check, v);
--- a/session/voters.h
+++ b/session/voters.h
@@ -19,11 +19,16 @@
 struct voters;
 
 struct voters *voters_create (struct sessiond *r);
-/** Apply the list as it was read from the store or from a copy, and add this
- * member to it if that is due.
+/** Apply the list as it was read from the store, and add this member to it if
+ * that is due.
  * @param object NULL: there is no list.
  * @param revision revision of the store at which it was read. */
 void voters_apply (struct voters *v, const json_t *object, uint64_t revision);
+/** Apply the list of another member. @param object NULL: it has none. */
+void voters_apply_copy (struct voters *v, const json_t *object);
+/** @return the object with the current list, valid until the next change; NULL
+ * if there is no list. */
+const json_t *voters_object (const struct voters *v);
 /** @return the current list, valid until the next change. */
 const struct voter_list *voters_list (const struct voters *v);
 /** @return whether this member asks to be added to the list. */
