session, tests: one call instead of two branches, one loop instead of two

Found on the last reading; nothing changes in what runs. on_written reads the list in one place, refresh_copy takes one reference, retry_read and retry_write share their loop.

--- a/session/directory.c
+++ b/session/directory.c
@@ -729,13 +729,10 @@
   if (c->copy.items.len > 0 && c->copy.revision == c->revision
       && c->kind != OBJECT_VOTERS)
     return true;
-  json_t *items = json_incref (c->items);
-  if (c->kind == OBJECT_VOTERS)
-    {
-      json_decref (items);
-      items = json_pack ("{s:O*}", objects_voters_name (),
-                         voters_object (d->sessiond->voters));
-    }
+  json_t *items = c->kind == OBJECT_VOTERS
+                      ? json_pack ("{s:O*}", objects_voters_name (),
+                                   voters_object (d->sessiond->voters))
+                      : json_incref (c->items);
   struct bstr text = json_text_take (d, items, JSON_COMPACT);
   talloc_free ((char *)c->copy.items.start);
   c->copy = (struct packet_copy){ .kind = c->kind,
--- a/session/voters.c
+++ b/session/voters.c
@@ -105,13 +105,12 @@
       return;
     }
   v->may_add_self = false;
-  if (err->code == ERROR_NONE && body != NULL)
+  if (err->code == ERROR_NONE)
     {
-      voters_apply (v, body, objects_revision (body));
+      if (body != NULL)
+        voters_apply (v, body, objects_revision (body));
       directory_read_voters (v->sessiond->directory);
     }
-  else if (err->code == ERROR_NONE)
-    directory_read_voters (v->sessiond->directory);
   else
     log_warn (PART, "event=list_not_written code=%s reason=\"%s\"",
               error_name (err->code), err->text);
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -29,10 +29,11 @@
   return c;
 }
 
-/* Repeat a write until it succeeds.
+/* Repeat a statement until it succeeds.
    @return its answer; its id is empty if none succeeded in time. */
 static struct line_answer
-retry_write (struct sessiond_site *s, int daemon, int timeout_ms)
+retry_statement (struct sessiond_site *s, int daemon, const char *text,
+                 int timeout_ms)
 {
   int64_t end = sessiond_site_now_ms () + timeout_ms;
   struct line_answer a = { .id = "" };
@@ -40,7 +41,7 @@
     {
       struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
       bool ok = c != NULL && line_start (c, "main1", "key-a1", &a)
-                && line_query (c, &a, "WRITE again x");
+                && line_query (c, &a, "%s", text);
       talloc_free (c);
       if (ok)
         return a;
@@ -50,6 +51,12 @@
   return a;
 }
 
+static struct line_answer
+retry_write (struct sessiond_site *s, int daemon, int timeout_ms)
+{
+  return retry_statement (s, daemon, "WRITE again x", timeout_ms);
+}
+
 static void
 assert_no_violation (struct sessiond_site *s)
 {
@@ -1268,25 +1275,11 @@
     commit_at_previous_owner (wait_ms, true);
 }
 
-/* Repeat a read of the item that retry_write writes until it succeeds.
-   @return its answer; its id is empty if none succeeded in time. */
+/* As retry_write; reads the item that it writes. */
 static struct line_answer
 retry_read (struct sessiond_site *s, int daemon, int timeout_ms)
 {
-  int64_t end = sessiond_site_now_ms () + timeout_ms;
-  struct line_answer a = { .id = "" };
-  while (sessiond_site_now_ms () < end)
-    {
-      struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
-      bool ok = c != NULL && line_start (c, "main1", "key-a1", &a)
-                && line_query (c, &a, "READ again");
-      talloc_free (c);
-      if (ok)
-        return a;
-      usleep (20000);
-    }
-  a.id[0] = '\0';
-  return a;
+  return retry_statement (s, daemon, "READ again", timeout_ms);
 }
 
 /* Kill the owner of the only service and wait until another daemon owns it.
