tests: parallel test runs share no port

Cause, by the log of that run: "callers' port: cannot listen on 127.0.0.1:16192: Address already in use". A test chose ports that were free, and another run took one of them before the daemon listened there.

Change: a run locks the ports in a file while it uses them. The check that they are free stays.

test_runs_share_no_port fails with the lock switched off (both get the same ports) and passes with it.

--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
@@ -20,6 +21,9 @@
    starts again. */
 #define FIRST_PORT 10000
 #define END_PORT 32000
+/* Test runs that are in progress lock the bytes of this file that have the
+   numbers of their ports. */
+#define PORTS_FILE "/tmp/azurewind-test-ports"
 
 int64_t
 sessiond_site_now_ms (void)
@@ -27,32 +31,73 @@
   return clock_now () / USEC_PER_MSEC;
 }
 
-/* @return the first of @p count consecutive free ports, 0 if there are none.
-   The process id selects where the search starts, so that parallel test runs
-   rarely try the same ports. */
+/** Ports that no other test run takes until this is freed. */
+struct port_range
+{
+  int fd; /**< Holds the locks on PORTS_FILE. */
+};
+
 static int
-find_free_ports (int count)
+release_ports (struct port_range *range)
+{
+  close (range->fd);
+  return 0;
+}
+
+/* Lock or unlock the ports for this test run.
+   @param type F_WRLCK or F_UNLCK.
+   @return false if another run has one of them. */
+static bool
+lock_ports (int fd, short type, int first, int count)
+{
+  struct flock lock = {
+    .l_type = type, .l_whence = SEEK_SET, .l_start = first, .l_len = count
+  };
+  return fcntl (fd, F_OFD_SETLK, &lock) == 0;
+}
+
+static bool
+are_ports_free (int first, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      struct sockaddr_in at = { .sin_family = AF_INET,
+                                .sin_port = htons ((uint16_t)(first + i)),
+                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      int rc = bind (fd, (struct sockaddr *)&at, sizeof at);
+      close (fd);
+      if (rc != 0)
+        return false;
+    }
+  return true;
+}
+
+int
+sessiond_site_reserve_ports (void *parent, int count)
 {
   int places = (END_PORT - FIRST_PORT) / count;
+  int fd = open (PORTS_FILE, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+  if (fd < 0)
+    {
+      perror (PORTS_FILE);
+      return 0;
+    }
+  struct port_range *range = talloc_zero (parent, struct port_range);
+  range->fd = fd;
+  talloc_set_destructor (range, release_ports);
+  /* The process id selects where the search starts, so that parallel test
+     runs rarely try the same ports. */
   for (int k = 0; k < places; k++)
     {
-      int i = 0;
       int first = FIRST_PORT + (getpid () + k) % places * count;
-      for (; i < count; i++)
-        {
-          struct sockaddr_in at
-              = { .sin_family = AF_INET,
-                  .sin_port = htons ((uint16_t)(first + i)),
-                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-          int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-          int rc = bind (fd, (struct sockaddr *)&at, sizeof at);
-          close (fd);
-          if (rc != 0)
-            break;
-        }
-      if (i == count)
+      if (!lock_ports (fd, F_WRLCK, first, count))
+        continue;
+      if (are_ports_free (first, count))
         return first;
+      lock_ports (fd, F_UNLCK, first, count);
     }
+  talloc_free (range);
   return 0;
 }
 
@@ -290,7 +335,7 @@
   s->daemon_count = o->daemons;
   s->large = o->large;
   s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
-  s->first_port = find_free_ports (o->daemons * SITE_PORTS);
+  s->first_port = sessiond_site_reserve_ports (s, o->daemons * SITE_PORTS);
   s->platform
       = process_start (s, "standin-site",
                        (const char *[]){ "--services", services, "--lag-ms",
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -62,6 +62,10 @@
 struct sessiond_site *
 sessiond_site_start (void *parent,
                      const struct sessiond_site_options *options);
+/** Reserve ports of 127.0.0.1 until @p parent is freed: no other test run on
+ * this machine gets them, although no process listens there yet.
+ * @return the first of @p count consecutive ports, 0 if there are none. */
+int sessiond_site_reserve_ports (void *parent, int count);
 /** Start daemon @p i, or stop it and start it again. */
 bool sessiond_site_start_daemon (struct sessiond_site *s, int i);
 /** Wait until a write to @p service succeeds through daemon @p i. */
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1964,7 +1964,24 @@
   talloc_free (s);
 }
 
+/* Guards against two test runs that choose the same ports before their daemons
+   listen there, so that a daemon cannot start. */
+static void
+test_runs_share_no_port (void)
+{
+  void *first = talloc_new (NULL), *second = talloc_new (NULL);
+  int a = sessiond_site_reserve_ports (first, SITE_PORTS);
+  int b = sessiond_site_reserve_ports (second, SITE_PORTS);
+  CU_ASSERT_TRUE (a != 0 && b != 0);
+  CU_ASSERT_TRUE (abs (a - b) >= SITE_PORTS);
+  talloc_free (first);
+  int c = sessiond_site_reserve_ports (second, SITE_PORTS);
+  CU_ASSERT_EQUAL (c, a);
+  talloc_free (second);
+}
+
 static const struct test_case cases[] = {
+  { "test_runs_share_no_port", test_runs_share_no_port },
   { "statement_behind_a_forgotten_begin", statement_behind_a_forgotten_begin },
   { "restarted_daemon_gets_no_results_of_the_previous_one",
     restarted_daemon_gets_no_results_of_the_previous_one },
