--- a/review/5/case.c
+++ b/review/5/case.c
@@ -6,6 +6,7 @@
 #include "review/lib/session.h"
 #include "tests/relay_site.h"
 
+#include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -19,6 +20,7 @@
   OTHER_SERVERS = 540, /**< Entries of services that are not in use here. */
   DRAIN_MS = 7000, /**< Of the sites; the daemons here are told 3000. */
   CONTACT_MS = 4000,
+  CLIENTS = 8,     /**< So many read at a time, as one would stay at one replica. */
   JUDGED_MS = 5000, /**< Reads go on for this long after both have passed. */
 };
 
@@ -92,24 +94,56 @@
   return true;
 }
 
-/* Read for a while through one session. */
-static int
-read_until (struct client *c, int port, int64_t end)
+/** One client that reads until a time. */
+struct reading_client
+{
+  pthread_t thread;
+  struct client client;
+  int port, number, served;
+  int64_t end;
+};
+
+static void *
+run_client (void *data)
 {
+  struct reading_client *w = data;
+  struct client *c = &w->client;
   struct reply r;
-  int served = 0;
-  while (now_ms () < end)
+  char name[16];
+  snprintf (name, sizeof name, "client-%d", w->number);
+  while (now_ms () < w->end)
     {
-      if (c->fd < 0
-          && !client_start (c, "client", port, database, "key-a1"))
+      if (c->fd < 0 && !client_start (c, name, w->port, database, "key-a1"))
         {
           usleep (100000);
           continue;
         }
-      served += client_query (c, new_id (), "READ item", &r);
+      w->served += client_query (c, new_id (), "READ item", &r);
       if (r.state != 'I')
         client_close (c);
-      usleep (20000);
+      usleep (10000);
+    }
+  client_close (c);
+  return NULL;
+}
+
+/* Have the clients read until a time.  @return how many reads were served. */
+static int
+read_until (int port, int64_t end)
+{
+  static struct reading_client clients[CLIENTS];
+  int served = 0;
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      clients[i] = (struct reading_client){
+        .client = { .fd = -1 }, .port = port, .number = i, .end = end
+      };
+      pthread_create (&clients[i].thread, NULL, run_client, &clients[i]);
+    }
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      pthread_join (clients[i].thread, NULL);
+      served += clients[i].served;
     }
   return served;
 }
@@ -120,7 +154,6 @@
   const char *trouble_text = getenv ("TROUBLE");
   bool trouble = trouble_text == NULL || strcmp (trouble_text, "0") != 0;
   struct sessiond_site *site = NULL;
-  struct client c = { .fd = -1 };
   if (argc < 2 || !record_open (argv[1]))
     return 2;
   struct sessiond_site *s = sessiond_site_start (
@@ -142,9 +175,8 @@
       drained[3] = database[6] = (char)('0' + k);
       for (int i = 0; i < DAEMONS; i++)
         runs[i] = count_reader_runs (s, i);
-      read_until (&c, sessiond_site_port (s, 0), now_ms () + 700);
-      client_close (&c);
-      for (int i = 0; i < DAEMONS; i++)
+      read_until (sessiond_site_port (s, 0), now_ms () + 700);
+          for (int i = 0; i < DAEMONS; i++)
         if (count_reader_runs (s, i) > runs[i] + 10)
           reader = i;
     }
@@ -174,16 +206,15 @@
   int64_t judged_from = atomic_load (&drained_at) + DRAIN_MS;
   if (judged_from < started_at + CONTACT_MS)
     judged_from = started_at + CONTACT_MS;
-  read_until (&c, port, judged_from);
+  read_until (port, judged_from);
   int before = count_runs (s);
   record ("drain_ms and contact-ms have passed; %d statements ran at %s",
           before, drained);
-  int served = read_until (&c, port, judged_from + JUDGED_MS);
+  int served = read_until (port, judged_from + JUDGED_MS);
   int late = count_runs (s) - before;
   record ("DRAIN: %d of %d reads reached %s later", late, served, drained);
   printf ("%d of %d reads reached the draining database too late\n", late,
           served);
-  client_close (&c);
   talloc_free (s);
   return late > 0 ? 1 : served > 0 ? 0 : 2;
 }
