--- a/review/5/case.c
+++ b/review/5/case.c
@@ -18,9 +18,10 @@
   DAEMONS = 3,
   SERVICES = 8,
   OTHER_SERVERS = 540, /**< Entries of services that are not in use here. */
-  DRAIN_MS = 7000, /**< Of the sites; the daemons here are told 3000. */
+  DRAIN_MS = 7000,     /**< Of the sites; the daemons here are told 3000. */
   CONTACT_MS = 4000,
-  CLIENTS = 8,     /**< So many read at a time, as one would stay at one replica. */
+  CLIENTS
+  = 8, /**< So many read at a time, as one would stay at one replica. */
   JUDGED_MS = 5000, /**< Reads go on for this long after both have passed. */
 };
 
@@ -43,10 +44,10 @@
   json_t *observed = sessiond_site_observed (s), *run;
   size_t i;
   int count = 0;
-  json_array_foreach (json_object_get (observed, "runs"), i, run)
-    count += strcmp (json_string_value (json_object_get (run, "database")),
-                     drained)
-             == 0;
+  json_array_foreach (json_object_get (observed, "runs"), i, run) count
+      += strcmp (json_string_value (json_object_get (run, "database")),
+                 drained)
+         == 0;
   json_decref (observed);
   return count;
 }
@@ -56,10 +57,9 @@
 count_reader_runs (struct sessiond_site *s, int daemon)
 {
   char *metrics = sessiond_site_metrics (s, daemon);
-  char *line = metrics != NULL
-                   ? strstr (metrics,
-                             "\nazurewind_reader_statements_total{ran=\"1\"}")
-                   : NULL;
+  char *line = metrics != NULL ? strstr (
+                   metrics, "\nazurewind_reader_statements_total{ran=\"1\"}")
+                               : NULL;
   return line != NULL ? atoi (strchr (line, ' ')) : 0;
 }
 
@@ -72,8 +72,8 @@
   for (int i = 0; i < DAEMONS; i++)
     {
       s->proxy_ports[i].store = sessiond_site_port (s, i) + 6;
-      if (page_gate_start (s->proxy_ports[i].store,
-                           process_port (s->platform), drain, s)
+      if (page_gate_start (s->proxy_ports[i].store, process_port (s->platform),
+                           drain, s)
           != 0)
         return false;
     }
@@ -176,7 +176,7 @@
       for (int i = 0; i < DAEMONS; i++)
         runs[i] = count_reader_runs (s, i);
       read_until (sessiond_site_port (s, 0), now_ms () + 700);
-          for (int i = 0; i < DAEMONS; i++)
+      for (int i = 0; i < DAEMONS; i++)
         if (count_reader_runs (s, i) > runs[i] + 10)
           reader = i;
     }
--- a/review/lib/delay_link.c
+++ b/review/lib/delay_link.c
@@ -181,7 +181,8 @@
   struct sockaddr_in at = loopback (listen_port);
   pthread_t thread;
   int one = 1;
-  l->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  l->listener
+      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   l->target_port = target_port;
   setsockopt (l->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (bind (l->listener, (struct sockaddr *)&at, sizeof at) != 0
--- a/review/lib/session.c
+++ b/review/lib/session.c
@@ -56,8 +56,8 @@
 bool
 is_promise (const char *code)
 {
-  static const char *const codes[] = { "BUSY",     "ABORTED",   "LAGGING",
-                                       "READONLY", "MISROUTED", "TOOMANY" };
+  static const char *const codes[]
+      = { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY" };
   for (size_t i = 0; i < sizeof codes / sizeof codes[0]; i++)
     if (strcmp (code, codes[i]) == 0)
       return true;
@@ -155,7 +155,9 @@
     read_reply (c, r);
   record ("%s: %016llx %s -> %s%s%s state=%c after %lld ms", c->name,
           (unsigned long long)id, statement,
-          r->state == 0 ? "no answer" : r->code[0] != '\0' ? r->code : "ok",
+          r->state == 0        ? "no answer"
+          : r->code[0] != '\0' ? r->code
+                               : "ok",
           r->text[0] != '\0' ? ": " : "", r->text,
           r->state != 0 ? r->state : '-', (long long)(now_ms () - sent_at));
   return r->state != 0 && r->code[0] == '\0';
--- a/review/lib/session.h
+++ b/review/lib/session.h
@@ -24,7 +24,7 @@
   char text[160];
   char row[80];
   char signature[80];
-  char state;    /**< From READY; 0: there was no READY. */
+  char state; /**< From READY; 0: there was no READY. */
 };
 
 /** Open the record; all functions write to it. */
