directory: log each list that was read

Cause: a daemon that starts reads a collection in pages and then watches it.

Change: event=list gives pages, objects, the store's revision in the first and in the last page, and the revision from which the watch starts.

--- a/session/directory.c
+++ b/session/directory.c
@@ -50,6 +50,7 @@
   /** Objects of the pages that the running list call has read so far. */
   json_t *pending_items;
   uint64_t pending_revision; /**< Revision of the first one of these pages. */
+  int pending_pages;         /**< Number of these pages. */
   uint64_t revision;         /**< The items include all changes up to it. */
   uint64_t digest;           /**< See directory_digest. */
   /** Cached copy for other members; may be empty or of an older revision. */
@@ -401,6 +402,7 @@
   uint64_t revision = store_revision (body);
   if (c->pending_revision == 0)
     c->pending_revision = revision;
+  c->pending_pages++;
   if (!store_same_history (c->pending_revision, revision))
     {
       /* The pages read so far are of another history. */
@@ -431,6 +433,12 @@
     }
   else if (c->kind == OBJECT_VOTERS)
     apply_voters (c->directory);
+  log_info (PART,
+            "event=list kind=%s pages=%d objects=%zu first_revision=%" PRIu64
+            " last_revision=%" PRIu64 " watch_from=%" PRIu64,
+            objects_kind_name (c->kind), c->pending_pages,
+            json_object_size (c->pending_items), c->pending_revision, revision,
+            c->revision);
   start_watch (c);
 }
 
@@ -446,6 +454,7 @@
       json_decref (c->pending_items);
       c->pending_items = json_object ();
       c->pending_revision = 0;
+      c->pending_pages = 0;
     }
   store_list (c->directory->sessiond->store, objects_kind_name (c->kind),
               after, CALL_TIMEOUT_MS, on_list, c);
