directory: a list is as new as its first page

Cause: the pages of a list show the store at different revisions. on_list kept the revision of the last page and watched from there, so that changes to objects of earlier pages, made between the answers, were in no answer. Other daemons did not repair it, as they had the same revision. A list also replaced a copy from another daemon that was newer than its first page.

Change: the collection has the revision of the first page. The watch from there reports what changed since, and repeats what later pages have; apply_event ignores events that are older than the present object. Heartbeats give this revision, so that copies of other daemons count as newer. The stand-in can change objects between two pages (page_changes, remove) and let a database lead at once (lead); reads_at moves from test_restored to relay_site, with the same check.

--- a/session/directory.c
+++ b/session/directory.c
@@ -51,8 +51,9 @@
   json_t *pending_items;
   uint64_t pending_revision; /**< Revision of the first one of these pages. */
   int pending_pages;         /**< Number of these pages. */
-  uint64_t revision;         /**< The items include all changes up to it. */
-  uint64_t digest;           /**< See directory_digest. */
+  /** The items include all changes up to it, and possibly later ones. */
+  uint64_t revision;
+  uint64_t digest; /**< See directory_digest. */
   /** Cached copy for other members; may be empty or of an older revision. */
   struct packet_copy copy;
   int64_t retry_us;     /**< Pause before the next retry; 0: no call failed. */
@@ -424,11 +425,14 @@
       talloc_free (after);
       return;
     }
-  if (revision > c->revision || !c->is_known)
+  if (c->pending_revision > c->revision || !c->is_known)
     {
       json_decref (c->items);
       c->items = json_incref (c->pending_items);
-      c->revision = revision;
+      /* Objects of the first page may have changed since it was read.  The
+         watch reports these changes, and again some that later pages have;
+         apply_event ignores those. */
+      c->revision = c->pending_revision;
       apply_items (c);
     }
   else if (c->kind == OBJECT_VOTERS)
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -646,13 +646,9 @@
 
 /* Make the database primary, in a term above all others of its service. */
 static void
-on_promotion_due (struct tevent_context *ev, struct tevent_timer *timer,
-                  struct timeval at, void *data)
+begin_term (struct database *d)
 {
-  (void)ev, (void)timer, (void)at;
-  struct promotion *p = data;
-  struct database *d = p->database;
-  struct site_databases *g = d->site;
+  const struct site_databases *g = d->site;
   uint64_t newest = 0;
   for (int i = 0; i < g->count; i++)
     if (strcmp (g->databases[i]->service, d->service) == 0
@@ -665,6 +661,15 @@
       publish_database (d);
       replicate_log (d);
     }
+}
+
+static void
+on_promotion_due (struct tevent_context *ev, struct tevent_timer *timer,
+                  struct timeval at, void *data)
+{
+  (void)timer, (void)at;
+  struct promotion *p = data;
+  begin_term (p->database);
   tevent_add_timer (ev, p,
                     tevent_timeval_current_ofs (FOLLOW_DELAY_MS / 1000,
                                                 FOLLOW_DELAY_MS % 1000 * 1000),
@@ -784,6 +789,8 @@
     d->lose_next_answer = true;
   else if (strcmp (fault, "unsigned") == 0)
     d->omit_next_signature = true;
+  else if (strcmp (fault, "lead") == 0)
+    begin_term (d);
   else if (strcmp (fault, "drain") == 0)
     {
       d->draining = true;
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -1,12 +1,14 @@
 #include "standins/site.h"
 
 #include "common/json_text.h"
+#include "common/log.h"
 #include "net/http.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
+#define PART "store"
 #define MAX_BODY_BYTES ((size_t)1 << 20)
 #define MAX_CONNECTIONS 500
 #define IDLE_SECONDS 60
@@ -58,8 +60,14 @@
   struct tevent_timer *rewrite_timer; /**< NULL: no rewrite is due. */
   /** Texts that answers contain in place of the specs with their names. */
   json_t *raw_specs;
+  /** Changes between the first two pages of the next list of a kind:
+   * {kind, changes, hold_ms}, each change the body of a call of the test.  The
+   * second page is answered hold_ms later.  NULL: none are due. */
+  json_t *page_changes;
 };
 
+static bool apply_control (struct site_store *s, const json_t *body);
+
 static void
 reply_text (const struct site_store *s, struct http_request *request,
             unsigned status, struct bstr text)
@@ -384,13 +392,66 @@
   return strcmp (*(const char *const *)a, *(const char *const *)b);
 }
 
+/** A request for a page that is answered later. */
+struct held_page
+{
+  struct site_store *store;
+  struct http_request *request;
+  char *kind;
+};
+
+static void list_objects (struct site_store *s, struct http_request *request,
+                          const char *kind);
+
+static void
+on_hold_over (struct tevent_context *ev, struct tevent_timer *timer,
+              struct timeval at, void *data)
+{
+  (void)ev, (void)timer, (void)at;
+  struct held_page *h = data;
+  list_objects (h->store, h->request, h->kind);
+  talloc_free (h);
+}
+
+/* Apply the changes that are due before the second page of a list of
+   @p kind.
+   @return whether the page is answered later. */
+static bool
+apply_page_changes (struct site_store *s, struct http_request *request,
+                    const char *kind)
+{
+  json_t *due = s->page_changes, *change;
+  const char *due_kind = json_string_value (json_object_get (due, "kind"));
+  size_t i;
+  if (due_kind == NULL || strcmp (due_kind, kind) != 0)
+    return false;
+  s->page_changes = NULL;
+  json_array_foreach (json_object_get (due, "changes"), i,
+                      change) if (!apply_control (s, change))
+      log_error (PART, "event=page_change_failed index=%zu", i);
+  uint32_t hold_ms
+      = (uint32_t)json_integer_value (json_object_get (due, "hold_ms"));
+  json_decref (due);
+  if (hold_ms == 0)
+    return false;
+  struct held_page *h = talloc_zero (s, struct held_page);
+  *h = (struct held_page){ s, request, talloc_strdup (h, kind) };
+  tevent_add_timer (
+      s->options.ev, h,
+      tevent_timeval_current_ofs (hold_ms / 1000, hold_ms % 1000 * 1000),
+      on_hold_over, h);
+  return true;
+}
+
 /* Answer with one page of the objects of a kind, in order of their names. */
 static void
 list_objects (struct site_store *s, struct http_request *request,
               const char *kind)
 {
-  json_t *objects = get_objects (s, kind), *items = json_array (), *object;
   struct bstr after = http_query_value (request, "after");
+  if (after.len > 0 && apply_page_changes (s, request, kind))
+    return;
+  json_t *objects = get_objects (s, kind), *items = json_array (), *object;
   const char *names[MAX_LISTED_ITEMS], *name;
   size_t count = 0;
   bool more = false;
@@ -561,28 +622,19 @@
   site_store_write (s, kind, name, json_string (spec));
 }
 
-/* Serve a test's call to set faults or read the observations; the platform has
-   no such call. */
-static void
-serve_control (struct site_store *s, struct http_request *request)
+/* Do what a test's call asks for.
+   @return false if it names what does not exist. */
+static bool
+apply_control (struct site_store *s, const json_t *body)
 {
-  json_t *body = json_loadb (request->body.start, request->body.len, 0, NULL);
   const char *database
       = json_string_value (json_object_get (body, "database"));
   const char *fault = json_string_value (json_object_get (body, "fault"));
   json_t *config = json_object_get (body, "config");
+  json_t *page_changes = json_object_get (body, "page_changes");
   const json_t *raw = json_object_get (body, "raw");
+  const json_t *removed = json_object_get (body, "remove");
   bool ok = true;
-  if (bstr_equals_text (request->method, "GET"))
-    {
-      json_t *observations = s->options.get_observations (s->options.data);
-      json_object_set_new (observations, "requests",
-                           json_integer ((json_int_t)s->requests));
-      json_object_set_new (observations, "revision",
-                           json_integer ((json_int_t)s->revision));
-      reply_json (s, request, 200, observations);
-      goto done;
-    }
   if (database != NULL && fault != NULL)
     ok = s->options.set_fault (s->options.data, database, fault);
   if (json_object_get (body, "down") != NULL)
@@ -605,12 +657,41 @@
              s, json_integer_value (json_object_get (body, "rewrite_ms")),
              json_is_true (json_object_get (body, "answer_watches")))
          && ok;
+  if (removed != NULL)
+    site_store_delete (s,
+                       json_string_value (json_object_get (removed, "kind")),
+                       json_string_value (json_object_get (removed, "name")));
   if (raw != NULL)
     write_raw (s, raw);
   if (config != NULL)
     site_store_write (s, "config", "main", json_incref (config));
-  reply_empty (s, request, ok ? 200 : 404);
-done:
+  if (page_changes != NULL)
+    {
+      json_decref (s->page_changes);
+      s->page_changes = json_incref (page_changes);
+    }
+  return ok;
+}
+
+/* Serve a test's call to set faults or read the observations; the platform has
+   no such call. */
+static void
+serve_control (struct site_store *s, struct http_request *request)
+{
+  json_t *body = json_loadb (request->body.start, request->body.len, 0, NULL);
+  if (bstr_equals_text (request->method, "GET"))
+    {
+      json_t *observations = s->options.get_observations (s->options.data);
+      json_object_set_new (observations, "requests",
+                           json_integer ((json_int_t)s->requests));
+      json_object_set_new (observations, "revision",
+                           json_integer ((json_int_t)s->revision));
+      json_object_set_new (observations, "page_changes_due",
+                           json_boolean (s->page_changes != NULL));
+      reply_json (s, request, 200, observations);
+    }
+  else
+    reply_empty (s, request, apply_control (s, body) ? 200 : 404);
   json_decref (body);
 }
 
@@ -678,6 +759,7 @@
   json_decref (s->snapshot);
   json_decref (s->outside_writes);
   json_decref (s->raw_specs);
+  json_decref (s->page_changes);
   return 0;
 }
 
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -99,6 +99,12 @@
  * none. */
 const json_t *sessiond_site_run (const json_t *observed, const char *id);
 
+/** Read from service 1 through all daemons for some time.
+ * @return the number of reads that ran at @p database, -1 if none ran at any
+ * one. */
+int sessiond_site_reads_at (struct sessiond_site *s, const char *database,
+                            int duration_ms);
+
 /** @return the time since the VM started. */
 int64_t sessiond_site_now_ms (void);
 
--- a/tests/test_restored.c
+++ b/tests/test_restored.c
@@ -186,31 +186,8 @@
 static int
 reads_at (struct sessiond_site *s, const char *database, int duration_ms)
 {
-  int64_t end = sessiond_site_now_ms () + duration_ms;
-  int count = 0;
-  size_t i;
-  json_t *observed = sessiond_site_observed (s), *run;
-  size_t known = json_array_size (json_object_get (observed, "runs"));
-  json_decref (observed);
-  for (int daemon = 0; sessiond_site_now_ms () < end;
-       daemon = (daemon + 1) % s->daemon_count)
-    {
-      struct line_answer a;
-      struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
-      if (c != NULL && line_start (c, "browse1", "key-a1", &a))
-        line_query (c, &a, "READ item");
-      talloc_free (c);
-      usleep (5000);
-    }
-  observed = sessiond_site_observed (s);
-  json_t *runs = json_object_get (observed, "runs");
-  CU_ASSERT_TRUE (json_array_size (runs) > known);
-  json_array_foreach (runs, i, run) count
-      += i >= known
-         && strcmp (json_string_value (json_object_get (run, "database")),
-                    database)
-                == 0;
-  json_decref (observed);
+  int count = sessiond_site_reads_at (s, database, duration_ms);
+  CU_ASSERT_TRUE (count >= 0);
   return count;
 }
 
