tests: the first answer of azurewindd's watch is complete

Change: platform/first_answer_is_complete shows it with 1,200 objects and a change that is made while they are read.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -9,6 +9,7 @@
 
 #define CALL_MS 2000
 #define WATCHES 1000
+#define OBJECTS 1200
 
 /* A client and the stand-in platform that it uses. */
 struct fixture
@@ -207,6 +208,36 @@
   fixture_free (f);
 }
 
+/* Guards against a change that a client that starts never learns of, as it was
+   made while the client read many objects: they come in one answer, which is
+   complete up to the revision that the next watch starts from. */
+static void
+first_answer_is_complete (void)
+{
+  struct fixture *f = fixture_create ();
+  struct outcome first = { 0 }, next = { 0 };
+  char name[16];
+  for (int i = 0; i < OBJECTS; i++)
+    {
+      snprintf (name, sizeof name, "a/%04d", i);
+      put (f, name, 0, "one");
+    }
+  platform_watch (f->client, "a/", 0, 5000, on_changes, &first);
+  struct outcome changed = put (f, "a/0000", 1, "two");
+  run_until (f, &first, 1);
+  CU_ASSERT_EQUAL (first.count, OBJECTS);
+  if (first.version < changed.version)
+    {
+      platform_watch (f->client, "a/", first.version, 5000, on_changes, &next);
+      run_until (f, &next, 1);
+      CU_ASSERT_EQUAL (next.count, 1);
+      CU_ASSERT_STRING_EQUAL (next.value, "a/0000=two");
+    }
+  else
+    CU_ASSERT_STRING_EQUAL (first.value, "a/0000=two");
+  fixture_free (f);
+}
+
 /* Guards against a deletion that a watch does not report, and one that takes
    effect without the matching version. */
 static void
@@ -411,6 +442,7 @@
 static const struct test_case cases[] = {
   { "updates_are_conditional", updates_are_conditional },
   { "watch_reports_changes", watch_reports_changes },
+  { "first_answer_is_complete", first_answer_is_complete },
   { "watch_reports_deletions", watch_reports_deletions },
   { "lost_answer_is_unknown", lost_answer_is_unknown },
   { "outage_is_told_apart", outage_is_told_apart },
