tests: the daemon that runs the reads is the one that starts again

Change: the case looks for a service whose reads another daemon than its owner runs and restarts that one; the stand-in makes the last change (last_change) before it answers with the page that it held back. Both replicas are removed, and reads are checked at once. The new primary of new_primary_between_pages_is_learned is silent for 0.25 s, so that a slow machine does not reach the 0.7 s after which a promotion is ordered.

--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -61,8 +61,9 @@
   /** Texts that answers contain in place of the specs with their names. */
   json_t *raw_specs;
   /** Changes between the first two pages of the next list of a kind:
-   * {kind, changes, hold_ms}, each change the body of a call of the test.  The
-   * second page is answered hold_ms later.  NULL: none are due. */
+   * {kind, changes, hold_ms, last_change}, each change the body of a call of
+   * the test.  The second page is answered hold_ms later, after last_change.
+   * NULL: none are due. */
   json_t *page_changes;
 };
 
@@ -398,6 +399,7 @@
   struct site_store *store;
   struct http_request *request;
   char *kind;
+  json_t *last_change; /**< Applied before the answer. */
 };
 
 static void list_objects (struct site_store *s, struct http_request *request,
@@ -409,6 +411,9 @@
 {
   (void)ev, (void)timer, (void)at;
   struct held_page *h = data;
+  if (!apply_control (h->store, h->last_change))
+    log_error (PART, "event=page_change_failed index=last");
+  json_decref (h->last_change);
   list_objects (h->store, h->request, h->kind);
   talloc_free (h);
 }
@@ -431,16 +436,22 @@
       log_error (PART, "event=page_change_failed index=%zu", i);
   uint32_t hold_ms
       = (uint32_t)json_integer_value (json_object_get (due, "hold_ms"));
+  if (hold_ms > 0)
+    {
+      struct held_page *h = talloc_zero (s, struct held_page);
+      *h = (struct held_page){
+        .store = s,
+        .request = request,
+        .kind = talloc_strdup (h, kind),
+        .last_change = json_incref (json_object_get (due, "last_change")),
+      };
+      tevent_add_timer (
+          s->options.ev, h,
+          tevent_timeval_current_ofs (hold_ms / 1000, hold_ms % 1000 * 1000),
+          on_hold_over, h);
+    }
   json_decref (due);
-  if (hold_ms == 0)
-    return false;
-  struct held_page *h = talloc_zero (s, struct held_page);
-  *h = (struct held_page){ s, request, talloc_strdup (h, kind) };
-  tevent_add_timer (
-      s->options.ev, h,
-      tevent_timeval_current_ofs (hold_ms / 1000, hold_ms % 1000 * 1000),
-      on_hold_over, h);
-  return true;
+  return hold_ms > 0;
 }
 
 /* Answer with one page of the objects of a kind, in order of their names. */
--- a/tests/test_paging.c
+++ b/tests/test_paging.c
@@ -5,6 +5,7 @@
 
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <unistd.h>
 
 /* Objects that fill up the first page together with those of the test, whose
@@ -18,18 +19,28 @@
 #define SERVE_MS 8000
 /* Time for which the second page is held back while copies arrive. */
 #define HOLD_MS 1000
+/* Services of which some are read by another daemon than their owner, and
+   reads that show it. */
+#define SERVICES 6
+#define READS 20
+/* Time in which a new reader learns positions that are old enough
+   for the bound of the route. */
+#define HISTORY_MS 2500
+/* Time in which a new owner accepts a primary, if it does so without the
+   answers of all databases; shorter than until it orders a promotion. */
+#define SURVEY_MS 250
 /* Time within which a lost list of voters is written again. */
 #define LIST_MS 10000
 
 /* Start daemons beside so many objects of @p kind that their list has two
    pages. */
 static struct sessiond_site *
-start_with_two_pages (const char *kind, int daemons)
+start_with_two_pages (const char *kind, int daemons, int services)
 {
   char url[100], body[300];
   struct sessiond_site *s = sessiond_site_start (
-      NULL,
-      &(struct sessiond_site_options){ .daemons = daemons, .services = 1 });
+      NULL, &(struct sessiond_site_options){ .daemons = daemons,
+                                             .services = services });
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/%s",
             process_port (s->platform), kind);
@@ -46,23 +57,21 @@
   return s;
 }
 
-/* Kill the first daemon and start it again.
-   @param changes bodies of calls to the stand-in, which it runs after it has
-   answered with the first page of the list and before the second one; takes
-   over the reference.
-   @param hold_ms time from the changes to the answer with the second page. */
+/* Kill a daemon and start it again.
+   @param page_changes what the stand-in does after it has answered with the
+   first page of a list and before the second one, see standins/site_store.c;
+   takes over the reference. */
 static void
-restart_and_hold (struct sessiond_site *s, const char *kind, json_t *changes,
-                  int hold_ms)
+restart_with_changes (struct sessiond_site *s, int daemon,
+                      json_t *page_changes)
 {
   int64_t end = sessiond_site_now_ms () + SERVE_MS;
   bool due = true;
-  CU_ASSERT_PTR_NOT_NULL_FATAL (changes);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (page_changes);
   CU_ASSERT_TRUE_FATAL (sessiond_site_control (
-      s, json_pack ("{s:{s:s, s:o, s:i}}", "page_changes", "kind", kind,
-                    "changes", changes, "hold_ms", hold_ms)));
-  process_signal (s->daemons[0], SIGKILL);
-  CU_ASSERT_TRUE_FATAL (sessiond_site_start_daemon (s, 0));
+      s, json_pack ("{s:o}", "page_changes", page_changes)));
+  process_signal (s->daemons[daemon], SIGKILL);
+  CU_ASSERT_TRUE_FATAL (sessiond_site_start_daemon (s, daemon));
   while (due && sessiond_site_now_ms () < end)
     {
       json_t *observed = sessiond_site_observed (s);
@@ -73,11 +82,14 @@
   CU_ASSERT_FALSE_FATAL (due);
 }
 
+/* As restart_with_changes, for the first daemon.
+   @param changes bodies of calls to the stand-in; takes over the reference. */
 static void
 restart_between_pages (struct sessiond_site *s, const char *kind,
                        json_t *changes)
 {
-  restart_and_hold (s, kind, changes, 0);
+  restart_with_changes (
+      s, 0, json_pack ("{s:s, s:o}", "kind", kind, "changes", changes));
 }
 
 /* @return a replica of service 1 that serves reads. */
@@ -104,7 +116,7 @@
 static void
 draining_between_pages_is_learned (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("servers", 1);
+  struct sessiond_site *s = start_with_two_pages ("servers", 1, 1);
   const char *replica = find_read_replica (s);
   assert_replica_is_left (
       s, replica,
@@ -112,24 +124,95 @@
   talloc_free (s);
 }
 
+/* Send reads of a service to a daemon.
+   @return the number of those that ran at a replica. */
+static int
+read_replicas (struct sessiond_site *s, int daemon, int service)
+{
+  char database[16], primary[16];
+  struct line_answer a;
+  int count = 0;
+  snprintf (database, sizeof database, "browse%d", service);
+  snprintf (primary, sizeof primary, "db-%d-a", service);
+  struct line_caller *c = line_open (s, sessiond_site_port (s, daemon));
+  CU_ASSERT_FATAL (c != NULL && line_start (c, database, "key-a1", &a));
+  for (int i = 0; i < READS; i++)
+    {
+      CU_ASSERT_TRUE (line_query (c, &a, "READ item"));
+      json_t *observed = sessiond_site_observed (s);
+      const json_t *run = sessiond_site_run (observed, a.id);
+      count
+          += run != NULL
+             && strcmp (json_string_value (json_object_get (run, "database")),
+                        primary)
+                    != 0;
+      json_decref (observed);
+    }
+  talloc_free (c);
+  return count;
+}
+
+/* @return how many reads the daemon has run for services of other owners. */
+static int
+count_reader_runs (struct sessiond_site *s, int daemon)
+{
+  static const char name[] = "\nazurewind_reader_statements_total{ran=\"1\"} ";
+  char *metrics = sessiond_site_metrics (s, daemon);
+  const char *at = metrics != NULL ? strstr (metrics, name) : NULL;
+  int count = at != NULL ? atoi (at + strlen (name)) : 0;
+  talloc_free (metrics);
+  return count;
+}
+
+/* Find a service whose reads another daemon than its owner runs.
+   @return that daemon, -1 if there is none. */
+static int
+find_reader (struct sessiond_site *s, int services, int *service)
+{
+  /* A reader exists from the first read on. */
+  for (int i = 1; i <= services; i++)
+    read_replicas (s, 0, i);
+  usleep (HISTORY_MS * 1000);
+  for (*service = 1; *service <= services; (*service)++)
+    {
+      int before[SITE_MAX_DAEMONS];
+      for (int i = 0; i < s->daemon_count; i++)
+        before[i] = count_reader_runs (s, i);
+      read_replicas (s, 0, *service);
+      for (int i = 0; i < s->daemon_count; i++)
+        if (count_reader_runs (s, i) >= before[i] + READS / 2)
+          return i;
+    }
+  return -1;
+}
+
 /* Guards against a copy from another daemon that is replaced by a list whose
    first page is older: the other daemon has the revision of the last page too,
-   so it never sends a copy again. */
+   so it sends no copy again.  Both replicas are removed before the second
+   page, and the store's revision grows once more after the copy. */
 static void
 older_page_replaces_no_newer_copy (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("servers", 3);
-  const char *replica = find_read_replica (s);
-  restart_and_hold (s, "servers",
-                    json_pack ("[{s:{s:s, s:s}}]", "remove", "kind", "servers",
-                               "name", replica),
-                    HOLD_MS);
-  usleep (HOLD_MS * 1000 / 2);
-  CU_ASSERT_TRUE (sessiond_site_write_raw (s, "servers", "z-000", "{}"));
-  CU_ASSERT_TRUE (sessiond_site_wait (s, 0, 1, SERVE_MS));
-  usleep (DRAIN_MS * 1000);
-  CU_ASSERT_EQUAL (sessiond_site_reads_at (s, replica, 3000), 0);
-  char *log = bstr_to_text (s, process_output (s->daemons[0]));
+  int service;
+  char names[2][16];
+  struct sessiond_site *s = start_with_two_pages ("servers", 3, SERVICES);
+  int reader = find_reader (s, SERVICES, &service);
+  CU_ASSERT_FATAL (reader >= 0);
+  for (int i = 0; i < 2; i++)
+    snprintf (names[i], sizeof names[i], "db-%d-%c", service, 'b' + i);
+  restart_with_changes (
+      s, reader,
+      json_pack (
+          "{s:s, s:[{s:{s:s, s:s}}, {s:{s:s, s:s}}], s:i, s:{s:{s:s, s:s, "
+          "s:s}}}",
+          "kind", "servers", "changes", "remove", "kind", "servers", "name",
+          names[0], "remove", "kind", "servers", "name", names[1], "hold_ms",
+          HOLD_MS, "last_change", "raw", "kind", "servers", "name", "z-000",
+          "spec", "{}"));
+  usleep (HOLD_MS * 3 / 2 * 1000);
+  CU_ASSERT_TRUE (sessiond_site_wait (s, reader, service, SERVE_MS));
+  CU_ASSERT_EQUAL (read_replicas (s, reader, service), 0);
+  char *log = bstr_to_text (s, process_output (s->daemons[reader]));
   CU_ASSERT_PTR_NOT_NULL (strstr (log, "event=copy_adopted kind=servers"));
   talloc_free (s);
 }
@@ -139,7 +222,7 @@
 static void
 removal_between_pages_is_learned (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("servers", 1);
+  struct sessiond_site *s = start_with_two_pages ("servers", 1, 1);
   const char *replica = find_read_replica (s);
   assert_replica_is_left (s, replica,
                           json_pack ("[{s:{s:s, s:s}}]", "remove", "kind",
@@ -162,7 +245,7 @@
       usleep (5000);
     }
   CU_ASSERT_TRUE (owned);
-  usleep (400000);
+  usleep (SURVEY_MS * 1000);
 }
 
 /* Guards against a replaced primary that gets writes, as the new one said
@@ -171,7 +254,7 @@
 static void
 new_primary_between_pages_is_learned (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("servers", 1);
+  struct sessiond_site *s = start_with_two_pages ("servers", 1, 1);
   struct line_answer a = { .state = 0 };
   int64_t end;
   bool written = false;
@@ -202,7 +285,7 @@
 static void
 configuration_between_pages_is_learned (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("config", 1);
+  struct sessiond_site *s = start_with_two_pages ("config", 1, 1);
   json_t *routes = json_object_get (s->config, "routes");
   json_t *route = json_copy (json_array_get (routes, 0));
   json_t *version = json_object_get (s->config, "config-version");
@@ -232,7 +315,7 @@
 static void
 lost_voter_list_between_pages_is_written_again (void)
 {
-  struct sessiond_site *s = start_with_two_pages ("azurewind-voters", 1);
+  struct sessiond_site *s = start_with_two_pages ("azurewind-voters", 1, 1);
   char url[100];
   restart_between_pages (s, "azurewind-voters",
                          json_pack ("[{s:{s:s, s:s}}]", "remove", "kind",
