--- a/tests/test_paging.c
+++ b/tests/test_paging.c
@@ -175,7 +175,7 @@
   usleep (HISTORY_MS * 1000);
   for (*service = 1; *service <= services; (*service)++)
     {
-      int before[SITE_MAX_DAEMONS];
+      int before[SITE_MAX_DAEMONS] = { 0 };
       for (int i = 0; i < s->daemon_count; i++)
         before[i] = count_reader_runs (s, i);
       read_replicas (s, 0, *service);
