--- a/core/replicas.c
+++ b/core/replicas.c
@@ -135,14 +135,26 @@
   return share;
 }
 
+bool
+replicas_has_forked (const struct replica_view *view,
+                     const struct replica_lineage *lineage)
+{
+  bool is_prefix = lineage->start.term != 0
+                   && view->position.term == lineage->start.term
+                   && view->position.number <= lineage->start.number;
+  return view->term < lineage->term && !is_prefix;
+}
+
 int
-replicas_choose_successor (const struct replica_view *replicas, int count)
+replicas_choose_successor (const struct replica_view *replicas, int count,
+                           const struct replica_lineage *lineage)
 {
   int best = -1;
   for (int i = 0; i < count; i++)
     {
       const struct replica_view *r = &replicas[i];
       if (r->usable && !r->is_primary
+          && (lineage == NULL || !replicas_has_forked (r, lineage))
           && (best < 0
               || position_compare (r->position, replicas[best].position) > 0))
         best = i;
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -20,8 +20,17 @@
   int running;              /**< Statements sent and not answered. */
   int64_t latency_us;       /**< Moving average of a statement's time. */
   struct position position; /**< Newest known position of its log. */
-  int64_t behind_at;        /**< When it last lacked a required position;
-                                 0: never. */
+  uint64_t term;     /**< Newest term that it knows; 0: it has not said. */
+  int64_t behind_at; /**< When it last lacked a required position;
+                          0: never. */
+};
+
+/** The newest term of a group of which a promotion is known. */
+struct replica_lineage
+{
+  uint64_t term;         /**< 0: none is known. */
+  struct position start; /**< Newest position of the log that the term began
+                              with, or an older one; term 0: not known. */
 };
 
 enum replicas_choice
@@ -40,9 +49,18 @@
 replicas_choose_for_read (const struct replica_view *replicas, int count,
                           struct position required, bool prefer_primary,
                           int64_t now, int *index);
+/** @return whether the endpoint's log may contain commits that a promotion
+ * rolled back: it does not know the newest term, and its log goes beyond the
+ * position at which that term began.  Its promotion would bring those commits
+ * back in place of the ones that were acknowledged since. */
+bool replicas_has_forked (const struct replica_view *view,
+                          const struct replica_lineage *lineage);
 /** @return the index of the usable replica with the newest log, which is to be
- * promoted; -1 if there is none. */
-int replicas_choose_successor (const struct replica_view *replicas, int count);
+ * promoted; -1 if there is none.
+ * @param lineage replicas whose logs have forked from it are left out; NULL:
+ * none are. */
+int replicas_choose_successor (const struct replica_view *replicas, int count,
+                               const struct replica_lineage *lineage);
 
 /** @return whether the answer to a read that outlived an answer of its
  * endpoint is to be taken for lost, so that the read is repeated.
--- a/session/model.h
+++ b/session/model.h
@@ -5,6 +5,7 @@
 #define SESSION_MODEL_H
 
 #include "common/bstr.h"
+#include "core/statement.h"
 
 #include <stdint.h>
 
@@ -82,6 +83,10 @@
 {
   struct bstr endpoint; /**< Id of the endpoint to promote; empty: none. */
   uint64_t term;        /**< Newest term before the promotion; 0: not known. */
+  /** Position of the endpoint's log at the last survey before the promotion,
+   * or once it leads when the promoted term began; term 0: not known. */
+  struct position position;
+  uint64_t led; /**< Term that the promotion began; 0: not known to be done. */
 };
 
 /** A voter in the list of voters. */
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -33,6 +33,10 @@
 #define HANDOFF_DRAIN_US (1000 * USEC_PER_MSEC)
 /* Pause after a planned change for which no replica was ready. */
 #define HANDOFF_RETRY_US (1000 * USEC_PER_MSEC)
+/* If only endpoints with forked logs answer for this time, the others are
+   taken for lost and one of these is promoted: longer than a restart of an
+   endpoint and the time until its entry expires. */
+#define FORK_WAIT_US (20 * USEC_PER_SEC)
 
 /** A call to the platform.  Only the answer to the newest call counts; late
  * answers to older ones are ignored. */
@@ -117,47 +121,90 @@
   promotion_cancel (s);
   s->planned = planned;
   s->promotion_decided_at = now;
+  s->has_logged_fork = false;
   service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
 }
 
 /* The promotion record. */
 
-static void
-on_record_removed (void *data, const struct error *err, const json_t *body)
+/* @return the newest term of which this member, a voter or the record knows
+   the primary; 0 if they know none. */
+static uint64_t
+known_term (const struct service *s)
 {
-  (void)data, (void)body;
-  if (err->code != ERROR_NONE && err->code != ERROR_NOT_FOUND)
-    log_warn (PART, "event=record_not_removed code=%s reason=\"%s\"",
-              error_name (err->code), err->text);
+  uint64_t term = fleet_newest_term (s->sessiond->fleet, s->id);
+  if (s->lineage.term > term)
+    term = s->lineage.term;
+  return s->term > term ? s->term : term;
 }
 
 static void
-remove_record (struct service *s, uint64_t revision)
+set_open_record (struct service *s, uint64_t revision, struct bstr target,
+                 const struct replica_lineage *lineage)
 {
-  store_remove (s->sessiond->store, objects_promotion_kind (), s->name,
-                revision, CALL_TIMEOUT_MS, on_record_removed, s->sessiond);
+  talloc_free (s->open_target);
+  s->open_target = bstr_to_text (s, target);
+  s->open_record = revision;
+  s->open_lineage = *lineage;
+  s->is_record_closing = false;
+  s->next_closing_at = 0;
 }
 
-/* Remove the record of a promotion that is done, once a majority has learned
-   of the term that it began: until then the next owner needs the record. */
+/** A call that records a promotion as done. */
+struct record_closing
+{
+  struct service *service;
+  uint64_t revision; /**< Revision of the record that it replaces. */
+};
+
 static void
-remove_done_record (struct service *s)
+on_record_closed (void *data, const struct error *err, const json_t *body)
 {
-  if (s->done_record == 0
-      || !fleet_confirmed_since (s->sessiond->fleet, s->id, s->done_at))
+  (void)body;
+  struct record_closing *c = data;
+  struct service *s = c->service;
+  bool is_wanted = s->open_record == c->revision && s->is_record_closing;
+  talloc_free (c);
+  if (err->code != ERROR_NONE)
+    log_warn (PART, "event=record_not_closed service=%s code=%s reason=\"%s\"",
+              s->name, error_name (err->code), err->text);
+  if (!is_wanted)
     return;
-  remove_record (s, s->done_record);
-  s->done_record = 0;
+  s->is_record_closing = false;
+  if (err->code == ERROR_NONE || err->code == ERROR_CONFLICT
+      || err->code == ERROR_NOT_FOUND)
+    s->open_record = 0;
+  else
+    s->next_closing_at = clock_now () + RETRY_DELAY_US;
 }
 
-/* @return the newest term of which this member or a voter knows the primary; 0
-   if they know none. */
-static uint64_t
-known_term (const struct service *s)
+/* Record a promotion as done once the term that it began has a primary.  The
+   next owner learns from the record which logs belong to that term, even if
+   all voters have started again. */
+static void
+close_record (struct service *s, int64_t now)
 {
-  uint64_t term = fleet_newest_term (s->sessiond->fleet, s->id);
-  return s->term > term ? s->term : term;
+  if (s->open_record == 0 || s->is_record_closing || now < s->next_closing_at
+      || s->phase != SERVICE_SERVING || s->primary == NULL
+      || s->term < s->open_lineage.term || !service_is_owned (s))
+    return;
+  if (s->lineage.term < s->term && s->open_lineage.term == s->term)
+    s->lineage = s->open_lineage;
+  struct promotion_record record = { .endpoint = bstr_from (s->primary->id),
+                                     .term = s->term - 1,
+                                     .led = s->term };
+  if (s->lineage.term == s->term)
+    record.position = s->lineage.start;
+  struct record_closing *c
+      = talloc_zero (s->sessiond->store, struct record_closing);
+  c->service = s;
+  c->revision = s->open_record;
+  s->is_record_closing = true;
+  store_put (s->sessiond->store, objects_promotion_kind (), s->name,
+             s->open_record,
+             objects_encode_promotion (s->sessiond->options->name, &record),
+             CALL_TIMEOUT_MS, on_record_closed, c);
 }
 
 static void write_record (struct service *s, uint64_t revision);
@@ -171,7 +218,7 @@
   if (err->code == ERROR_NONE && objects_revision (body) > 0)
     {
       s->token = objects_revision (body);
-      s->done_record = 0;
+      s->open_record = 0;
       set_step (s, PROMOTION_ORDER);
     }
   else if (err->code == ERROR_CONFLICT && objects_revision (body) > 0)
@@ -191,12 +238,33 @@
 write_record (struct service *s, uint64_t revision)
 {
   struct promotion_record record
-      = { bstr_from (s->target_id), known_term (s) };
+      = { .endpoint = bstr_from (s->target_id), .term = known_term (s) };
+  if (s->target != NULL)
+    record.position = s->target->replica.position;
   store_put (s->sessiond->store, objects_promotion_kind (), s->name, revision,
              objects_encode_promotion (s->sessiond->options->name, &record),
              CALL_TIMEOUT_MS, on_record_written, begin_call (s));
 }
 
+/* Adopt what the record says of a promotion that is done: a primary of an
+   older term was replaced. */
+static void
+adopt_done_promotion (struct service *s, const struct promotion_record *record)
+{
+  if (record->led <= s->lineage.term)
+    return;
+  s->lineage = (struct replica_lineage){ record->led, record->position };
+  if (s->least_term < record->led)
+    s->least_term = record->led;
+  if (s->phase == SERVICE_SERVING && s->term < record->led)
+    {
+      if (s->primary != NULL)
+        service_drop_links (s->primary, "the primary was replaced");
+      s->primary = NULL;
+      service_set_phase (s, SERVICE_TAKEOVER, "the record names a newer term");
+    }
+}
+
 static void
 on_record_read (void *data, const struct error *err, const json_t *body)
 {
@@ -216,21 +284,25 @@
       return;
     }
   struct promotion_record record = objects_decode_promotion (body);
-  bool is_obsolete = record.term < known_term (s);
   log_info (PART,
             "event=record service=%s endpoint=%.*s term=%" PRIu64
+            " led=%" PRIu64 " position=%" PRIu64 ".%" PRIu64
             " known_term=%" PRIu64,
-            s->name, BSTR_ARG (record.endpoint), record.term, known_term (s));
-  if (is_obsolete)
-    remove_record (s, objects_revision (body));
-  else
+            s->name, BSTR_ARG (record.endpoint), record.term, record.led,
+            record.position.term, record.position.number, known_term (s));
+  if (record.led != 0)
     {
-      /* The promotion may still take effect. */
-      s->done_record = objects_revision (body);
-      s->done_at = INT64_MAX;
-      if (s->least_term <= record.term)
-        s->least_term = record.term + 1;
+      adopt_done_promotion (s, &record);
+      promotion_tick (s, clock_now ());
+      return;
     }
+  bool is_obsolete = record.term < known_term (s);
+  set_open_record (
+      s, objects_revision (body), record.endpoint,
+      &(struct replica_lineage){ record.term + 1, record.position });
+  /* The promotion may still take effect. */
+  if (!is_obsolete && s->least_term <= record.term)
+    s->least_term = record.term + 1;
   if (!is_obsolete && s->phase == SERVICE_SERVING)
     promotion_start (s, false, "a previous owner began a promotion");
   else
@@ -326,13 +398,68 @@
   return e->status_term >= e->service->least_term ? 2 : 0;
 }
 
+/* @return the newest term that an endpoint knows according to its newest
+   answer to STATUS. */
+static uint64_t
+newest_status_term (const struct service *s)
+{
+  uint64_t newest = 0;
+  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    if (e->status_at != 0 && e->status_term > newest)
+      newest = e->status_term;
+  return newest;
+}
+
+/* @return whether the entry of the target of a promotion that is not recorded
+   as done shows that it leads. */
+static bool
+open_target_leads (const struct service *s)
+{
+  const struct endpoint *e = s->endpoints;
+  if (s->open_record == 0 || s->open_target == NULL)
+    return false;
+  while (e != NULL && strcmp (e->id, s->open_target) != 0)
+    e = e->next;
+  return e != NULL && e->claims_primary;
+}
+
+/* @return the newest term that is known to have had a primary. */
+static struct replica_lineage
+newest_lineage (const struct service *s)
+{
+  struct replica_lineage lineage = s->lineage;
+  uint64_t term = newest_status_term (s);
+  if (known_term (s) > term)
+    term = known_term (s);
+  if (term < s->open_lineage.term && open_target_leads (s))
+    term = s->open_lineage.term;
+  if (s->open_record != 0 && s->open_lineage.term == term)
+    lineage = s->open_lineage;
+  if (lineage.term < term)
+    lineage = (struct replica_lineage){ .term = term };
+  return lineage;
+}
+
+static void
+log_forked_endpoints (struct service *s, const struct replica_lineage *lineage)
+{
+  if (s->has_logged_fork)
+    return;
+  s->has_logged_fork = true;
+  log_warn (PART,
+            "event=forked service=%s term=%" PRIu64 " start=%" PRIu64
+            ".%" PRIu64 " reason=\"the endpoints that answer may have commits "
+            "that a promotion rolled back\"",
+            s->name, lineage->term, lineage->start.term,
+            lineage->start.number);
+}
+
 /* @return the endpoint with the newest log among those that answered since
-   @p since, NULL if there is none.
+   @p since, NULL if there is none that may be promoted.
    @param all_answered set to whether every endpoint that may be promoted has
    answered. */
 static struct endpoint *
-find_promotion_candidate (const struct service *s, int64_t since,
-                          bool *all_answered)
+find_promotion_candidate (struct service *s, int64_t since, bool *all_answered)
 {
   struct replica_view replicas[SERVICE_MAX_ENDPOINTS] = { 0 };
   struct endpoint *endpoints[SERVICE_MAX_ENDPOINTS] = { NULL };
@@ -349,10 +476,16 @@
       endpoints[count] = e;
       replicas[count] = e->replica;
       replicas[count].is_primary = false;
+      replicas[count].term = e->status_term;
       replicas[count].usable = e->status_at >= since;
       count += replicas[count].usable;
     }
-  int best = replicas_choose_successor (replicas, count);
+  struct replica_lineage lineage = newest_lineage (s);
+  bool may_fork = clock_now () - s->promotion_decided_at > FORK_WAIT_US;
+  int best = replicas_choose_successor (replicas, count,
+                                        may_fork ? NULL : &lineage);
+  if (best < 0 && count > 0)
+    log_forked_endpoints (s, &lineage);
   for (int i = 0; i < count && best >= 0 && s->primary == NULL; i++)
     if (replicas[i].usable
         && position_compare (replicas[i].position, replicas[best].position)
@@ -415,18 +548,6 @@
   set_step (s, PROMOTION_RECORD);
 }
 
-/* @return the newest term that an endpoint knows according to its newest
-   answer to STATUS. */
-static uint64_t
-newest_status_term (const struct service *s)
-{
-  uint64_t newest = 0;
-  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
-    if (e->status_at != 0 && e->status_term > newest)
-      newest = e->status_term;
-  return newest;
-}
-
 /* @return whether the target leads.  Its term is too low while it is a primary
    that an earlier promotion replaced, or that the order of a previous owner
    may still replace.  After a time in which any order takes effect it is the
@@ -524,7 +645,6 @@
   if (best != NULL && best->status_term >= newest && (all_answered || waited)
       && !may_be_replaced)
     {
-      s->done_at = clock_now ();
       service_set_primary (s, best, best->status_term, best->replica.position);
     }
   else if (now - s->phase_since > NO_PRIMARY_TIMEOUT_US
@@ -539,6 +659,19 @@
     }
 }
 
+/* Record that @p term has a primary, whose log was at @p position when it was
+   first seen to lead. */
+static void
+record_lineage (struct service *s, uint64_t term, struct position position)
+{
+  if (s->lineage.term == term)
+    return;
+  s->lineage = (struct replica_lineage){ .term = term };
+  /* Otherwise the log has commits of the term already. */
+  if (position.term < term)
+    s->lineage.start = position;
+}
+
 void
 promotion_handle_status (struct service *s, struct endpoint *e)
 {
@@ -562,10 +695,11 @@
                     (now - s->promotion_decided_at) / USEC_PER_MSEC);
           if (old != NULL)
             service_drop_links (old, "the primary was replaced");
-          s->done_record = s->token;
+          record_lineage (s, e->status_term, e->replica.position);
+          set_open_record (s, s->token, bstr_from (e->id), &s->lineage);
           promotion_cancel (s);
           service_set_primary (s, e, e->status_term, e->replica.position);
-          s->done_at = clock_now ();
+          close_record (s, now);
         }
     }
 }
@@ -573,7 +707,7 @@
 void
 promotion_tick (struct service *s, int64_t now)
 {
-  remove_done_record (s);
+  close_record (s, now);
   if (s->releasing)
     return;
   if (s->phase == SERVICE_TAKEOVER)
--- a/session/service.c
+++ b/session/service.c
@@ -1088,7 +1088,8 @@
   s->primary = NULL;
   s->term = 0;
   s->least_term = 0;
-  s->done_record = 0;
+  s->lineage = (struct replica_lineage){ 0 };
+  s->open_record = 0;
   s->releasing = false;
   memset (&s->commit_history, 0, sizeof s->commit_history);
 }
--- a/session/service.h
+++ b/session/service.h
@@ -161,6 +161,9 @@
   uint64_t term;            /**< Term of the primary. */
   /** Lowest term of a primary that may be accepted after a takeover. */
   uint64_t least_term;
+  /** Newest promotion that is known to be done.  Its start may be older than
+   * the newest term that the voters or the endpoints know. */
+  struct replica_lineage lineage;
   struct position branch_point; /**< Where the current term began, as far as
                                    this daemon knows. */
   struct commit_history commit_history; /**< Positions of commits, by time. */
@@ -183,14 +186,23 @@
   bool planned;            /**< Planned change: the primary still answers. */
   bool record_read;        /**< The promotion record was read since the
                               takeover. */
+  bool is_record_closing; /**< A call that records the promotion as done is not
+                             answered. */
+  bool has_logged_fork;   /**< It was logged that only forked endpoints
+                             answer. */
   int64_t promotion_decided_at;
   int64_t change_announced_at; /**< When heartbeats began to announce that the
                                   primary changes. */
-  int64_t ordered_at;        /**< When the platform first accepted the order to
-                                promote the target; 0: not yet. */
-  uint64_t done_record;      /**< Revision of the record of a promotion that is
-                                done, to be removed; 0: none. */
-  int64_t done_at;           /**< When it was done. */
+  int64_t ordered_at; /**< When the platform first accepted the order to
+                         promote the target; 0: not yet. */
+  /** Revision of the record of a promotion that may be done, but is not
+   * recorded so; 0: there is none. */
+  uint64_t open_record;
+  /** The term that this promotion begins, and the target's position before. */
+  struct replica_lineage open_lineage;
+  char *open_target;       /**< Id of its target. */
+  int64_t next_closing_at; /**< Earliest time of the next call that records it
+                              as done. */
   uint64_t last_call_number; /**< Identifies the newest call to the platform,
                                 so that late answers are ignored. */
 };
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -644,9 +644,9 @@
   talloc_free (p);
 }
 
-/* Make the database primary, in a term above all others of its service. */
-static void
-begin_term (struct database *d)
+/* @return the newest term of the database's service. */
+static uint64_t
+newest_term (const struct database *d)
 {
   const struct site_databases *g = d->site;
   uint64_t newest = 0;
@@ -654,10 +654,25 @@
     if (strcmp (g->databases[i]->service, d->service) == 0
         && g->databases[i]->term > newest)
       newest = g->databases[i]->term;
-  if (!d->dead && !d->is_primary)
+  return newest;
+}
+
+/* @return whether the database is the present primary.  One that was replaced
+   and has not learned of it regards itself as the primary too. */
+static bool
+is_present_primary (const struct database *d)
+{
+  return d->is_primary && d->term == newest_term (d);
+}
+
+/* Make the database primary, in a term above all others of its service. */
+static void
+begin_term (struct database *d)
+{
+  if (!d->dead && !is_present_primary (d))
     {
       d->is_primary = true;
-      d->term = newest + 1;
+      d->term = newest_term (d) + 1;
       publish_database (d);
       replicate_log (d);
     }
@@ -704,7 +719,7 @@
     }
   if (d == NULL || d->dead || strcmp (d->service, service) != 0)
     return 409;
-  if (d->is_primary)
+  if (is_present_primary (d))
     return 200;
   struct promotion *p = talloc_zero (g, struct promotion);
   p->database = d;
--- a/tests/test_replicas.c
+++ b/tests/test_replicas.c
@@ -171,11 +171,38 @@
       = { make_view (true, 0, 99), make_view (false, 0, 70),
           make_view (false, 0, 80), make_view (false, 0, 95) };
   r[3].usable = false;
-  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4), 2);
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4, NULL), 2);
   r[1].position.term = 2;
-  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4), 1);
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4, NULL), 1);
   r[1].usable = r[2].usable = false;
-  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4), -1);
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 4, NULL), -1);
+}
+
+/* Guards against a successor whose log has commits that the promotion before
+   rolled back: they return, and the commits of the present term are lost. */
+static void
+forked_log_does_not_succeed (void)
+{
+  struct replica_view r[]
+      = { make_view (false, 0, 54), make_view (false, 0, 45),
+          make_view (false, 0, 60) };
+  struct replica_lineage known = { 2, { 1, 45 } }, unknown = { 2, { 0, 0 } };
+  r[0].term = r[1].term = 1;
+  r[2].term = r[2].position.term = 2;
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &known), 2);
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &unknown), 2);
+  r[2].usable = false;
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &known), 1);
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &unknown), -1);
+  /* A replica that has joined the term follows its log. */
+  r[1].term = 2;
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &unknown), 1);
+  r[1].term = 1;
+  r[1].position.number = 46;
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &known), -1);
+  /* The number alone does not tell where a log of an older term left. */
+  known = (struct replica_lineage){ 3, { 2, 60 } };
+  CU_ASSERT_EQUAL (replicas_choose_successor (r, 3, &known), -1);
 }
 
 /* Guards against bounded reads that miss a commit or that no replica can
@@ -505,6 +532,7 @@
     newest_data_comes_from_the_primary_first },
   { "slow_endpoints_get_less", slow_endpoints_get_less },
   { "newest_log_succeeds", newest_log_succeeds },
+  { "forked_log_does_not_succeed", forked_log_does_not_succeed },
   { "history_covers_what_was_acknowledged",
     history_covers_what_was_acknowledged },
   { "near_endpoints_come_first", near_endpoints_come_first },
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1381,6 +1381,84 @@
   talloc_free (s);
 }
 
+/* Have the primary replaced by db-1-b after it has acknowledged a write that
+   no other database receives.  Then only the replaced one, db-1-a, answers; it
+   does not learn of its successor.
+   @param lost set to the write that the promotion rolls back.
+   @return the write that only the present primary has. */
+static struct line_answer
+leave_forked_log (struct sessiond_site *s, struct line_answer *lost)
+{
+  retry_write (s, 0, SERVE_MS);
+  usleep (100000);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "deaf"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "part"));
+  *lost = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (lost->id, "");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
+  struct line_answer kept = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, kept.id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, lost->id), 0);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  return kept;
+}
+
+/* Check that nothing leads until the present primary answers again, and that
+   it serves then. */
+static void
+assert_fork_is_not_promoted (struct sessiond_site *s,
+                             const struct line_answer *lost,
+                             const struct line_answer *kept)
+{
+  struct line_answer early = retry_write (s, 0, 3000);
+  CU_ASSERT_STRING_EQUAL (early.id, "");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "speak"));
+  struct line_answer last = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (last.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, last.id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, kept->id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, lost->id), 0);
+  assert_no_violation (s);
+}
+
+/* Guards against the promotion of a replaced primary that never learned of its
+   successor: acknowledged commits of the present term are lost, and those that
+   the first promotion rolled back return, so that reads in between were
+   stale. */
+static void
+replaced_primary_is_not_promoted_again (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer kept = leave_forked_log (s, &lost);
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
+/* Guards against the same after all daemons have started again, so that only
+   the promotion record tells the present term. */
+static void
+restarted_fleet_promotes_no_replaced_primary (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer kept = leave_forked_log (s, &lost);
+  for (int i = 0; i < 3; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that serves the present primary although the
    previous owner has ordered the promotion of another endpoint, as the store
    has lost the record of that: the order takes effect later, and writes that
@@ -2036,6 +2114,10 @@
     new_owner_ignores_a_replaced_primary },
   { "restarted_fleet_ignores_a_replaced_primary",
     restarted_fleet_ignores_a_replaced_primary },
+  { "replaced_primary_is_not_promoted_again",
+    replaced_primary_is_not_promoted_again },
+  { "restarted_fleet_promotes_no_replaced_primary",
+    restarted_fleet_promotes_no_replaced_primary },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
   { "old_record_loses_no_write_after_a_restart",
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -231,17 +231,24 @@
 static void
 promotion_records (void)
 {
-  const struct promotion_record written = { bstr_from ("i-1"), 7 };
+  const struct promotion_record written = {
+    .endpoint = bstr_from ("i-1"), .term = 7, .position = { 6, 54 }, .led = 8
+  };
   json_t *object
       = json_pack ("{s:o}", "spec", objects_encode_promotion ("vm", &written));
   struct promotion_record record = objects_decode_promotion (object);
   CU_ASSERT_TRUE (bstr_equals_text (record.endpoint, "i-1"));
   CU_ASSERT_EQUAL (record.term, 7);
+  CU_ASSERT_EQUAL (record.position.term, 6);
+  CU_ASSERT_EQUAL (record.position.number, 54);
+  CU_ASSERT_EQUAL (record.led, 8);
   json_decref (object);
   object = json_pack ("{s:{s:i, s:i}}", "spec", "endpoint", 4, "term", -3);
   record = objects_decode_promotion (object);
   CU_ASSERT_EQUAL (record.endpoint.len, 0);
   CU_ASSERT_EQUAL (record.term, 0);
+  CU_ASSERT_EQUAL (record.position.term, 0);
+  CU_ASSERT_EQUAL (record.led, 0);
   json_decref (object);
 }
 
