--- a/session/promotion.c
+++ b/session/promotion.c
@@ -139,6 +139,27 @@
   return s->term > term ? s->term : term;
 }
 
+/* @return the newest term that an endpoint knows according to its newest
+   answer to STATUS. */
+static uint64_t
+newest_status_term (const struct service *s)
+{
+  uint64_t newest = 0;
+  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    if (e->status_at != 0 && e->status_term > newest)
+      newest = e->status_term;
+  return newest;
+}
+
+/* @return the newest term that this member, a voter, the record or an endpoint
+   knows; 0 if they know none. */
+static uint64_t
+newest_term (const struct service *s)
+{
+  uint64_t known = known_term (s), status = newest_status_term (s);
+  return known > status ? known : status;
+}
+
 static void
 set_open_record (struct service *s, uint64_t revision, struct bstr target,
                  const struct replica_lineage *lineage)
@@ -238,7 +259,7 @@
 write_record (struct service *s, uint64_t revision)
 {
   struct promotion_record record
-      = { .endpoint = bstr_from (s->target_id), .term = known_term (s) };
+      = { .endpoint = bstr_from (s->target_id), .term = newest_term (s) };
   if (s->target != NULL)
     record.position = s->target->replica.position;
   store_put (s->sessiond->store, objects_promotion_kind (), s->name, revision,
@@ -398,18 +419,6 @@
   return e->status_term >= e->service->least_term ? 2 : 0;
 }
 
-/* @return the newest term that an endpoint knows according to its newest
-   answer to STATUS. */
-static uint64_t
-newest_status_term (const struct service *s)
-{
-  uint64_t newest = 0;
-  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
-    if (e->status_at != 0 && e->status_term > newest)
-      newest = e->status_term;
-  return newest;
-}
-
 /* @return whether the entry of the target of a promotion that is not recorded
    as done shows that it leads. */
 static bool
@@ -428,9 +437,7 @@
 newest_lineage (const struct service *s)
 {
   struct replica_lineage lineage = s->lineage;
-  uint64_t term = newest_status_term (s);
-  if (known_term (s) > term)
-    term = known_term (s);
+  uint64_t term = newest_term (s);
   if (term < s->open_lineage.term && open_target_leads (s))
     term = s->open_lineage.term;
   if (s->open_record != 0 && s->open_lineage.term == term)
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1510,6 +1510,59 @@
   talloc_free (s);
 }
 
+/* Kill all daemons and start them again. */
+static void
+restart_fleet (struct sessiond_site *s)
+{
+  for (int i = 0; i < s->daemon_count; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < s->daemon_count; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+}
+
+/* Guards against an owner that serves the primary although a previous owner
+   has ordered the promotion of another endpoint, as no voter knew the term
+   when that was recorded: writes are acknowledged until the order takes
+   effect, and are lost. */
+static void
+order_of_a_restarted_fleet_is_not_forgotten (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 3, .services = 1, .promote_ms = 2300 });
+  char url[120], written[200][24];
+  int count = 0, lost = 0;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  snprintf (url, sizeof url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
+            process_port (s->platform));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
+  restart_fleet (s);
+  int64_t end = sessiond_site_now_ms () + SERVE_MS;
+  while (process_http (s, "GET", url, NULL, NULL) != 200
+         && sessiond_site_now_ms () < end)
+    usleep (2000);
+  usleep (200000);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  restart_fleet (s);
+  end = sessiond_site_now_ms () + SERVE_MS;
+  while (sessiond_site_now_ms () < end && count < 200)
+    {
+      struct line_answer a = retry_write (s, 0, 1000);
+      if (a.id[0] != '\0')
+        snprintf (written[count++], sizeof written[0], "%s", a.id);
+      usleep (20000);
+    }
+  CU_ASSERT_TRUE (count > 0);
+  for (int i = 0; i < count; i++)
+    lost += sessiond_site_committed (s, written[i]) != 1;
+  printf ("[%d of %d writes lost] ", lost, count);
+  CU_ASSERT_EQUAL (lost, 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Replace the promotion record of the service by one of an earlier promotion
    of db-1-b, as a restore of the store does. */
 static void
@@ -2114,6 +2167,8 @@
     new_owner_ignores_a_replaced_primary },
   { "restarted_fleet_ignores_a_replaced_primary",
     restarted_fleet_ignores_a_replaced_primary },
+  { "order_of_a_restarted_fleet_is_not_forgotten",
+    order_of_a_restarted_fleet_is_not_forgotten },
   { "replaced_primary_is_not_promoted_again",
     replaced_primary_is_not_promoted_again },
   { "restarted_fleet_promotes_no_replaced_primary",
