--- a/session/promotion.c
+++ b/session/promotion.c
@@ -566,7 +566,10 @@
 {
   bool has_settled
       = s->ordered_at != 0 && now - s->ordered_at > AWAIT_TIMEOUT_US;
-  return e->status_is_primary && e->status_term > s->term
+  /* A primary whose entry was gone leads in the term that is known. */
+  bool is_newer = e->status_term > s->term
+                  || (s->primary == NULL && e->status_term == s->term);
+  return e->status_is_primary && is_newer
          && e->status_term >= newest_status_term (s)
          && (e->status_term >= s->least_term || has_settled);
 }
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1297,6 +1297,16 @@
   return next;
 }
 
+/* Kill all daemons and start them again. */
+static void
+restart_fleet (struct sessiond_site *s)
+{
+  for (int i = 0; i < s->daemon_count; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  for (int i = 0; i < s->daemon_count; i++)
+    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+}
+
 /* Have the primary replaced by db-1-b, which alone gets a further write and
    is silent from then on.  The replaced one, db-1-a, answers again and does
    not learn of its successor.
@@ -1451,14 +1461,37 @@
   struct line_answer lost;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   struct line_answer kept = leave_forked_log (s, &lost);
-  for (int i = 0; i < 3; i++)
-    process_signal (s->daemons[i], SIGKILL);
-  for (int i = 0; i < 3; i++)
-    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
+  restart_fleet (s);
   assert_fork_is_not_promoted (s, &lost, &kept);
   talloc_free (s);
 }
 
+/* Guards against a service that is never served again after it has waited for
+   the present primary: its entry expired meanwhile, so that it returns as an
+   endpoint that is not known to be the primary, in the term that is known. */
+static void
+primary_leads_again_after_its_entry_expired (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer kept = leave_forked_log (s, &lost);
+  CU_ASSERT_TRUE (sessiond_site_write_raw (
+      s, "servers", "db-1-b", "{\"service\":\"ledger-1\",\"born\":1e999}"));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_missing", SERVE_MS));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_gone", SERVE_MS));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=forked", SERVE_MS));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "speak"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "join"));
+  struct line_answer last = retry_write (s, 0, 2 * SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (last.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, kept.id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, lost.id), 0);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that serves the present primary although the
    previous owner has ordered the promotion of another endpoint, as the store
    has lost the record of that: the order takes effect later, and writes that
@@ -1510,16 +1543,6 @@
   talloc_free (s);
 }
 
-/* Kill all daemons and start them again. */
-static void
-restart_fleet (struct sessiond_site *s)
-{
-  for (int i = 0; i < s->daemon_count; i++)
-    process_signal (s->daemons[i], SIGKILL);
-  for (int i = 0; i < s->daemon_count; i++)
-    CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
-}
-
 /* Guards against an owner that serves the primary although a previous owner
    has ordered the promotion of another endpoint, as no voter knew the term
    when that was recorded: writes are acknowledged until the order takes
@@ -2173,6 +2196,8 @@
     replaced_primary_is_not_promoted_again },
   { "restarted_fleet_promotes_no_replaced_primary",
     restarted_fleet_promotes_no_replaced_primary },
+  { "primary_leads_again_after_its_entry_expired",
+    primary_leads_again_after_its_entry_expired },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
   { "old_record_loses_no_write_after_a_restart",
