--- a/session/promotion.c
+++ b/session/promotion.c
@@ -9,6 +9,9 @@
 /* Longest wait for the other answers to a survey once one endpoint has
    answered. */
 #define SURVEY_TIMEOUT_US (150 * USEC_PER_MSEC)
+/* A survey in which no endpoint was fit is repeated after this time: longer
+   than a probe of a silent endpoint. */
+#define RESURVEY_US (500 * USEC_PER_MSEC)
 /* Pause between two status requests to the same endpoint. */
 #define STATUS_PERIOD_US (100 * USEC_PER_MSEC)
 /* Earliest time after the promotion order at which the target may lead. */
@@ -33,9 +36,9 @@
 #define HANDOFF_DRAIN_US (1000 * USEC_PER_MSEC)
 /* Pause after a planned change for which no replica was ready. */
 #define HANDOFF_RETRY_US (1000 * USEC_PER_MSEC)
-/* If only endpoints with forked logs answer for this time, the others are
-   taken for lost and one of these is promoted: longer than a restart of an
-   endpoint and the time until its entry expires. */
+/* If all endpoints that are listed have forked logs for this time, the others
+   are taken for lost and one of these is promoted: longer than a restart of an
+   endpoint. */
 #define FORK_WAIT_US (20 * USEC_PER_SEC)
 
 /** A call to the platform.  Only the answer to the newest call counts; late
@@ -121,7 +124,7 @@
   promotion_cancel (s);
   s->planned = planned;
   s->promotion_decided_at = now;
-  s->has_logged_fork = false;
+  s->forked_since = 0;
   service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
 }
@@ -210,7 +213,9 @@
       || s->phase != SERVICE_SERVING || s->primary == NULL
       || s->term < s->open_lineage.term || !service_is_owned (s))
     return;
-  if (s->lineage.term < s->term && s->open_lineage.term == s->term)
+  if (s->lineage.term < s->term && s->open_lineage.term == s->term
+      && s->open_target != NULL
+      && strcmp (s->primary->id, s->open_target) == 0)
     s->lineage = s->open_lineage;
   struct promotion_record record = { .endpoint = bstr_from (s->primary->id),
                                      .term = s->term - 1,
@@ -230,6 +235,52 @@
 
 static void write_record (struct service *s, uint64_t revision);
 
+/* Adopt what the record says of a promotion that is done: a primary of an
+   older term was replaced. */
+static void
+adopt_done_promotion (struct service *s, const struct promotion_record *record)
+{
+  if (record->led <= s->lineage.term)
+    return;
+  s->lineage = (struct replica_lineage){ record->led, record->position };
+  if (s->least_term < record->led)
+    s->least_term = record->led;
+  if (s->phase == SERVICE_SERVING && s->term < record->led)
+    {
+      if (s->primary != NULL)
+        service_drop_links (s->primary, "the primary was replaced");
+      s->primary = NULL;
+      service_set_phase (s, SERVICE_TAKEOVER, "the record names a newer term");
+    }
+}
+
+/* Adopt what the record says.
+   @return whether the promotion that it names may still take effect. */
+static bool
+adopt_record (struct service *s, const json_t *body)
+{
+  struct promotion_record record = objects_decode_promotion (body);
+  log_info (PART,
+            "event=record service=%s endpoint=%.*s term=%" PRIu64
+            " led=%" PRIu64 " position=%" PRIu64 ".%" PRIu64
+            " known_term=%" PRIu64,
+            s->name, BSTR_ARG (record.endpoint), record.term, record.led,
+            record.position.term, record.position.number, known_term (s));
+  s->record_read = true;
+  if (record.led != 0)
+    {
+      adopt_done_promotion (s, &record);
+      return false;
+    }
+  bool is_obsolete = record.term < known_term (s);
+  set_open_record (
+      s, objects_revision (body), record.endpoint,
+      &(struct replica_lineage){ record.term + 1, record.position });
+  if (!is_obsolete && s->least_term <= record.term)
+    s->least_term = record.term + 1;
+  return !is_obsolete;
+}
+
 static void
 on_record_written (void *data, const struct error *err, const json_t *body)
 {
@@ -242,6 +293,13 @@
       s->open_record = 0;
       set_step (s, PROMOTION_ORDER);
     }
+  else if (err->code == ERROR_CONFLICT && objects_revision (body) > 0
+           && !s->record_read)
+    {
+      /* What it says may rule the target out. */
+      adopt_record (s, body);
+      set_step (s, PROMOTION_SURVEY);
+    }
   else if (err->code == ERROR_CONFLICT && objects_revision (body) > 0)
     write_record (s, objects_revision (body));
   else
@@ -267,25 +325,6 @@
              CALL_TIMEOUT_MS, on_record_written, begin_call (s));
 }
 
-/* Adopt what the record says of a promotion that is done: a primary of an
-   older term was replaced. */
-static void
-adopt_done_promotion (struct service *s, const struct promotion_record *record)
-{
-  if (record->led <= s->lineage.term)
-    return;
-  s->lineage = (struct replica_lineage){ record->led, record->position };
-  if (s->least_term < record->led)
-    s->least_term = record->led;
-  if (s->phase == SERVICE_SERVING && s->term < record->led)
-    {
-      if (s->primary != NULL)
-        service_drop_links (s->primary, "the primary was replaced");
-      s->primary = NULL;
-      service_set_phase (s, SERVICE_TAKEOVER, "the record names a newer term");
-    }
-}
-
 static void
 on_record_read (void *data, const struct error *err, const json_t *body)
 {
@@ -298,33 +337,13 @@
                 s->name, error_name (err->code), err->text);
       return;
     }
-  s->record_read = true;
   if (err->code == ERROR_NOT_FOUND)
     {
+      s->record_read = true;
       promotion_tick (s, clock_now ());
       return;
     }
-  struct promotion_record record = objects_decode_promotion (body);
-  log_info (PART,
-            "event=record service=%s endpoint=%.*s term=%" PRIu64
-            " led=%" PRIu64 " position=%" PRIu64 ".%" PRIu64
-            " known_term=%" PRIu64,
-            s->name, BSTR_ARG (record.endpoint), record.term, record.led,
-            record.position.term, record.position.number, known_term (s));
-  if (record.led != 0)
-    {
-      adopt_done_promotion (s, &record);
-      promotion_tick (s, clock_now ());
-      return;
-    }
-  bool is_obsolete = record.term < known_term (s);
-  set_open_record (
-      s, objects_revision (body), record.endpoint,
-      &(struct replica_lineage){ record.term + 1, record.position });
-  /* The promotion may still take effect. */
-  if (!is_obsolete && s->least_term <= record.term)
-    s->least_term = record.term + 1;
-  if (!is_obsolete && s->phase == SERVICE_SERVING)
+  if (adopt_record (s, body) && s->phase == SERVICE_SERVING)
     promotion_start (s, false, "a previous owner began a promotion");
   else
     promotion_tick (s, clock_now ());
@@ -419,17 +438,17 @@
   return e->status_term >= e->service->least_term ? 2 : 0;
 }
 
-/* @return whether the entry of the target of a promotion that is not recorded
-   as done shows that it leads. */
-static bool
-open_target_leads (const struct service *s)
+/* @return the target of a promotion that is not recorded as done, if its entry
+   says that it leads; NULL if not. */
+static const struct endpoint *
+find_leading_target (const struct service *s)
 {
   const struct endpoint *e = s->endpoints;
   if (s->open_record == 0 || s->open_target == NULL)
-    return false;
+    return NULL;
   while (e != NULL && strcmp (e->id, s->open_target) != 0)
     e = e->next;
-  return e != NULL && e->claims_primary;
+  return e != NULL && e->is_listed && e->claims_primary ? e : NULL;
 }
 
 /* @return the newest term that is known to have had a primary. */
@@ -438,21 +457,26 @@
 {
   struct replica_lineage lineage = s->lineage;
   uint64_t term = newest_term (s);
-  if (term < s->open_lineage.term && open_target_leads (s))
+  const struct endpoint *target = find_leading_target (s);
+  /* Its entry may be that of the term before, which its status would tell. */
+  if (target != NULL && target->status_at < s->promotion_decided_at
+      && term < s->open_lineage.term)
     term = s->open_lineage.term;
-  if (s->open_record != 0 && s->open_lineage.term == term)
+  if (target != NULL && s->open_lineage.term == term)
     lineage = s->open_lineage;
   if (lineage.term < term)
     lineage = (struct replica_lineage){ .term = term };
   return lineage;
 }
 
+/* Record that only endpoints with forked logs answer. */
 static void
-log_forked_endpoints (struct service *s, const struct replica_lineage *lineage)
+record_fork (struct service *s, const struct replica_lineage *lineage,
+             int64_t now)
 {
-  if (s->has_logged_fork)
+  if (s->forked_since != 0)
     return;
-  s->has_logged_fork = true;
+  s->forked_since = now;
   log_warn (PART,
             "event=forked service=%s term=%" PRIu64 " start=%" PRIu64
             ".%" PRIu64 " reason=\"the endpoints that answer may have commits "
@@ -488,11 +512,18 @@
       count += replicas[count].usable;
     }
   struct replica_lineage lineage = newest_lineage (s);
-  bool may_fork = clock_now () - s->promotion_decided_at > FORK_WAIT_US;
-  int best = replicas_choose_successor (replicas, count,
-                                        may_fork ? NULL : &lineage);
-  if (best < 0 && count > 0)
-    log_forked_endpoints (s, &lineage);
+  int64_t now = clock_now ();
+  int best = replicas_choose_successor (replicas, count, &lineage);
+  if (best >= 0)
+    s->forked_since = 0;
+  else if (count > 0)
+    {
+      record_fork (s, &lineage, now);
+      bool primary_is_listed = s->primary != NULL && s->primary->is_listed;
+      if (*all_answered && !primary_is_listed
+          && now - s->forked_since > FORK_WAIT_US)
+        best = replicas_choose_successor (replicas, count, NULL);
+    }
   for (int i = 0; i < count && best >= 0 && s->primary == NULL; i++)
     if (replicas[i].usable
         && position_compare (replicas[i].position, replicas[best].position)
@@ -539,6 +570,9 @@
     {
       if (s->planned && now - s->promotion_decided_at > 2 * HANDOFF_DRAIN_US)
         service_set_phase (s, SERVICE_SERVING, "no replica is fit");
+      /* Those that have answered may have joined the newest term since. */
+      else if (best == NULL && now - s->step_since > RESURVEY_US)
+        s->step_since = now;
       return;
     }
   if (s->planned
--- a/session/service.h
+++ b/session/service.h
@@ -188,9 +188,9 @@
                               takeover. */
   bool is_record_closing; /**< A call that records the promotion as done is not
                              answered. */
-  bool has_logged_fork;   /**< It was logged that only forked endpoints
-                             answer. */
   int64_t promotion_decided_at;
+  int64_t forked_since; /**< Since when only endpoints with forked logs answer;
+                           0: others do. */
   int64_t change_announced_at; /**< When heartbeats began to announce that the
                                   primary changes. */
   int64_t ordered_at; /**< When the platform first accepted the order to
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1492,6 +1492,27 @@
   talloc_free (s);
 }
 
+/* Guards against a new owner that does not read the record of the newest
+   promotion, as the store answers late, and overwrites it to promote the
+   primary that this promotion replaced. */
+static void
+unread_record_is_not_overwritten (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer kept = leave_forked_log (s, &lost);
+  usleep (300000);
+  restart_fleet (s);
+  usleep (350000);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=no_primary", SERVE_MS));
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that serves the present primary although the
    previous owner has ordered the promotion of another endpoint, as the store
    has lost the record of that: the order takes effect later, and writes that
@@ -2198,6 +2219,7 @@
     restarted_fleet_promotes_no_replaced_primary },
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
+  { "unread_record_is_not_overwritten", unread_record_is_not_overwritten },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
   { "old_record_loses_no_write_after_a_restart",
