--- a/core/lease.c
+++ b/core/lease.c
@@ -42,7 +42,6 @@
   uint64_t epoch;      /**< Epoch of its list of voters. */
   int64_t epoch_since; /**< Own clock when that epoch was first received. */
   bool is_voter;
-  bool ended; /**< The process is known to have ended; it owns nothing. */
   /* Claims and grants of its newest heartbeat. */
   struct lease_claim *claims;
   int claim_count;
@@ -269,7 +268,7 @@
   for (int i = 0; i < t->peer_count; i++)
     {
       const struct peer *p = &t->peers[i];
-      if (!p->is_voter || p->ended || p->id == claimant)
+      if (!p->is_voter || p->id == claimant)
         continue;
       if (p->received_at == 0 || peer_claims (p, service))
         return false;
@@ -286,7 +285,7 @@
   for (int i = 0; i < t->peer_count; i++)
     {
       const struct peer *p = &t->peers[i];
-      if (p->is_voter && !p->ended && p->echo == 0)
+      if (p->is_voter && p->echo == 0)
         return false;
     }
   return true;
@@ -318,7 +317,7 @@
                    uint64_t service, int64_t now)
 {
   const struct peer *p = find_peer (t, member);
-  return p != NULL && p->is_voter && !p->ended && p->received_at > 0
+  return p != NULL && p->is_voter && p->received_at > 0
          && now - p->received_at <= t->options.duration_us
          && peer_claims (p, service);
 }
@@ -451,17 +450,13 @@
   *p = t->peers[--t->peer_count];
 }
 
-bool
-lease_record_process_end (struct lease_table *t, uint64_t member,
-                          uint64_t incarnation)
+/* Revokes the grants to a process that has ended.
+   @return whether there was one. */
+static bool
+revoke_process_grants (struct lease_table *t, uint64_t member,
+                       uint64_t incarnation)
 {
   bool changed = false;
-  struct peer *p = add_peer (t, member);
-  if (p->incarnation == incarnation || p->incarnation == 0)
-    {
-      p->ended = true;
-      p->claim_count = 0;
-    }
   for (int i = 0; i < t->service_count; i++)
     if (t->services[i].granted_to == member
         && t->services[i].granted_incarnation == incarnation)
@@ -511,7 +506,7 @@
   for (int i = 0; i < t->peer_count; i++)
     {
       const struct peer *p = &t->peers[i];
-      if (p->ended || now - p->received_at > t->options.duration_us)
+      if (now - p->received_at > t->options.duration_us)
         continue;
       for (int k = 0; k < p->claim_count; k++)
         {
@@ -536,7 +531,7 @@
      ended. */
   if (p->incarnation != 0 && p->incarnation != h->incarnation)
     {
-      changed = lease_record_process_end (t, h->member, p->incarnation);
+      changed = revoke_process_grants (t, h->member, p->incarnation);
       p->previous_incarnation = p->incarnation;
     }
   if (p->epoch != h->epoch || p->incarnation != h->incarnation)
@@ -547,7 +542,6 @@
   p->incarnation = h->incarnation;
   p->stamp = h->stamp;
   p->received_at = now;
-  p->ended = false;
   p->echo = lease_echoed_stamp (h->echo, t->options.incarnation);
   store_claims_and_grants (t, p, h);
   count_grants (t, p);
--- a/core/lease.h
+++ b/core/lease.h
@@ -145,7 +145,10 @@
 /** @return whether a change of the primary may have been ordered, by a
  * previous owner or by this member. */
 bool lease_is_changing (const struct lease_table *t, uint64_t service);
-/** Records a heartbeat.
+/** Records a heartbeat.  Nothing else ends the lease of another member early:
+ * a heartbeat of a new process of the member, or one that no longer claims the
+ * service.  A refused connection does not show that its process has ended, as
+ * a network partition may refuse connections too.
  * @return whether it changed a grant or, on an observer, the known owner of a
  * service. */
 bool lease_receive_heartbeat (struct lease_table *t,
@@ -158,11 +161,6 @@
                      uint64_t incarnation, int64_t now);
 /** Removes what is known of a member that is not a voter. */
 void lease_forget_member (struct lease_table *t, uint64_t member);
-/** Records that the process with this incarnation has certainly ended, which
- * revokes the grants to it at once.
- * @return whether a grant was revoked. */
-bool lease_record_process_end (struct lease_table *t, uint64_t member,
-                               uint64_t incarnation);
 /** @return the time until which this member owns the service; 0 if it does
  * not. */
 int64_t lease_valid_until (const struct lease_table *t, uint64_t service);
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -290,7 +290,7 @@
     }
   p->incarnation = m->sender.incarnation;
   p->received_at = now;
-  p->ended = false;
+  p->refused = false;
   peer_confirm (p, echo);
   if (!is_new && was_alive && echo != 0 && echo < p->previous_heartbeat_sent_at
       && now - p->heartbeat_sent_at > HEARTBEAT_CONFIRM_US)
--- a/session/fleet_peers.c
+++ b/session/fleet_peers.c
@@ -59,7 +59,7 @@
 bool
 peer_is_alive (const struct peer *p, int64_t now)
 {
-  return p->received_at > 0 && !p->ended
+  return p->received_at > 0 && !p->refused
          && now - p->received_at <= peer_time_factor (p) * SILENT_US;
 }
 
@@ -133,19 +133,16 @@
   p->last_reset_logged = now;
 }
 
-/* The connection was refused, so nothing listens at the peer's address: treat
-   its process as ended. */
+/* The connection was refused: the peer's process has ended, or a network
+   partition refuses connections.  Its leases last until their end. */
 static void
-mark_process_ended (struct peer *p)
+mark_refused (struct peer *p)
 {
-  struct fleet *f = p->fleet;
-  p->ended = true;
+  p->refused = true;
   peer_drop_unconfirmed (p);
   log_warn (PART, "event=daemon_ended name=%s reason=\"connection refused\"",
             p->name);
-  if (lease_record_process_end (f->leases, p->id, p->incarnation))
-    fleet_schedule_heartbeats (f);
-  callers_owners_changed (f->sessiond->callers);
+  callers_owners_changed (p->fleet->sessiond->callers);
 }
 
 static void
@@ -161,15 +158,15 @@
   struct peer *p = data;
   bool refused = stream_was_refused (p->listen_test);
   p->listen_test = NULL;
-  if (refused && !p->ended)
-    mark_process_ended (p);
+  if (refused && !p->refused)
+    mark_refused (p);
 }
 
 static const struct stream_ops listen_test_ops
     = { .line = on_listen_test_line, .closed = on_listen_test_closed };
 
-/* Open a test connection to the peer's address; if it is refused, the peer's
-   process has ended. */
+/* Open a test connection to the peer's address; if it is refused, the peer is
+   not alive for this member. */
 static void
 start_listen_test (struct peer *p, int64_t now)
 {
@@ -198,7 +195,7 @@
       int factor = peer_time_factor (p);
       if (silent > factor * SILENT_US)
         peer_drop_unconfirmed (p);
-      if (silent > factor * LISTEN_TEST_US && !p->ended
+      if (silent > factor * LISTEN_TEST_US && !p->refused
           && silent < VOTER_REMOVE_US
           && now - p->last_listen_test > LISTEN_TEST_PAUSE_US)
         start_listen_test (p, now);
--- a/session/fleet_private.h
+++ b/session/fleet_private.h
@@ -81,7 +81,8 @@
   int64_t clock_delta;
   int claim_count; /**< Number of services that it claims or owns. */
   bool reaches_store;
-  bool ended; /**< Its process is known to have ended. */
+  /** Its address has refused a connection since its newest heartbeat. */
+  bool refused;
   /** Test connection that shows whether its process still listens; NULL: no
    * test is running. */
   struct stream *listen_test;
@@ -166,8 +167,8 @@
 /** @return the factor by which heartbeat period and time-outs are longer than
  * between two voters. */
 int peer_time_factor (const struct peer *p);
-/** @return whether a heartbeat from it arrived recently and its process is not
- * known to have ended. */
+/** @return whether a heartbeat from it arrived recently and its address has
+ * refused no connection since. */
 bool peer_is_alive (const struct peer *p, int64_t now);
 /** Fill in the sender and send the message.
  * @return false if the peer's address is not known, or a heartbeat could not
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -336,9 +336,11 @@
   for (int i = 0; i < 4; i++)
     {
       process_signal (s->daemons[i], SIGKILL);
+      int64_t since = sessiond_site_now_ms ();
       for (int service = 1; service <= 2; service++)
         CU_ASSERT_TRUE (
             sessiond_site_wait (s, (i + 1) % 4, service, SERVE_MS));
+      printf ("[%d ms] ", (int)(sessiond_site_now_ms () - since));
       CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
       CU_ASSERT_TRUE (sessiond_site_wait (s, i, 1, SERVE_MS));
     }
