--- a/tests/test_paging.c
+++ b/tests/test_paging.c
@@ -164,15 +164,12 @@
   return count;
 }
 
-/* Find a service whose reads another daemon than its owner runs.
-   @return that daemon, -1 if there is none. */
+/* Send reads of each service to the first daemon.
+   @return a daemon that runs those of @p service, which it does not own; -1 if
+   there is none. */
 static int
-find_reader (struct sessiond_site *s, int services, int *service)
+look_for_reader (struct sessiond_site *s, int services, int *service)
 {
-  /* A reader exists from the first read on. */
-  for (int i = 1; i <= services; i++)
-    read_replicas (s, 0, i);
-  usleep (HISTORY_MS * 1000);
   for (*service = 1; *service <= services; (*service)++)
     {
       int before[SITE_MAX_DAEMONS] = { 0 };
@@ -186,6 +183,24 @@
   return -1;
 }
 
+/* Find a service whose reads another daemon than its owner runs.  There may be
+   none at first, as services move while the load of the daemons is balanced.
+   @return that daemon, -1 if there is none in time. */
+static int
+find_reader (struct sessiond_site *s, int services, int *service)
+{
+  int reader;
+  /* A reader exists from the first read on. */
+  for (int i = 1; i <= services; i++)
+    read_replicas (s, 0, i);
+  usleep (HISTORY_MS * 1000);
+  int64_t end = sessiond_site_now_ms () + SERVE_MS;
+  do
+    reader = look_for_reader (s, services, service);
+  while (reader < 0 && sessiond_site_now_ms () < end);
+  return reader;
+}
+
 /* Guards against a copy from another daemon that is replaced by a list whose
    first page is older: the other daemon has the revision of the last page too,
    so it sends no copy again.  Both replicas are removed before the second
