--- a/session/promotion.c
+++ b/session/promotion.c
@@ -689,6 +689,12 @@
   if (best != NULL && best->status_term >= newest && (all_answered || waited)
       && !may_be_replaced)
     {
+      log_info (PART,
+                "event=primary_found service=%s endpoint=%s term=%" PRIu64
+                " voters_term=%" PRIu64 " record_read=%d waited_ms=%" PRId64,
+                s->name, best->id, best->status_term,
+                fleet_newest_term (s->sessiond->fleet, s->id), s->record_read,
+                (now - s->phase_since) / USEC_PER_MSEC);
       service_set_primary (s, best, best->status_term, best->replica.position);
     }
   else if (now - s->phase_since > NO_PRIMARY_TIMEOUT_US
