lease: let no former owner erase what the voters know

Callers could have read old data: a replaced primary was accepted again.

Cause: a voter took the state and the term that any claimant announced. A process that was paused while others owned the service sends its old claim before it notices that its lease has ended. If the service has no owner just then, the voters grant it, and its older term and "stable" replaced a newer term and an announced change of the primary.

Change: what a member announces without owning the service only adds to what a voter knows: a larger term, a change in progress.

The test fails without the change: former_owner_erases_no_newer_term ...FAILED CU_ASSERT_EQUAL(grant.term,2) CU_ASSERT_TRUE(grant.changing) and the suite lease passes with it (19 cases).

--- a/core/lease.c
+++ b/core/lease.c
@@ -391,20 +391,19 @@
     revoke_grant (s);
 }
 
-/* Stores for the next owner whether a change of the primary is announced. */
+/* Stores for the next owner what an owner announces: whether the primary is
+   being changed, and its term.  A smaller term replaces a larger one, as the
+   terms of a service that is created again begin anew.
+   @param owned the announcing member owns the service.  One that does not may
+   be a former owner, which knows less than the later ones: it only adds to
+   what is known. */
 static void
-record_announced_state (struct service_lease *s, enum lease_state state)
+record_announcement (struct service_lease *s, enum lease_state state,
+                     uint64_t term, bool owned)
 {
-  if (state != LEASE_UNKNOWN)
+  if (state == LEASE_CHANGING || (state == LEASE_STABLE && owned))
     s->changing = state == LEASE_CHANGING;
-}
-
-/* Stores for the next owner the term of the primary.  A smaller one replaces a
-   larger one, as the terms of a service that is created again begin anew. */
-static void
-record_announced_term (struct service_lease *s, uint64_t term)
-{
-  if (term != 0)
+  if (term > s->term || (term != 0 && owned))
     s->term = term;
 }
 
@@ -416,7 +415,7 @@
   if (s == NULL || !s->claimed)
     return;
   s->state = state;
-  record_announced_state (s, state);
+  record_announcement (s, state, 0, true);
 }
 
 void
@@ -426,7 +425,7 @@
   if (s == NULL || !s->claimed || term == 0)
     return;
   s->own_term = term;
-  record_announced_term (s, term);
+  record_announcement (s, LEASE_UNKNOWN, term, true);
 }
 
 static bool
@@ -566,10 +565,8 @@
       else
         changed |= record_observed_owner (t, s, h, &h->claims[i], now);
       if (s->granted_to == h->member)
-        {
-          record_announced_state (s, h->claims[i].state);
-          record_announced_term (s, h->claims[i].term);
-        }
+        record_announcement (s, h->claims[i].state, h->claims[i].term,
+                             h->claims[i].owned);
     }
   changed |= grant_after_clean_start (t, now);
   return changed;
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -842,6 +842,46 @@
       now);
 }
 
+/* Guards against a former owner that makes the voters forget a promotion.  It
+   was paused while others owned the service, and sends its old claim before it
+   notices that its lease has ended; the service has no owner just then. */
+static void
+former_owner_erases_no_newer_term (void)
+{
+  static const uint64_t voters[] = { 1, 2, 3 };
+  struct lease_claim old = {
+    .service = SERVICE, .state = LEASE_STABLE, .owned = true, .term = 1
+  };
+  struct lease_claim next = { .service = SERVICE };
+  struct lease_grant grant;
+  int64_t now = 2 * LEASE_DURATION;
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 1, .incarnation = 7, .duration_us = LEASE_DURATION });
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 3, .epoch = 1, .settled = true },
+      0);
+  receive_heartbeat (t, 2, 1, &old, 1, now);
+  now += 2 * LEASE_DURATION;
+  receive_heartbeat (t, 3, 1, &next, 1, now);
+  CU_ASSERT_EQUAL (lease_owner (t, SERVICE, now), 3);
+  CU_ASSERT_EQUAL (lease_newest_term (t, SERVICE), 1);
+  next = (struct lease_claim){ SERVICE, LEASE_STABLE, true, 2 };
+  receive_heartbeat (t, 3, 1, &next, 1, now + 1);
+  next.state = LEASE_CHANGING;
+  receive_heartbeat (t, 3, 1, &next, 1, now + 2);
+  now += 2 * LEASE_DURATION;
+  old.owned = false;
+  receive_heartbeat (t, 2, 1, &old, 1, now);
+  CU_ASSERT_EQUAL_FATAL (lease_write_grants (t, &grant, now), 1);
+  CU_ASSERT_EQUAL (grant.member, 2);
+  CU_ASSERT_EQUAL (grant.term, 2);
+  CU_ASSERT_TRUE (grant.changing);
+  talloc_free (t);
+}
+
 /* Guards against an observer that sends statements to a voter that only claims
    a service, or to a previous owner, instead of the current one. */
 static void
@@ -992,6 +1032,7 @@
   { "next_owner_hears_of_the_term", next_owner_hears_of_the_term },
   { "term_is_confirmed_by_a_majority_only",
     term_is_confirmed_by_a_majority_only },
+  { "former_owner_erases_no_newer_term", former_owner_erases_no_newer_term },
   { "observer_follows_the_owner", observer_follows_the_owner },
   { "every_one_of_many_services_is_owned",
     every_one_of_many_services_is_owned },
