promotion: an open record may be that of a promotion that was served

Callers could have read old data, and lost acknowledged writes: a replaced primary was promoted again, and the commits that its replacement had rolled back returned.

Cause: a promotion took effect and its primary was served, but its record was not closed, as the store was away. Then all voters started again, and the new primary was silent. The survey counted the record's term only if the entry of its target said that it leads; that entry is as old as the record.

Change: until the target itself tells a lower term, the promotion counts as done. A log beyond the position at which it began has forked; the service waits for the target, or for another endpoint that knows the term, as it does since after a promotion that is recorded as done.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -438,35 +438,46 @@
   return e->status_term >= e->service->least_term ? 2 : 0;
 }
 
-/* @return the target of a promotion that is not recorded as done, if its entry
-   says that it leads; NULL if not. */
+/* @return the target of a promotion that is not recorded as done; NULL if it
+   is not known. */
 static const struct endpoint *
-find_leading_target (const struct service *s)
+find_open_target (const struct service *s)
 {
   const struct endpoint *e = s->endpoints;
   if (s->open_record == 0 || s->open_target == NULL)
     return NULL;
   while (e != NULL && strcmp (e->id, s->open_target) != 0)
     e = e->next;
-  return e != NULL && e->is_listed && e->claims_primary ? e : NULL;
+  return e;
 }
 
-/* @return the newest term that is known to have had a primary. */
+/* @return whether a promotion that is not recorded as done may have taken
+   effect.  Only its target can tell that it has not: the primary that it began
+   may have been served while the store was away, so that neither the record
+   nor the target's entry says so. */
+static bool
+open_promotion_may_be_done (const struct service *s)
+{
+  const struct endpoint *target = find_open_target (s);
+  return s->open_record != 0
+         && (target == NULL || target->status_at < s->promotion_decided_at
+             || target->status_term >= s->open_lineage.term);
+}
+
+/* @return the newest term that had a primary, or may have had one. */
 static struct replica_lineage
 newest_lineage (const struct service *s)
 {
-  struct replica_lineage lineage = s->lineage;
   uint64_t term = newest_term (s);
-  const struct endpoint *target = find_leading_target (s);
-  /* Its entry may be that of the term before, which its status would tell. */
-  if (target != NULL && target->status_at < s->promotion_decided_at
-      && term < s->open_lineage.term)
-    term = s->open_lineage.term;
-  if (target != NULL && s->open_lineage.term == term)
-    lineage = s->open_lineage;
-  if (lineage.term < term)
-    lineage = (struct replica_lineage){ .term = term };
-  return lineage;
+  const struct endpoint *target = find_open_target (s);
+  if (open_promotion_may_be_done (s) && s->open_lineage.term > term)
+    return s->open_lineage;
+  if (target != NULL && target->is_listed && target->claims_primary
+      && s->open_lineage.term == term)
+    return s->open_lineage;
+  if (s->lineage.term < term)
+    return (struct replica_lineage){ .term = term };
+  return s->lineage;
 }
 
 /* Record that only endpoints with forked logs answer. */
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1393,23 +1393,33 @@
   talloc_free (s);
 }
 
-/* Have the primary replaced by db-1-b after it has acknowledged a write that
-   no other database receives.  Then only the replaced one, db-1-a, answers; it
-   does not learn of its successor.
-   @param lost set to the write that the promotion rolls back.
-   @return the write that only the present primary has. */
+/* Have db-1-a, the primary, acknowledge a write that no other database
+   receives, and be silent then: only db-1-b can replace it.  The two do not
+   reach each other, so that db-1-a does not learn of its successor.
+   @return the write, which the promotion rolls back. */
 static struct line_answer
-leave_forked_log (struct sessiond_site *s, struct line_answer *lost)
+acknowledge_on_fork (struct sessiond_site *s)
 {
   retry_write (s, 0, SERVE_MS);
   usleep (100000);
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "deaf"));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "part"));
-  *lost = retry_write (s, 0, SERVE_MS);
-  CU_ASSERT_STRING_NOT_EQUAL (lost->id, "");
+  struct line_answer lost = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (lost.id, "");
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "silence"));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
+  return lost;
+}
+
+/* Have the primary replaced by db-1-b after acknowledge_on_fork.  Then only
+   the replaced one, db-1-a, answers.
+   @param lost set to the write that the promotion rolls back.
+   @return the write that only the present primary has. */
+static struct line_answer
+leave_forked_log (struct sessiond_site *s, struct line_answer *lost)
+{
+  *lost = acknowledge_on_fork (s);
   struct line_answer kept = retry_write (s, 0, SERVE_MS);
   CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
   CU_ASSERT_EQUAL (sessiond_site_committed (s, kept.id), 1);
@@ -1515,6 +1525,61 @@
   talloc_free (s);
 }
 
+/* Stop all daemons and the present primary, db-1-b; the replaced one, db-1-a,
+   answers again. */
+static void
+leave_only_replaced_primary (struct sessiond_site *s)
+{
+  for (int i = 0; i < s->daemon_count; i++)
+    process_signal (s->daemons[i], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+}
+
+/* Guards against the promotion of a replaced primary whose successor was
+   served although its promotion was never recorded as done, as the store was
+   away: commits that were rolled back return, so that reads in between were
+   stale, and acknowledged ones are lost. */
+static void
+unfinished_record_undoes_no_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 3, .services = 1, .promote_ms = 900 });
+  char record_url[120], entry_url[120], *entry = NULL;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  int port = process_port (s->platform);
+  snprintf (record_url, sizeof record_url,
+            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
+            port);
+  snprintf (entry_url, sizeof entry_url,
+            "http://127.0.0.1:%d/v1/objects/servers/db-1-b", port);
+  CU_ASSERT_EQUAL (process_http (s, "GET", entry_url, NULL, &entry), 200);
+  struct line_answer lost = acknowledge_on_fork (s);
+  struct line_caller *c = start_session (s, 0, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_send (c, "QUERY 0000000100000001 WRITE other x\r\n"));
+  int64_t end = sessiond_site_now_ms () + SERVE_MS;
+  while (process_http (s, "GET", record_url, NULL, NULL) != 200
+         && sessiond_site_now_ms () < end)
+    usleep (2000);
+  usleep (100000);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  struct line_answer kept = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, kept.id), 1);
+  leave_only_replaced_primary (s);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
+  /* The entry of a database that cannot reach the store is an old one. */
+  json_t *object = json_loads (entry, 0, NULL);
+  char *spec = json_dumps (json_object_get (object, "spec"), 0);
+  CU_ASSERT_TRUE (sessiond_site_write_raw (s, "servers", "db-1-b", spec));
+  free (spec);
+  json_decref (object);
+  restart_fleet (s);
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that serves the present primary although the
    previous owner has ordered the promotion of another endpoint, as the store
    has lost the record of that: the order takes effect later, and writes that
@@ -2222,6 +2287,8 @@
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
   { "unread_record_is_not_overwritten", unread_record_is_not_overwritten },
+  { "unfinished_record_undoes_no_promotion",
+    unfinished_record_undoes_no_promotion },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
   { "old_record_loses_no_write_after_a_restart",
