promotion: do not rely on the memory of a few voters

Callers could have read old data, and lost acknowledged writes: a new owner accepted a replaced primary.

Cause: a new owner waited 0.3 s for the promotion record and then went by the newest term that any voter knew. If most voters have started again, the one that does know a term may be one that missed the promotion.

Change: the owner goes on without the record only if the voters that know a term make up a majority; an order is given only after a majority has heard of it, so one of them knows. While the store is away it goes on once each endpoint has told its term 2.5 s after the takeover, when any order has taken effect. A daemon that is turned away by the store gives the service to one that reaches it, as it does when it cannot write the record.

--- a/core/lease.c
+++ b/core/lease.c
@@ -702,6 +702,23 @@
   return newest;
 }
 
+bool
+lease_majority_knows_term (const struct lease_table *t, uint64_t service)
+{
+  const struct service_lease *s = find_service (t, service);
+  int votes = s != NULL && s->term != 0 && t->is_voter
+                  ? member_votes (t, t->options.self)
+                  : 0;
+  for (int i = 0; i < t->peer_count; i++)
+    {
+      const struct peer *p = &t->peers[i];
+      const struct lease_grant *grant = find_grant_to_self (t, p, service);
+      if (p->is_voter && grant != NULL && grant->term != 0)
+        votes += member_votes (t, p->id);
+    }
+  return votes >= votes_needed (t);
+}
+
 uint64_t
 lease_owner (const struct lease_table *t, uint64_t service, int64_t now)
 {
--- a/core/lease.h
+++ b/core/lease.h
@@ -138,6 +138,10 @@
 /** @return the highest term that this member, or a voter that grants it the
  * service, knows as the one that an owner announced last; 0: none. */
 uint64_t lease_newest_term (const struct lease_table *t, uint64_t service);
+/** @return whether voters that know a term, and so have not started again
+ * since an owner announced one, make up a majority that grants the service to
+ * this member.  One of them has heard of every change that was ordered. */
+bool lease_majority_knows_term (const struct lease_table *t, uint64_t service);
 /** @return whether a majority has renewed its grants after @p since, and so
  * has received the state that was set before. */
 bool lease_is_confirmed_since (const struct lease_table *t, uint64_t service,
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -655,6 +655,12 @@
   return lease_newest_term (f->leases, service);
 }
 
+bool
+fleet_majority_knows_term (const struct fleet *f, uint64_t service)
+{
+  return lease_majority_knows_term (f->leases, service);
+}
+
 bool
 fleet_confirmed_since (const struct fleet *f, uint64_t service, int64_t since)
 {
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -53,6 +53,11 @@
 /** @return the term of the service's primary that an owner announced last, as
  * far as a majority knows; 0: none. */
 uint64_t fleet_newest_term (const struct fleet *f, uint64_t service);
+/** @return whether fleet_newest_term is the newest term of the service that an
+ * owner announced: voters that have not started again since make up a
+ * majority.
+ */
+bool fleet_majority_knows_term (const struct fleet *f, uint64_t service);
 /** @return whether a majority has confirmed the ownership together with the
  * state that was set before @p since. */
 bool fleet_confirmed_since (const struct fleet *f, uint64_t service,
--- a/session/owner.c
+++ b/session/owner.c
@@ -212,6 +212,7 @@
       if (owned && s->phase == SERVICE_NOT_OWNED)
         {
           s->record_read = false;
+          s->is_record_awaited = false;
           service_set_phase (s, SERVICE_TAKEOVER, "a majority granted it");
           update_endpoints (s);
           promotion_resume (s);
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -1,6 +1,7 @@
 #include "common/log.h"
 #include "platform/objects.h"
 #include "platform/store.h"
+#include "session/directory.h"
 #include "session/fleet.h"
 #include "session/service.h"
 
@@ -20,13 +21,13 @@
 #define CALL_TIMEOUT_MS 700
 /* Pause before a call to the platform that failed is repeated. */
 #define RETRY_DELAY_US (120 * USEC_PER_MSEC)
-/* After this time without success in writing the record, the service is
-   released to a member that reaches the store. */
+/* After this time without success in writing a record, or in reading one that
+   is needed, the service is released to a member that reaches the store. */
 #define HANDOVER_DELAY_US (350 * USEC_PER_MSEC)
 /* A promotion order without effect is repeated after this time. */
 #define AWAIT_TIMEOUT_US (2500 * USEC_PER_MSEC)
-/* A new owner waits this long to read the promotion record.  If the previous
-   owner has announced a promotion, it waits until the record is read. */
+/* A new owner waits this long to read the promotion record, and longer if a
+   promotion may be missed without it. */
 #define RECORD_WAIT_US (300 * USEC_PER_MSEC)
 /* If no primary has answered this long after a takeover, a replica is
    promoted. */
@@ -335,6 +336,7 @@
     {
       log_warn (PART, "event=record_unread service=%s code=%s reason=\"%s\"",
                 s->name, error_name (err->code), err->text);
+      s->next_attempt_at = clock_now () + RETRY_DELAY_US;
       return;
     }
   if (err->code == ERROR_NOT_FOUND)
@@ -357,13 +359,14 @@
 }
 
 /* The store may refuse this daemon and serve others.  Release the service to
-   one of them, which can record the promotion.
+   one of them, which can read or write the promotion record.
+   @param since when this daemon first needed the record.
    @return whether it was released. */
 static bool
-release_to_store_peer (struct service *s, int64_t now)
+release_to_store_peer (struct service *s, int64_t since, int64_t now)
 {
   uint64_t peer = fleet_store_peer (s->sessiond->fleet);
-  if (now - s->step_since < HANDOVER_DELAY_US || peer == 0)
+  if (now - since < HANDOVER_DELAY_US || peer == 0)
     return false;
   log_warn (PART,
             "event=handover service=%s reason=\"only other daemons reach "
@@ -654,6 +657,54 @@
     s->least_term = term;
 }
 
+/* @return whether each endpoint has told its term after all orders of previous
+   owners have taken effect. */
+static bool
+have_all_terms_settled (struct service *s, int64_t now)
+{
+  int64_t settled_at = s->phase_since + AWAIT_TIMEOUT_US;
+  bool have_settled = s->endpoints != NULL && now > settled_at;
+  for (struct endpoint *e = s->endpoints; e != NULL && now > settled_at;
+       e = e->next)
+    if (!e->is_listed || e->is_wrong_endpoint || e->status_at < settled_at)
+      {
+        have_settled = false;
+        request_status (e, now);
+      }
+  return have_settled;
+}
+
+/* @return whether a new owner must read the promotion record before it accepts
+   a primary: a promotion order of a previous owner may still take effect, or
+   the voters that knew its term may have started again. */
+static bool
+must_wait_for_record (struct service *s, int64_t now)
+{
+  const struct fleet *f = s->sessiond->fleet;
+  if (s->record_read)
+    return false;
+  return now - s->phase_since < RECORD_WAIT_US || fleet_is_changing (f, s->id)
+         || (!fleet_majority_knows_term (f, s->id)
+             && !have_all_terms_settled (s, now));
+}
+
+/* Read the promotion record, which a new owner waits for. */
+static void
+await_record (struct service *s, int64_t now)
+{
+  if (now - s->phase_since >= RECORD_WAIT_US && !s->is_record_awaited)
+    {
+      s->is_record_awaited = true;
+      log_warn (PART,
+                "event=record_awaited service=%s changing=%d voters_term="
+                "%" PRIu64 " reason=\"a promotion may be missed without it\"",
+                s->name, fleet_is_changing (s->sessiond->fleet, s->id),
+                fleet_newest_term (s->sessiond->fleet, s->id));
+    }
+  if (!s->call_in_progress && now >= s->next_attempt_at)
+    promotion_resume (s);
+}
+
 /* Find the primary after a takeover, or start a promotion if none answers. */
 static void
 look_for_primary (struct service *s, int64_t now)
@@ -687,13 +738,9 @@
         best = e;
     }
   bool waited = now - s->phase_since > SURVEY_TIMEOUT_US;
-  /* A promotion order of a previous owner may still take effect. */
-  if (!s->record_read
-      && (now - s->phase_since < RECORD_WAIT_US
-          || fleet_is_changing (s->sessiond->fleet, s->id)))
+  if (must_wait_for_record (s, now))
     {
-      if (!s->call_in_progress)
-        promotion_resume (s);
+      await_record (s, now);
       return;
     }
   bool may_be_replaced = !knows_term && (was_changing || claimant_is_silent);
@@ -773,7 +820,10 @@
     return;
   if (s->phase == SERVICE_TAKEOVER)
     {
-      look_for_primary (s, now);
+      if (directory_reaches_store (s->sessiond->directory)
+          || !must_wait_for_record (s, now)
+          || !release_to_store_peer (s, s->phase_since, now))
+        look_for_primary (s, now);
       return;
     }
   if (s->phase != SERVICE_HANDOFF && s->phase != SERVICE_REPLACING)
@@ -793,7 +843,8 @@
       break;
     case PROMOTION_RECORD:
       if (!s->call_in_progress && now >= s->next_attempt_at
-          && service_is_owned (s) && !release_to_store_peer (s, now))
+          && service_is_owned (s)
+          && !release_to_store_peer (s, s->step_since, now))
         write_record (s, 0);
       break;
     case PROMOTION_ORDER:
--- a/session/service.h
+++ b/session/service.h
@@ -186,6 +186,8 @@
   bool planned;            /**< Planned change: the primary still answers. */
   bool record_read;        /**< The promotion record was read since the
                               takeover. */
+  bool is_record_awaited;  /**< It was logged that the takeover waits for the
+                              record. */
   bool is_record_closing; /**< A call that records the promotion as done is not
                              answered. */
   int64_t promotion_decided_at;
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1519,7 +1519,7 @@
   restart_fleet (s);
   usleep (350000);
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
-  CU_ASSERT_TRUE (wait_for_log (s, "event=no_primary", SERVE_MS));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=record_awaited", SERVE_MS));
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
   assert_fork_is_not_promoted (s, &lost, &kept);
   talloc_free (s);
@@ -1580,6 +1580,65 @@
   talloc_free (s);
 }
 
+/* Guards against a new owner that accepts a replaced primary because a voter
+   that missed the promotion knows its term: those that knew better have
+   started again, and the store, which has the record, is away. */
+static void
+late_voter_hides_no_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  int late = (owner + 1) % 3, other = (owner + 2) % 3;
+  struct line_answer lost = acknowledge_on_fork (s);
+  process_signal (s->daemons[late], SIGSTOP);
+  struct line_answer kept = retry_write (s, other, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  usleep (300000);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  process_signal (s->daemons[owner], SIGKILL);
+  process_signal (s->daemons[other], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  process_signal (s->daemons[late], SIGCONT);
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, owner));
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, other));
+  struct line_answer early = retry_write (s, late, 3000);
+  CU_ASSERT_STRING_EQUAL (early.id, "");
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
+/* Guards against a service that waits for the promotion record while the store
+   is away, although every database has told that no promotion was missed. */
+static void
+restarted_majority_serves_without_the_store (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  int other = (owner + 1) % 3, left = (owner + 2) % 3;
+  struct line_answer before = retry_write (s, left, SERVE_MS);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  process_signal (s->daemons[owner], SIGKILL);
+  process_signal (s->daemons[other], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, owner));
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, other));
+  struct line_answer after = retry_write (s, left, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (after.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, before.id), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, after.id), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that serves the present primary although the
    previous owner has ordered the promotion of another endpoint, as the store
    has lost the record of that: the order takes effect later, and writes that
@@ -2289,6 +2348,9 @@
   { "unread_record_is_not_overwritten", unread_record_is_not_overwritten },
   { "unfinished_record_undoes_no_promotion",
     unfinished_record_undoes_no_promotion },
+  { "late_voter_hides_no_promotion", late_voter_hides_no_promotion },
+  { "restarted_majority_serves_without_the_store",
+    restarted_majority_serves_without_the_store },
   { "ordered_promotion_outlives_its_record",
     ordered_promotion_outlives_its_record },
   { "old_record_loses_no_write_after_a_restart",
