promotion: drop an order whose target has left

A service got no primary for as long as its owner stayed: each answer 409 to the order was followed by the same order.

Cause: the refusal was taken for one of the target only while its entry was known; an entry that expired while the platform took no orders is forgotten.

Change: after a refusal the endpoints are surveyed again in any case.

The stand-in learns to refuse orders alone.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -398,9 +398,10 @@
             "event=order_failed service=%s target=%s code=%s "
             "reason=\"%s\"",
             s->name, s->target_id, error_name (err->code), err->text);
-  if (err->code == ERROR_CONFLICT && s->target != NULL)
+  if (err->code == ERROR_CONFLICT)
     {
-      service_endpoint_failed (s->target, "the platform says it is not up");
+      if (s->target != NULL)
+        service_endpoint_failed (s->target, "the platform says it is not up");
       set_step (s, PROMOTION_SURVEY);
     }
   else
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -42,7 +42,8 @@
   /** Oldest revision from which a watch can start. */
   uint64_t oldest_revision;
   struct watcher *watchers;
-  bool down; /**< Answer every call with 503. */
+  bool down;        /**< Answer every call with 503. */
+  bool orders_down; /**< Answer every promotion order with 503. */
   /** Id of the daemon that was the first to write a promotion record since
    * refuse_first_holder was set; NULL: none yet. */
   char *first_holder;
@@ -650,6 +651,8 @@
     ok = s->options.set_fault (s->options.data, database, fault);
   if (json_object_get (body, "down") != NULL)
     s->down = json_is_true (json_object_get (body, "down"));
+  if (json_object_get (body, "orders_down") != NULL)
+    s->orders_down = json_is_true (json_object_get (body, "orders_down"));
   if (json_is_true (json_object_get (body, "refuse_first")))
     s->refuse_first_holder = true;
   if (json_is_true (json_object_get (body, "refuse_all")))
@@ -719,12 +722,13 @@
       return;
     }
   s->requests++;
-  if (s->down)
+  bool is_order = strcmp (path, "/promote") == 0;
+  if (s->down || (is_order && s->orders_down))
     {
       reply_empty (s, request, 503);
       return;
     }
-  if (strcmp (path, "/promote") == 0)
+  if (is_order)
     {
       serve_promote (s, request);
       return;
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1504,6 +1504,34 @@
   talloc_free (s);
 }
 
+/* Guards against an order that is repeated for ever, so that the service gets
+   no primary: its target left while the platform took no orders. */
+static void
+order_to_a_target_that_left_is_dropped (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-c", "deaf"));
+  CU_ASSERT_STRING_NOT_EQUAL (retry_write (s, 0, SERVE_MS).id, "");
+  usleep (100000);
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:b}", "orders_down", 1)));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "kill"));
+  retry_write (s, 0, 100);
+  CU_ASSERT_TRUE (wait_for_log (s, "event=order_failed", SERVE_MS));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "kill"));
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:{s:s, s:s}}", "remove", "kind",
+                                           "servers", "name", "db-1-b")));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_gone", SERVE_MS));
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:b}", "orders_down", 0)));
+  CU_ASSERT_STRING_NOT_EQUAL (retry_write (s, 0, SERVE_MS).id, "");
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that does not read the record of the newest
    promotion, as the store answers late, and overwrites it to promote the
    primary that this promotion replaced. */
@@ -2345,6 +2373,8 @@
     restarted_fleet_promotes_no_replaced_primary },
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
+  { "order_to_a_target_that_left_is_dropped",
+    order_to_a_target_that_left_is_dropped },
   { "unread_record_is_not_overwritten", unread_record_is_not_overwritten },
   { "unfinished_record_undoes_no_promotion",
     unfinished_record_undoes_no_promotion },
