promotion: keep the record when the store is restored

Callers could have read old data, and lost acknowledged writes: after a restore and a restart of all daemons a replaced primary was promoted again.

Cause: the record of a promotion was written once. A restore of the store may lose it, or bring back an older one, and the voters forget when they start again.

Change: an owner that serves a newer term than the record speaks of, or that sees a new era of the store, reads the record and writes it again if needed.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -37,6 +37,8 @@
 #define HANDOFF_DRAIN_US (1000 * USEC_PER_MSEC)
 /* Pause after a planned change for which no replica was ready. */
 #define HANDOFF_RETRY_US (1000 * USEC_PER_MSEC)
+/* Term of a service that no promotion has changed. */
+#define FIRST_TERM 1
 /* If all endpoints that are listed have forked logs for this time, the others
    are taken for lost and one of these is promoted: longer than a restart of an
    endpoint. */
@@ -170,25 +172,38 @@
 {
   talloc_free (s->open_target);
   s->open_target = bstr_to_text (s, target);
+  s->is_record_open = true;
   s->open_record = revision;
   s->open_lineage = *lineage;
   s->is_record_closing = false;
   s->next_closing_at = 0;
 }
 
+/* Remember the newest term that the record speaks of.
+   @param revision 0: there is no record. */
+static void
+remember_record (struct service *s, uint64_t revision, uint64_t term)
+{
+  s->record_read = true;
+  s->record_revision = revision;
+  s->recorded_term = term;
+  s->record_era = store_era (s->sessiond->store);
+}
+
 /** A call that records a promotion as done. */
 struct record_closing
 {
   struct service *service;
   uint64_t revision; /**< Revision of the record that it replaces. */
+  uint64_t term;     /**< Term that the promotion began. */
 };
 
 static void
 on_record_closed (void *data, const struct error *err, const json_t *body)
 {
-  (void)body;
   struct record_closing *c = data;
   struct service *s = c->service;
+  uint64_t term = c->term;
   bool is_wanted = s->open_record == c->revision && s->is_record_closing;
   talloc_free (c);
   if (err->code != ERROR_NONE)
@@ -197,9 +212,14 @@
   if (!is_wanted)
     return;
   s->is_record_closing = false;
-  if (err->code == ERROR_NONE || err->code == ERROR_CONFLICT
-      || err->code == ERROR_NOT_FOUND)
-    s->open_record = 0;
+  bool is_outdated
+      = err->code == ERROR_CONFLICT || err->code == ERROR_NOT_FOUND;
+  if (err->code == ERROR_NONE)
+    remember_record (s, objects_revision (body), term);
+  else if (is_outdated)
+    s->record_read = false;
+  if (err->code == ERROR_NONE || is_outdated)
+    s->is_record_open = false;
   else
     s->next_closing_at = clock_now () + RETRY_DELAY_US;
 }
@@ -210,7 +230,7 @@
 static void
 close_record (struct service *s, int64_t now)
 {
-  if (s->open_record == 0 || s->is_record_closing || now < s->next_closing_at
+  if (!s->is_record_open || s->is_record_closing || now < s->next_closing_at
       || s->phase != SERVICE_SERVING || s->primary == NULL
       || s->term < s->open_lineage.term || !service_is_owned (s))
     return;
@@ -227,6 +247,7 @@
       = talloc_zero (s->sessiond->store, struct record_closing);
   c->service = s;
   c->revision = s->open_record;
+  c->term = s->term;
   s->is_record_closing = true;
   store_put (s->sessiond->store, objects_promotion_kind (), s->name,
              s->open_record,
@@ -267,7 +288,8 @@
             " known_term=%" PRIu64,
             s->name, BSTR_ARG (record.endpoint), record.term, record.led,
             record.position.term, record.position.number, known_term (s));
-  s->record_read = true;
+  remember_record (s, objects_revision (body),
+                   record.led != 0 ? record.led : record.term + 1);
   if (record.led != 0)
     {
       adopt_done_promotion (s, &record);
@@ -291,7 +313,7 @@
   if (err->code == ERROR_NONE && objects_revision (body) > 0)
     {
       s->token = objects_revision (body);
-      s->open_record = 0;
+      s->is_record_open = false;
       set_step (s, PROMOTION_ORDER);
     }
   else if (err->code == ERROR_CONFLICT && objects_revision (body) > 0
@@ -341,7 +363,7 @@
     }
   if (err->code == ERROR_NOT_FOUND)
     {
-      s->record_read = true;
+      remember_record (s, 0, 0);
       promotion_tick (s, clock_now ());
       return;
     }
@@ -358,6 +380,25 @@
              CALL_TIMEOUT_MS, on_record_read, begin_call (s));
 }
 
+/* Have the record say what term the service has, if it does not: a restore of
+   the store may have lost it or brought back an older one.  The next owner
+   needs it once all voters have started again. */
+static void
+keep_record (struct service *s, int64_t now)
+{
+  bool is_known
+      = s->record_read && s->record_era == store_era (s->sessiond->store);
+  if (s->phase != SERVICE_SERVING || s->primary == NULL
+      || s->term <= FIRST_TERM || !service_is_owned (s)
+      || (is_known && (s->recorded_term >= s->term || s->is_record_open)))
+    return;
+  if (!is_known && !s->call_in_progress && now >= s->next_attempt_at)
+    promotion_resume (s);
+  else if (is_known)
+    set_open_record (s, s->record_revision, bstr_from (s->primary->id),
+                     &(struct replica_lineage){ .term = s->recorded_term });
+}
+
 /* The store may refuse this daemon and serve others.  Release the service to
    one of them, which can read or write the promotion record.
    @param since when this daemon first needed the record.
@@ -448,7 +489,7 @@
 find_open_target (const struct service *s)
 {
   const struct endpoint *e = s->endpoints;
-  if (s->open_record == 0 || s->open_target == NULL)
+  if (!s->is_record_open)
     return NULL;
   while (e != NULL && strcmp (e->id, s->open_target) != 0)
     e = e->next;
@@ -463,7 +504,7 @@
 open_promotion_may_be_done (const struct service *s)
 {
   const struct endpoint *target = find_open_target (s);
-  return s->open_record != 0
+  return s->is_record_open
          && (target == NULL || target->status_at < s->promotion_decided_at
              || target->status_term >= s->open_lineage.term);
 }
@@ -819,6 +860,7 @@
   close_record (s, now);
   if (s->releasing)
     return;
+  keep_record (s, now);
   if (s->phase == SERVICE_TAKEOVER)
     {
       if (directory_reaches_store (s->sessiond->directory)
--- a/session/service.h
+++ b/session/service.h
@@ -184,10 +184,14 @@
                               platform or status request. */
   bool call_in_progress;   /**< A call to the platform is not answered. */
   bool planned;            /**< Planned change: the primary still answers. */
-  bool record_read;        /**< The promotion record was read since the
-                              takeover. */
-  bool is_record_awaited;  /**< It was logged that the takeover waits for the
-                              record. */
+  bool record_read; /**< What the promotion record says is known since the
+                       takeover. */
+  bool is_record_awaited;   /**< It was logged that the takeover waits for the
+                               record. */
+  uint64_t record_revision; /**< Revision of the record when it was read; 0:
+                               there was none. */
+  uint64_t recorded_term;   /**< Newest term that the record speaks of. */
+  uint64_t record_era;      /**< Era of the store when it was read. */
   bool is_record_closing; /**< A call that records the promotion as done is not
                              answered. */
   int64_t promotion_decided_at;
@@ -197,9 +201,10 @@
                                   primary changes. */
   int64_t ordered_at; /**< When the platform first accepted the order to
                          promote the target; 0: not yet. */
-  /** Revision of the record of a promotion that may be done, but is not
-   * recorded so; 0: there is none. */
-  uint64_t open_record;
+  /** The record does not say that the promotion which it names is done, or
+   * speaks of an older term than the present one. */
+  bool is_record_open;
+  uint64_t open_record; /**< Its revision; 0: there is no record. */
   /** The term that this promotion begins, and the target's position before. */
   struct replica_lineage open_lineage;
   char *open_target;       /**< Id of its target. */
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1574,23 +1574,15 @@
   struct sessiond_site *s = sessiond_site_start (
       NULL, &(struct sessiond_site_options){
                 .daemons = 3, .services = 1, .promote_ms = 900 });
-  char record_url[120], entry_url[120], *entry = NULL;
+  char url[120], *entry = NULL;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  int port = process_port (s->platform);
-  snprintf (record_url, sizeof record_url,
-            "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
-            port);
-  snprintf (entry_url, sizeof entry_url,
-            "http://127.0.0.1:%d/v1/objects/servers/db-1-b", port);
-  CU_ASSERT_EQUAL (process_http (s, "GET", entry_url, NULL, &entry), 200);
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/objects/servers/db-1-b",
+            process_port (s->platform));
+  CU_ASSERT_EQUAL (process_http (s, "GET", url, NULL, &entry), 200);
   struct line_answer lost = acknowledge_on_fork (s);
   struct line_caller *c = start_session (s, 0, "main1", "key-a1");
   CU_ASSERT_TRUE (line_send (c, "QUERY 0000000100000001 WRITE other x\r\n"));
-  int64_t end = sessiond_site_now_ms () + SERVE_MS;
-  while (process_http (s, "GET", record_url, NULL, NULL) != 200
-         && sessiond_site_now_ms () < end)
-    usleep (2000);
-  usleep (100000);
+  CU_ASSERT_TRUE (wait_for_log (s, "event=promotion step=await", SERVE_MS));
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
   struct line_answer kept = retry_write (s, 0, SERVE_MS);
   CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
@@ -1641,6 +1633,29 @@
   talloc_free (s);
 }
 
+/* Guards against a promotion that is forgotten, and undone, because a restore
+   of the store has lost its record and all daemons start again after that. */
+static void
+restored_store_hides_no_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:b}", "snapshot", 1)));
+  struct line_answer lost = acknowledge_on_fork (s);
+  struct line_answer kept = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  usleep (300000);
+  CU_ASSERT_TRUE (sessiond_site_control (
+      s, json_pack ("{s:b, s:i}", "restore", 1, "rewrite_ms", 0)));
+  usleep (2500000);
+  leave_only_replaced_primary (s);
+  restart_fleet (s);
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a service that waits for the promotion record while the store
    is away, although every database has told that no promotion was missed. */
 static void
@@ -2379,6 +2394,7 @@
   { "unfinished_record_undoes_no_promotion",
     unfinished_record_undoes_no_promotion },
   { "late_voter_hides_no_promotion", late_voter_hides_no_promotion },
+  { "restored_store_hides_no_promotion", restored_store_hides_no_promotion },
   { "restarted_majority_serves_without_the_store",
     restarted_majority_serves_without_the_store },
   { "ordered_promotion_outlives_its_record",
