promotion: an order may take effect after its target is lost

Cause: an owner that lost the target of its own order forgot the order. A next owner, which reads the record, did not.

Change: the owner treats it as a next owner does: the record stays open, the old primary is one endpoint among the others, and leads again only by an order of its own.

--- a/session/promotion.c
+++ b/session/promotion.c
@@ -116,6 +116,7 @@
   s->last_call_number++;
   set_target (s, NULL);
   s->token = 0;
+  s->is_order_given = false;
 }
 
 void
@@ -343,6 +344,8 @@
       = { .endpoint = bstr_from (s->target_id), .term = newest_term (s) };
   if (s->target != NULL)
     record.position = s->target->replica.position;
+  s->ordered_lineage
+      = (struct replica_lineage){ record.term + 1, record.position };
   store_put (s->sessiond->store, objects_promotion_kind (), s->name, revision,
              objects_encode_promotion (s->sessiond->options->name, &record),
              CALL_TIMEOUT_MS, on_record_written, begin_call (s));
@@ -420,6 +423,27 @@
 
 /* The promotion order. */
 
+/* The target of a promotion is lost: choose again.  If it may have been
+   ordered to lead, the previous primary is replaced as far as anybody knows,
+   and what a next owner reads in the record holds for this one. */
+static void
+abandon_target (struct service *s)
+{
+  if (s->is_order_given)
+    {
+      set_open_record (s, s->token, bstr_from (s->target_id),
+                       &s->ordered_lineage);
+      if (s->least_term < s->ordered_lineage.term)
+        s->least_term = s->ordered_lineage.term;
+      if (s->primary != NULL)
+        service_drop_links (s->primary, "another endpoint may lead");
+      s->primary = NULL;
+      s->planned = false;
+      service_set_phase (s, SERVICE_REPLACING, "the ordered primary is lost");
+    }
+  set_step (s, PROMOTION_SURVEY);
+}
+
 static void
 on_promotion_ordered (void *data, const struct error *err, const json_t *body)
 {
@@ -427,6 +451,7 @@
   struct service *s = end_call (data);
   if (s == NULL || s->step != PROMOTION_ORDER)
     return;
+  s->is_order_given |= err->code == ERROR_NONE || err->code == ERROR_UNKNOWN;
   if (err->code == ERROR_NONE)
     {
       set_step (s, PROMOTION_AWAIT);
@@ -443,7 +468,7 @@
     {
       if (s->target != NULL)
         service_endpoint_failed (s->target, "the platform says it is not up");
-      set_step (s, PROMOTION_SURVEY);
+      abandon_target (s);
     }
   else
     s->next_attempt_at = clock_now () + RETRY_DELAY_US;
@@ -671,7 +696,7 @@
 {
   if (s->target == NULL)
     {
-      set_step (s, PROMOTION_SURVEY);
+      abandon_target (s);
       return;
     }
   if (now >= s->next_attempt_at || s->target->claims_primary)
--- a/session/service.h
+++ b/session/service.h
@@ -199,6 +199,9 @@
                            0: others do. */
   int64_t change_announced_at; /**< When heartbeats began to announce that the
                                   primary changes. */
+  bool is_order_given; /**< An order of this promotion may take effect. */
+  /** The term that the order begins, and its target's position before. */
+  struct replica_lineage ordered_lineage;
   int64_t ordered_at; /**< When the platform first accepted the order to
                          promote the target; 0: not yet. */
   /** The record does not say that the promotion which it names is done, or
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1532,6 +1532,38 @@
   talloc_free (s);
 }
 
+/* Guards against a primary that is served again after the promotion of another
+   endpoint was ordered, as the entry of that one has expired: its writes are
+   acknowledged and lost. */
+static void
+ordered_promotion_outlives_its_target (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){
+                .daemons = 1, .services = 1, .promote_ms = 900 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  acknowledge_on_fork (s);
+  struct line_caller *c = start_session (s, 0, "main1", "key-a1");
+  CU_ASSERT_TRUE (line_send (c, "QUERY 0000000100000001 WRITE other x\r\n"));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=promotion step=await", SERVE_MS));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  usleep (1000000);
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:{s:s, s:s}}", "remove", "kind",
+                                           "servers", "name", "db-1-b")));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_gone", SERVE_MS));
+  struct line_answer early = retry_write (s, 0, 3000);
+  CU_ASSERT_STRING_EQUAL (early.id, "");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "speak"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "join"));
+  struct line_answer last = retry_write (s, 0, 2 * SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (last.id, "");
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, last.id), 1);
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a new owner that does not read the record of the newest
    promotion, as the store answers late, and overwrites it to promote the
    primary that this promotion replaced. */
@@ -2388,6 +2420,8 @@
     restarted_fleet_promotes_no_replaced_primary },
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
+  { "ordered_promotion_outlives_its_target",
+    ordered_promotion_outlives_its_target },
   { "order_to_a_target_that_left_is_dropped",
     order_to_a_target_that_left_is_dropped },
   { "unread_record_is_not_overwritten", unread_record_is_not_overwritten },
