promotion: no fork is promoted for want of others

Callers read without commits that came back later (STALE).

Cause: when only forked logs had been listed for 20 s, the others were taken for lost and a replaced primary was promoted. It has commits that callers had been told of, and then had not seen.

--- a/core/replicas.c
+++ b/core/replicas.c
@@ -145,6 +145,15 @@
   return view->term < lineage->term && !is_prefix;
 }
 
+bool
+replicas_has_surely_forked (const struct replica_view *view,
+                            const struct replica_lineage *lineage)
+{
+  return view->term < lineage->term && lineage->start.term != 0
+         && view->position.term == lineage->start.term
+         && view->position.number > lineage->start.number;
+}
+
 int
 replicas_choose_successor (const struct replica_view *replicas, int count,
                            const struct replica_lineage *lineage)
--- a/core/replicas.h
+++ b/core/replicas.h
@@ -55,6 +55,10 @@
  * back in place of the ones that were acknowledged since. */
 bool replicas_has_forked (const struct replica_view *view,
                           const struct replica_lineage *lineage);
+/** @return whether the endpoint's log does contain such commits, if the newest
+ * term had a primary: it ends in the term before, beyond that position. */
+bool replicas_has_surely_forked (const struct replica_view *view,
+                                 const struct replica_lineage *lineage);
 /** @return the index of the usable replica with the newest log, which is to be
  * promoted; -1 if there is none.
  * @param lineage replicas whose logs have forked from it are left out; NULL:
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -39,9 +39,10 @@
 #define HANDOFF_RETRY_US (1000 * USEC_PER_MSEC)
 /* Term of a service that no promotion has changed. */
 #define FIRST_TERM 1
-/* If all endpoints that are listed have forked logs for this time, the others
-   are taken for lost and one of these is promoted: longer than a restart of an
-   endpoint. */
+/* If all endpoints that are listed may have forked logs for this time, the
+   others are taken for lost and one of these is promoted, unless it is known
+   to have commits that were rolled back: longer than a restart of an endpoint.
+ */
 #define FORK_WAIT_US (20 * USEC_PER_SEC)
 
 /** A call to the platform.  Only the answer to the newest call counts; late
@@ -601,6 +602,10 @@
     {
       record_fork (s, &lineage, now);
       bool primary_is_listed = s->primary != NULL && s->primary->is_listed;
+      for (int i = 0; i < count; i++)
+        replicas[i].usable
+            = s->lineage.term < lineage.term
+              || !replicas_has_surely_forked (&replicas[i], &lineage);
       if (*all_answered && !primary_is_listed
           && now - s->forked_since > FORK_WAIT_US)
         best = replicas_choose_successor (replicas, count, NULL);
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1478,6 +1478,35 @@
   talloc_free (s);
 }
 
+static bool
+remove_entry (struct sessiond_site *s, const char *database)
+{
+  return sessiond_site_control (s,
+                                json_pack ("{s:{s:s, s:s}}", "remove", "kind",
+                                           "servers", "name", database));
+}
+
+/* Guards against the promotion of a replaced primary because all others have
+   been gone for long: commits that were rolled back return, so that reads in
+   between were stale. */
+static void
+forked_log_is_not_promoted_for_want_of_others (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  struct line_answer kept = leave_forked_log (s, &lost);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "kill"));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-b"));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-c"));
+  struct line_answer early = retry_write (s, 0, 26000);
+  CU_ASSERT_STRING_EQUAL (early.id, "");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "revive"));
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a service that is never served again after it has waited for
    the present primary: its entry expired meanwhile, so that it returns as an
    endpoint that is not known to be the primary, in the term that is known. */
@@ -1521,9 +1550,7 @@
   retry_write (s, 0, 100);
   CU_ASSERT_TRUE (wait_for_log (s, "event=order_failed", SERVE_MS));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "kill"));
-  CU_ASSERT_TRUE (
-      sessiond_site_control (s, json_pack ("{s:{s:s, s:s}}", "remove", "kind",
-                                           "servers", "name", "db-1-b")));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-b"));
   CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_gone", SERVE_MS));
   CU_ASSERT_TRUE (
       sessiond_site_control (s, json_pack ("{s:b}", "orders_down", 0)));
@@ -1548,9 +1575,7 @@
   CU_ASSERT_TRUE (wait_for_log (s, "event=promotion step=await", SERVE_MS));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
   usleep (1000000);
-  CU_ASSERT_TRUE (
-      sessiond_site_control (s, json_pack ("{s:{s:s, s:s}}", "remove", "kind",
-                                           "servers", "name", "db-1-b")));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-b"));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
   CU_ASSERT_TRUE (wait_for_log (s, "event=endpoint_gone", SERVE_MS));
   struct line_answer early = retry_write (s, 0, 3000);
@@ -2418,6 +2443,8 @@
     replaced_primary_is_not_promoted_again },
   { "restarted_fleet_promotes_no_replaced_primary",
     restarted_fleet_promotes_no_replaced_primary },
+  { "forked_log_is_not_promoted_for_want_of_others",
+    forked_log_is_not_promoted_for_want_of_others },
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
   { "ordered_promotion_outlives_its_target",
