--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1507,6 +1507,27 @@
   talloc_free (s);
 }
 
+/* Guards against a service that waits for ever although an operator has given
+   up the databases with the newest term, and has another one promoted. */
+static void
+operator_ends_the_wait_for_a_lost_term (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  struct line_answer lost;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  leave_forked_log (s, &lost);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "kill"));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-b"));
+  CU_ASSERT_TRUE (remove_entry (s, "db-1-c"));
+  CU_ASSERT_TRUE (wait_for_log (s, "event=forked", SERVE_MS));
+  CU_ASSERT_STRING_EQUAL (retry_write (s, 0, 1000).id, "");
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "lead"));
+  CU_ASSERT_STRING_NOT_EQUAL (retry_write (s, 0, SERVE_MS).id, "");
+  assert_no_violation (s);
+  talloc_free (s);
+}
+
 /* Guards against a service that is never served again after it has waited for
    the present primary: its entry expired meanwhile, so that it returns as an
    endpoint that is not known to be the primary, in the term that is known. */
@@ -2445,6 +2466,8 @@
     restarted_fleet_promotes_no_replaced_primary },
   { "forked_log_is_not_promoted_for_want_of_others",
     forked_log_is_not_promoted_for_want_of_others },
+  { "operator_ends_the_wait_for_a_lost_term",
+    operator_ends_the_wait_for_a_lost_term },
   { "primary_leads_again_after_its_entry_expired",
     primary_leads_again_after_its_entry_expired },
   { "ordered_promotion_outlives_its_target",
