lease: count as knowledge only what a voter says now

Callers could have read old data: a new owner could still accept a replaced primary without the promotion record.

- grants to a former claim of the owner counted as present knowledge; only those count now that answer the present claim, as for the lease itself;
- a voter that had started again learned the term of a former owner; it learns only from an owner now;
- a heartbeat that a partition had held up, sent by an owner of then, replaced a newer term; without a recent echo it only adds to what is known now.

The heartbeats of the model tests carry an echo, as real ones do.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
   $(BUILD)/standin-platform $(BUILD)/standin-postgres $(BUILD)/standin-site \
   $(BUILD)/azurewind-load $(BUILD)/azurewind-idle \
   $(BUILD)/azurewind-fault $(BUILD)/azurewind-core-slopes
-TEST_SRC = $(wildcard tests/*.c)
+TEST_SRC = $(wildcard tests/*.c) tests/soak/proxy.c
 TEST_OBJ = $(TEST_SRC:%.c=$(BUILD)/%.o)
 TEST = $(BUILD)/azurewind-tests
 
--- a/core/lease.c
+++ b/core/lease.c
@@ -396,14 +396,14 @@
    terms of a service that is created again begin anew.
    @param owned the announcing member owns the service.  One that does not may
    be a former owner, which knows less than the later ones: it only adds to
-   what is known. */
+   what is known, and a voter that knows nothing learns nothing from it. */
 static void
 record_announcement (struct service_lease *s, enum lease_state state,
                      uint64_t term, bool owned)
 {
   if (state == LEASE_CHANGING || (state == LEASE_STABLE && owned))
     s->changing = state == LEASE_CHANGING;
-  if (term > s->term || (term != 0 && owned))
+  if (term != 0 && (owned || (s->term != 0 && term > s->term)))
     s->term = term;
 }
 
@@ -564,9 +564,12 @@
         changed |= grant_claim (t, s, h->member, h->incarnation, now);
       else
         changed |= record_observed_owner (t, s, h, &h->claims[i], now);
+      /* A partition may have held the heartbeat up; without a recent echo it
+         tells what the member owned then. */
+      bool owned
+          = h->claims[i].owned && now - p->echo < t->options.duration_us;
       if (s->granted_to == h->member)
-        record_announcement (s, h->claims[i].state, h->claims[i].term,
-                             h->claims[i].owned);
+        record_announcement (s, h->claims[i].state, h->claims[i].term, owned);
     }
   changed |= grant_after_clean_start (t, now);
   return changed;
@@ -713,7 +716,10 @@
     {
       const struct peer *p = &t->peers[i];
       const struct lease_grant *grant = find_grant_to_self (t, p, service);
-      if (p->is_voter && grant != NULL && grant->term != 0)
+      const struct counted_grant *counted = find_counted_grant (p, service);
+      /* Grants to a former claim are older than what others owned since. */
+      if (p->is_voter && grant != NULL && grant->term != 0 && counted != NULL
+          && counted->echo >= s->claimed_at)
         votes += member_votes (t, p->id);
     }
   return votes >= votes_needed (t);
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -219,7 +219,10 @@
   if (err->code == ERROR_NONE)
     remember_record (s, objects_revision (body), term);
   else if (is_outdated)
-    s->record_read = false;
+    {
+      s->record_read = false;
+      s->next_attempt_at = clock_now () + RETRY_DELAY_US;
+    }
   if (err->code == ERROR_NONE || is_outdated)
     s->is_record_open = false;
   else
@@ -396,7 +399,8 @@
       || s->term <= FIRST_TERM || !service_is_owned (s)
       || (is_known && (s->recorded_term >= s->term || s->is_record_open)))
     return;
-  if (!is_known && !s->call_in_progress && now >= s->next_attempt_at)
+  if (!is_known && directory_reaches_store (s->sessiond->directory)
+      && !s->call_in_progress && now >= s->next_attempt_at)
     promotion_resume (s);
   else if (is_known)
     set_open_record (s, s->record_revision, bstr_from (s->primary->id),
--- a/session/service.c
+++ b/session/service.c
@@ -1090,6 +1090,7 @@
   s->least_term = 0;
   s->lineage = (struct replica_lineage){ 0 };
   s->is_record_open = false;
+  s->is_record_closing = false;
   s->record_era = 0;
   s->releasing = false;
   memset (&s->commit_history, 0, sizeof s->commit_history);
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -20,6 +20,7 @@
 #define HEARTBEAT_INTERVAL 200
 #define TIME_STEP 10
 #define SERVICE 42
+#define RECEIVER_INCARNATION 7
 #define SEEDS 400
 #define STEPS 2500
 #define MAX_MESSAGES 4000
@@ -836,6 +837,7 @@
       &(struct lease_heartbeat){ .member = member,
                                  .incarnation = incarnation,
                                  .stamp = now,
+                                 .echo = { RECEIVER_INCARNATION, now - 1 },
                                  .claims = claims,
                                  .claim_count = count,
                                  .grants = none },
@@ -882,6 +884,127 @@
   talloc_free (t);
 }
 
+/* Guards against an owner that takes what a voter said before others owned the
+   service for what the voters know now.  This member owned the service in term
+   1 by the grants of both others; meanwhile one of these has announced a
+   promotion to the other, started again, and the other is silent. */
+static void
+former_grants_are_no_knowledge (void)
+{
+  static const uint64_t voters[] = { 1, 2, 3 };
+  struct lease_grant grant
+      = { .service = SERVICE, .member = 1, .incarnation = 7, .term = 1 };
+  struct lease_heartbeat h = { .member = 2,
+                               .incarnation = 1,
+                               .echo = { 7, 1 },
+                               .epoch = 1,
+                               .grants = &grant,
+                               .grant_count = 1 };
+  int64_t now = 2 * LEASE_DURATION;
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 1, .incarnation = 7, .duration_us = LEASE_DURATION });
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 3, .epoch = 1, .settled = true },
+      0);
+  lease_claim (t, SERVICE, true, now);
+  lease_write_grants (t, &(struct lease_grant){ 0 }, now);
+  lease_set_term (t, SERVICE, 1);
+  for (h.member = 2; h.member <= 3; h.member++)
+    {
+      h.stamp = h.echo.stamp = now + 1;
+      lease_receive_heartbeat (t, &h, now + 1);
+    }
+  CU_ASSERT_TRUE (lease_valid_until (t, SERVICE) > now);
+  CU_ASSERT_TRUE (lease_majority_knows_term (t, SERVICE));
+  now += 2 * LEASE_DURATION;
+  CU_ASSERT_TRUE (lease_valid_until (t, SERVICE) < now);
+  lease_claim (t, SERVICE, false, now);
+  now += 3 * LEASE_DURATION;
+  lease_claim (t, SERVICE, true, now);
+  lease_write_grants (t, &(struct lease_grant){ 0 }, now);
+  grant.term = 0;
+  h.member = 2;
+  h.incarnation = 2;
+  h.stamp = h.echo.stamp = now + 1;
+  lease_receive_heartbeat (t, &h, now + 1);
+  CU_ASSERT_TRUE (lease_valid_until (t, SERVICE) > now);
+  CU_ASSERT_FALSE (lease_majority_knows_term (t, SERVICE));
+  talloc_free (t);
+}
+
+/* Guards against a former owner whose old term passes for the knowledge of
+   voters that have started again: the next owner would accept a replaced
+   primary without the promotion record. */
+static void
+former_owner_teaches_no_term (void)
+{
+  static const uint64_t voters[] = { 1, 2, 3 };
+  struct lease_claim old
+      = { .service = SERVICE, .state = LEASE_STABLE, .term = 1 };
+  struct lease_grant grant;
+  int64_t now = 2 * LEASE_DURATION;
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 1, .incarnation = 7, .duration_us = LEASE_DURATION });
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 3, .epoch = 1, .settled = true },
+      0);
+  receive_heartbeat (t, 2, 1, &old, 1, now);
+  receive_heartbeat (t, 2, 1, NULL, 0, now + 1);
+  receive_heartbeat (t, 3, 1, &(struct lease_claim){ .service = SERVICE }, 1,
+                     now + 2);
+  CU_ASSERT_EQUAL_FATAL (lease_write_grants (t, &grant, now + 2), 1);
+  CU_ASSERT_EQUAL (grant.member, 3);
+  CU_ASSERT_EQUAL (grant.term, 0);
+  talloc_free (t);
+}
+
+/* Guards against heartbeats that a network partition held up.  The sender
+   owned the service when it sent them, and does not any more. */
+static void
+late_heartbeat_erases_no_newer_term (void)
+{
+  static const uint64_t voters[] = { 1, 2, 3 };
+  static const struct lease_grant none[1];
+  struct lease_claim old = {
+    .service = SERVICE, .state = LEASE_STABLE, .owned = true, .term = 1
+  };
+  struct lease_claim next = { SERVICE, LEASE_STABLE, true, 2 };
+  struct lease_grant grant;
+  int64_t now = 2 * LEASE_DURATION;
+  struct lease_heartbeat late = { .member = 2,
+                                  .incarnation = 1,
+                                  .stamp = now + 1,
+                                  .echo = { 7, now - 1 },
+                                  .claims = &old,
+                                  .claim_count = 1,
+                                  .grants = none };
+  struct lease_table *t = lease_create (
+      NULL, &(struct lease_options){
+                .self = 1, .incarnation = 7, .duration_us = LEASE_DURATION });
+  lease_set_voters (
+      t,
+      &(struct lease_voters){
+          .ids = voters, .count = 3, .epoch = 1, .settled = true },
+      0);
+  receive_heartbeat (t, 2, 1, &old, 1, now);
+  now += 2 * LEASE_DURATION;
+  receive_heartbeat (t, 3, 1, &next, 1, now);
+  next.state = LEASE_CHANGING;
+  receive_heartbeat (t, 3, 1, &next, 1, now + 1);
+  receive_heartbeat (t, 3, 1, NULL, 0, now + 2);
+  lease_receive_heartbeat (t, &late, now + 3);
+  CU_ASSERT_EQUAL_FATAL (lease_write_grants (t, &grant, now + 3), 1);
+  CU_ASSERT_EQUAL (grant.term, 2);
+  CU_ASSERT_TRUE (grant.changing);
+  talloc_free (t);
+}
+
 /* Guards against an observer that sends statements to a voter that only claims
    a service, or to a previous owner, instead of the current one. */
 static void
@@ -1033,6 +1156,10 @@
   { "term_is_confirmed_by_a_majority_only",
     term_is_confirmed_by_a_majority_only },
   { "former_owner_erases_no_newer_term", former_owner_erases_no_newer_term },
+  { "former_grants_are_no_knowledge", former_grants_are_no_knowledge },
+  { "former_owner_teaches_no_term", former_owner_teaches_no_term },
+  { "late_heartbeat_erases_no_newer_term",
+    late_heartbeat_erases_no_newer_term },
   { "observer_follows_the_owner", observer_follows_the_owner },
   { "every_one_of_many_services_is_owned",
     every_one_of_many_services_is_owned },
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -4,6 +4,7 @@
 #include "session/packet.h"
 #include "tests/loop.h"
 #include "tests/relay_site.h"
+#include "tests/soak/proxy.h"
 #include "tests/tests.h"
 
 #include <signal.h>
@@ -1734,6 +1735,87 @@
   talloc_free (s);
 }
 
+/* Give each daemon a proxy through which the others reach it.
+   @param data address of the proxy process, a struct proxy *. */
+static bool
+add_bus_proxies (struct sessiond_site *s, void *data)
+{
+  struct proxy **proxy = data;
+  *proxy = proxy_start (s);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (*proxy);
+  int first = sessiond_site_reserve_ports (s, 3);
+  for (int i = 0; i < 3; i++)
+    {
+      s->proxy_ports[i].bus = first + i;
+      if (proxy_add_link (*proxy, first + i, sessiond_site_port (s, i) + 3)
+          != i)
+        return false;
+    }
+  return true;
+}
+
+/* Guards against a new owner that takes what a voter said before others owned
+   the service for what it knows now, and accepts a replaced primary. */
+static void
+former_grants_hide_no_promotion (void)
+{
+  struct proxy *proxy = NULL;
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3,
+                                             .services = 1,
+                                             .prepare = add_bus_proxies,
+                                             .data = &proxy });
+  int owner;
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  most_services_owned (s, &owner);
+  CU_ASSERT_FATAL (owner >= 0);
+  int dark = (owner + 1) % 3, other = (owner + 2) % 3;
+  /* Until all voters have told the owner that they know its term. */
+  usleep (1500000);
+  struct line_answer lost = acknowledge_on_fork (s);
+  proxy_set_fault (proxy, owner, PROXY_CUT_FORWARD, 0);
+  struct line_answer kept = retry_write (s, other, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  usleep (300000);
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
+  process_signal (s->daemons[dark], SIGKILL);
+  process_signal (s->daemons[other], SIGKILL);
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "silence"));
+  CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "speak"));
+  usleep (300000);
+  proxy_set_fault (proxy, owner, PROXY_RESET, 0);
+  usleep (100000);
+  proxy_set_fault (proxy, owner, PROXY_PASS, 0);
+  CU_ASSERT_TRUE (sessiond_site_start_daemon (s, other));
+  struct line_answer early = retry_write (s, owner, 5000);
+  CU_ASSERT_STRING_EQUAL (early.id, "");
+  CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
+/* Guards against a promotion that is undone because the store was restored
+   while no daemon ran: the absence of a record says nothing then. */
+static void
+restore_between_owners_hides_no_promotion (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE (
+      sessiond_site_control (s, json_pack ("{s:b}", "snapshot", 1)));
+  struct line_answer lost = acknowledge_on_fork (s);
+  struct line_answer kept = retry_write (s, 0, SERVE_MS);
+  CU_ASSERT_STRING_NOT_EQUAL (kept.id, "");
+  usleep (300000);
+  leave_only_replaced_primary (s);
+  CU_ASSERT_TRUE (sessiond_site_control (
+      s, json_pack ("{s:b, s:i}", "restore", 1, "rewrite_ms", 0)));
+  restart_fleet (s);
+  assert_fork_is_not_promoted (s, &lost, &kept);
+  talloc_free (s);
+}
+
 /* Guards against a service that waits for the promotion record while the store
    is away, although every database has told that no promotion was missed. */
 static void
@@ -2479,6 +2561,9 @@
     unfinished_record_undoes_no_promotion },
   { "late_voter_hides_no_promotion", late_voter_hides_no_promotion },
   { "restored_store_hides_no_promotion", restored_store_hides_no_promotion },
+  { "former_grants_hide_no_promotion", former_grants_hide_no_promotion },
+  { "restore_between_owners_hides_no_promotion",
+    restore_between_owners_hides_no_promotion },
   { "restarted_majority_serves_without_the_store",
     restarted_majority_serves_without_the_store },
   { "ordered_promotion_outlives_its_record",
