--- a/session/service.h
+++ b/session/service.h
@@ -145,14 +145,14 @@
   struct service *next;
   struct owner *owner;
   struct sessiond *sessiond;
+  char *name;
+  uint64_t id;
+  enum service_phase phase;
   /** Another daemon owns it; this one only runs bounded reads at the replicas
    * of its own failure domain.  The phase is always SERVICE_SERVING, there is
    * no primary and no queue, and the commit history is what the owner
    * reports. */
   bool reads_only;
-  char *name;
-  uint64_t id;
-  enum service_phase phase;
   int64_t phase_since;
   struct endpoint *endpoints;
   int listed_count; /**< Entries of endpoints of the service, those included
@@ -170,51 +170,53 @@
   struct pending_statement *queue; /**< Statements that wait for an endpoint,
                                       by priority, then by arrival. */
   struct transaction *transactions;
-  bool releasing; /**< It is being released; open transactions continue. */
-  int64_t releasing_since;
   bool dispatching; /**< The queue is being dispatched, or must not be. */
+  bool releasing;   /**< It is being released; open transactions continue. */
+  int64_t releasing_since;
 
   /* State of a promotion. */
   enum promotion_step step;
+  bool call_in_progress;   /**< A call to the platform is not answered. */
+  bool planned;            /**< Planned change: the primary still answers. */
+  bool is_order_given;     /**< An order of this promotion may take effect. */
   struct endpoint *target; /**< Endpoint to promote; NULL: none, or gone. */
   char *target_id; /**< Id of the target, kept when the endpoint is gone. */
   uint64_t token;  /**< Fencing token of the promotion. */
   int64_t step_since;
   int64_t next_attempt_at; /**< Earliest time of the step's next call to the
                               platform or status request. */
-  bool call_in_progress;   /**< A call to the platform is not answered. */
-  bool planned;            /**< Planned change: the primary still answers. */
-  bool record_read; /**< What the promotion record says is known since the
-                       takeover. */
-  bool is_record_awaited;   /**< It was logged that the takeover waits for the
-                               record. */
-  uint64_t record_revision; /**< Revision of the record when it was read; 0:
-                               there was none. */
-  uint64_t recorded_term;   /**< Newest term that the record speaks of. */
-  uint64_t record_era;      /**< Era of the store when it was read. */
-  bool is_record_closing; /**< A call that records the promotion as done is not
-                             answered. */
   int64_t promotion_decided_at;
   int64_t forked_since; /**< Since when only endpoints with forked logs answer;
                            0: others do. */
   int64_t change_announced_at; /**< When heartbeats began to announce that the
                                   primary changes. */
-  bool is_order_given; /**< An order of this promotion may take effect. */
-  /** The term that the order begins, and its target's position before. */
-  struct replica_lineage ordered_lineage;
   int64_t ordered_at; /**< When the platform first accepted the order to
                          promote the target; 0: not yet. */
-  /** The record does not say that the promotion which it names is done, or
-   * speaks of an older term than the present one. */
+  /** The term that the order begins, and its target's position before. */
+  struct replica_lineage ordered_lineage;
+  uint64_t last_call_number; /**< Identifies the newest call to the platform,
+                                so that late answers are ignored. */
+
+  /* The promotion record in the store. */
+  bool record_read;       /**< What it says is known since the takeover. */
+  bool is_record_awaited; /**< It was logged that the takeover waits for it. */
+  /** It does not say that the promotion which it names is done, or speaks of
+   * an older term than the present one. */
   bool is_record_open;
-  uint64_t open_record; /**< Its revision; 0: there is no record. */
-  /** The term that this promotion begins, and the target's position before. */
+  bool is_record_closing;   /**< A call that records the promotion as done is
+                               not answered. */
+  uint64_t record_revision; /**< Its revision when it was read; 0: there was
+                               no record. */
+  uint64_t recorded_term;   /**< Newest term that it speaks of. */
+  uint64_t record_era;      /**< Era of the store when it was read. */
+  uint64_t open_record;     /**< Revision of an open record; 0: there is no
+                               record. */
+  /** The term that an open record's promotion begins, and the target's
+   * position before. */
   struct replica_lineage open_lineage;
   char *open_target;       /**< Id of its target. */
   int64_t next_closing_at; /**< Earliest time of the next call that records it
                               as done. */
-  uint64_t last_call_number; /**< Identifies the newest call to the platform,
-                                so that late answers are ignored. */
 };
 
 /* service.c */
