tests: continue only processes that are paused

Cause: process_stop sent SIGTERM and then SIGCONT to every process. If the test loses the processor in between, the process is at its exit when SIGCONT arrives. LeakSanitizer attaches to its thread there, and SIGCONT discards the SIGSTOP that LeakSanitizer waits for; it waits for ever. All 23 processes found with ASan had a tracer: 22 were standin-site, one a daemon whose tracer was probably held by the debugger of the search. The tracers of standin-site that were looked at stood in ThreadSuspender::SuspendThread, waitpid.

Change: only a process that got SIGSTOP gets SIGCONT. process_start takes an absolute path too, so that the test can start a shell.

--- a/tests/process.c
+++ b/tests/process.c
@@ -24,6 +24,7 @@
   int output_fd; /**< Read end of the pipe from its stdout. */
   int port;
   int exit_code; /**< As process_wait returns it; -1: it runs. */
+  bool paused;   /**< It got SIGSTOP and no SIGCONT since. */
   char *output;  /**< What it printed so far; NULL: nothing. */
   size_t output_len;
 };
@@ -81,7 +82,10 @@
 process_stop (struct process *p)
 {
   process_signal (p, SIGTERM);
-  process_signal (p, SIGCONT);
+  /* SIGCONT discards the SIGSTOP by which LeakSanitizer stops the threads of a
+     process that ends; LeakSanitizer then waits for ever.  */
+  if (p->paused)
+    process_signal (p, SIGCONT);
   if (process_wait (p, STOP_TIMEOUT_MS) < 0)
     {
       printf ("process %d did not end after SIGTERM, killing it\n",
@@ -98,7 +102,10 @@
 process_run (void *parent, const char *program, const char *const *args)
 {
   struct process *p = talloc_zero (parent, struct process);
-  char *path = talloc_asprintf (p, "%s/%s", tests_build_folder (), program);
+  char *path
+      = program[0] == '/'
+            ? talloc_strdup (p, program)
+            : talloc_asprintf (p, "%s/%s", tests_build_folder (), program);
   const char *argv[MAX_ARGS + 2] = { path };
   int pipe_fds[2];
   for (int i = 0; i < MAX_ARGS && args[i] != NULL; i++)
@@ -161,10 +168,13 @@
 }
 
 void
-process_signal (const struct process *p, int signum)
+process_signal (struct process *p, int signum)
 {
-  if (p->exit_code < 0)
-    kill (p->pid, signum);
+  if (p->exit_code >= 0)
+    return;
+  if (signum == SIGSTOP || signum == SIGCONT)
+    p->paused = signum == SIGSTOP;
+  kill (p->pid, signum);
 }
 
 int
--- a/tests/process.h
+++ b/tests/process.h
@@ -12,7 +12,8 @@
 
 /** Start a program from the build folder and wait up to 10 s for its ready
  * line, "ready port=N".  When the result is freed, the program gets SIGTERM,
- * and SIGKILL if it does not end within 5 s.
+ * SIGCONT if it is paused, and SIGKILL if it does not end within 5 s.
+ * @param program its name, or an absolute path.
  * @param args arguments without the program's name; ends with NULL.
  * @return NULL, with the reason on stdout, if no ready line comes. */
 struct process *process_start (void *parent, const char *program,
@@ -27,7 +28,7 @@
 int process_port (const struct process *p);
 
 /** Send a signal to this process only. */
-void process_signal (const struct process *p, int signum);
+void process_signal (struct process *p, int signum);
 
 /** Wait until the process ends.
  * @return the exit code, 128 + signal if a signal ended it, -1 if it still
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -2484,8 +2484,46 @@
   talloc_free (second);
 }
 
+/* Run a shell that notes the signals it gets, stop it as process_start
+   documents, and assert what it noted.
+   @param paused whether it gets SIGSTOP before.  */
+static void
+assert_signals_of_the_end (bool paused, const char *expected)
+{
+  static const char *const script
+      = "trap 'end=1; echo TERM >> \"$1\"' TERM;"
+        "trap 'echo CONT >> \"$1\"' CONT;"
+        "echo ready port=1;"
+        "while test -z \"$end\"; do sleep 0.02; done;"
+        "sleep 0.2; exit 0";
+  char path[] = "/tmp/azurewind-signals-XXXXXX", noted[64] = "";
+  int fd = mkstemp (path);
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  struct process *p = process_start (
+      NULL, "/bin/sh", (const char *[]){ "-c", script, "sh", path, NULL });
+  CU_ASSERT_PTR_NOT_NULL (p);
+  if (p != NULL && paused)
+    process_signal (p, SIGSTOP);
+  talloc_free (p);
+  CU_ASSERT_TRUE (read (fd, noted, sizeof noted - 1) >= 0);
+  CU_ASSERT_STRING_EQUAL (noted, expected);
+  close (fd);
+  unlink (path);
+}
+
+/* Guards against SIGCONT to a process that is about to end: it discards the
+   SIGSTOP of LeakSanitizer, which then waits for ever.  */
+static void
+only_paused_processes_are_continued (void)
+{
+  assert_signals_of_the_end (false, "TERM\n");
+  assert_signals_of_the_end (true, "TERM\nCONT\n");
+}
+
 static const struct test_case cases[] = {
   { "test_runs_share_no_port", test_runs_share_no_port },
+  { "only_paused_processes_are_continued",
+    only_paused_processes_are_continued },
   { "statement_behind_a_forgotten_begin", statement_behind_a_forgotten_begin },
   { "restarted_daemon_gets_no_results_of_the_previous_one",
     restarted_daemon_gets_no_results_of_the_previous_one },
