tests: ask a daemon that runs for the end of the wait

Change: the check asks the owner of the test. Nothing else is changed; the other tests ask daemon 0 as before, which runs in them.

--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1431,16 +1431,16 @@
 }
 
 /* Check that nothing leads until the present primary answers again, and that
-   it serves then. */
+   it serves then, through @p daemon. */
 static void
-assert_fork_is_not_promoted (struct sessiond_site *s,
+assert_fork_is_not_promoted (struct sessiond_site *s, int daemon,
                              const struct line_answer *lost,
                              const struct line_answer *kept)
 {
-  struct line_answer early = retry_write (s, 0, 3000);
+  struct line_answer early = retry_write (s, daemon, 3000);
   CU_ASSERT_STRING_EQUAL (early.id, "");
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "speak"));
-  struct line_answer last = retry_write (s, 0, SERVE_MS);
+  struct line_answer last = retry_write (s, daemon, SERVE_MS);
   CU_ASSERT_STRING_NOT_EQUAL (last.id, "");
   CU_ASSERT_EQUAL (sessiond_site_committed (s, last.id), 1);
   CU_ASSERT_EQUAL (sessiond_site_committed (s, kept->id), 1);
@@ -1460,7 +1460,7 @@
   struct line_answer lost;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   struct line_answer kept = leave_forked_log (s, &lost);
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1475,7 +1475,7 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   struct line_answer kept = leave_forked_log (s, &lost);
   restart_fleet (s);
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1504,7 +1504,7 @@
   struct line_answer early = retry_write (s, 0, 26000);
   CU_ASSERT_STRING_EQUAL (early.id, "");
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-b", "revive"));
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1628,7 +1628,7 @@
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 1)));
   CU_ASSERT_TRUE (wait_for_log (s, "event=record_awaited", SERVE_MS));
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1675,7 +1675,7 @@
   free (spec);
   json_decref (object);
   restart_fleet (s);
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1708,7 +1708,7 @@
   struct line_answer early = retry_write (s, late, 3000);
   CU_ASSERT_STRING_EQUAL (early.id, "");
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1731,7 +1731,7 @@
   usleep (2500000);
   leave_only_replaced_primary (s);
   restart_fleet (s);
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1790,7 +1790,7 @@
   struct line_answer early = retry_write (s, owner, 5000);
   CU_ASSERT_STRING_EQUAL (early.id, "");
   CU_ASSERT_TRUE (sessiond_site_control (s, json_pack ("{s:b}", "down", 0)));
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, owner, &lost, &kept);
   talloc_free (s);
 }
 
@@ -1812,7 +1812,7 @@
   CU_ASSERT_TRUE (sessiond_site_control (
       s, json_pack ("{s:b, s:i}", "restore", 1, "rewrite_ms", 0)));
   restart_fleet (s);
-  assert_fork_is_not_promoted (s, &lost, &kept);
+  assert_fork_is_not_promoted (s, 0, &lost, &kept);
   talloc_free (s);
 }
 
