--- a/session/promotion.c
+++ b/session/promotion.c
@@ -606,6 +606,8 @@
     {
       record_fork (s, &lineage, now);
       bool primary_is_listed = s->primary != NULL && s->primary->is_listed;
+      /* A promotion that is only open may not have taken effect, and of a term
+         that only endpoints tell the start is not known. */
       for (int i = 0; i < count; i++)
         replicas[i].usable
             = s->lineage.term < lineage.term
