link: log what an unexpected line was, and answers that come twice

Change: event=unexpected_line with kind, length, answers outstanding and whether the line repeats the end of the answer before; event=repeated_answer when a signature comes twice, with the task whose answer it became.

--- a/session/link.c
+++ b/session/link.c
@@ -1,8 +1,11 @@
 #include "session/link.h"
 
+#include "common/log.h"
 #include "net/stream.h"
 #include "platform/wire.h"
 
+#define PART "link"
+
 /* A connection whose bytes are not acknowledged for this time is closed. */
 #define DEAD_CONNECTION_MS 2500
 /* A connection is reset once it has this many prepared statements. */
@@ -37,7 +40,9 @@
   struct bstr *rows;     /**< Rows of the answer that is being read. */
   int row_count;
   void *answer_memory; /**< Parent of the texts and rows of that answer. */
-  char *out;           /**< Request that is being written. */
+  /** Text of the newest COMPLETE line with a signature, or ERROR line. */
+  struct bstr last_end;
+  char *out; /**< Request that is being written. */
 };
 
 /* Append an answer to the outstanding ones. */
@@ -112,6 +117,42 @@
   talloc_free (memory);
 }
 
+/* Log a line that fits no outstanding answer. */
+static void
+log_unexpected_line (const struct link *l, const struct wire_reply *reply,
+                     size_t length)
+{
+  static const char *const kinds[]
+      = { "row", "complete", "error", "ready", "unknown" };
+  sessiond_log_request (
+      PART,
+      "event=unexpected_line service=%s endpoint=%s kind=%s"
+      " bytes=%zu outstanding=%u repeated=%d",
+      l->options.service, l->options.endpoint, kinds[reply->kind], length,
+      l->count, reply->text.len > 0 && bstr_equals (reply->text, l->last_end));
+}
+
+/* Remember how an answer ended, and log one that ends as the answer before it
+   with the same signature. */
+static void
+note_answer_end (struct link *l, const struct wire_reply *reply,
+                 enum link_task task)
+{
+  static const char *const tasks[] = { "start",   "reset",     "set",
+                                       "prepare", "statement", "rollback",
+                                       "status" };
+  if (reply->kind == WIRE_COMPLETE && !wire_is_signature (reply->text))
+    return;
+  if (reply->kind == WIRE_COMPLETE && bstr_equals (reply->text, l->last_end))
+    sessiond_log_request (PART,
+                          "event=repeated_answer service=%s endpoint=%s"
+                          " taken_for=%s outstanding=%u",
+                          l->options.service, l->options.endpoint, tasks[task],
+                          l->count);
+  talloc_free ((char *)l->last_end.start);
+  l->last_end = bstr_copy (l, reply->text);
+}
+
 static void
 on_line (void *data, struct bstr line)
 {
@@ -120,6 +161,7 @@
   struct expected_answer *e = &l->expected[l->first];
   if (l->count == 0 || reply.kind == WIRE_UNKNOWN)
     {
+      log_unexpected_line (l, &reply, line.len);
       stream_close (l->stream);
       report_loss (l, OUTCOME_OK, true, "unexpected line");
       return;
@@ -132,10 +174,12 @@
       l->rows[l->row_count++] = bstr_copy (l->answer_memory, reply.text);
       break;
     case WIRE_COMPLETE:
+      note_answer_end (l, &reply, e->task);
       e->signature = bstr_copy (l->answer_memory, reply.text);
       e->has_ended = true;
       break;
     case WIRE_ERROR:
+      note_answer_end (l, &reply, e->task);
       e->outcome = reply.outcome;
       e->text = bstr_copy (l->answer_memory, reply.text);
       e->has_ended = true;
