--- a/standins/site.c
+++ b/standins/site.c
@@ -51,6 +51,7 @@
     .lag_ms = 5,
     .promote_ms = 200,
     .max_connections = 40,
+    .seed = 1,
   };
   const struct poptOption table[] = {
     { "port", '\0', POPT_ARG_INT, &port, 0, "Port of the store", "PORT" },
@@ -63,6 +64,8 @@
       "MS" },
     { "connections", '\0', POPT_ARG_INT, &options.max_connections, 0,
       "Most connections of a database", "N" },
+    { "seed", '\0', POPT_ARG_INT, &options.seed, 0,
+      "Seed of what faults choose at random", "N" },
     POPT_AUTOHELP POPT_TABLEEND
   };
   if (!standin_read_options ("standin-site", table, argc, argv))
--- a/standins/site.h
+++ b/standins/site.h
@@ -65,6 +65,7 @@
   int lag_ms;          /**< Replication lag. */
   int promote_ms;      /**< Time from the order to promote to the promotion. */
   int max_connections; /**< Connections to each database. */
+  unsigned seed;       /**< Of what the faults choose at random. */
 };
 
 struct site_databases *
