stream: only CR LF ends a line

What callers saw: a write whose data held a line feed ran cut there, and what followed ran as a statement that nobody had sent (UNASKED); a signature that stood in a row was passed on (MIXED); a row with a line feed closed the connection, and the read was refused ("unexpected line" in the record). Cause: handle_lines ended a line at LF and took a CR before it off, for callers and for databases. PROTOCOL.md: a line is terminated by CR LF. Evidence: event=unexpected_line kind=unknown outstanding=1 for each row with a line feed; the database ran "WRITE k ab" and the text behind the line feed. Change: a line ends at CR LF; bytes that were searched are not searched again. Cases with NUL still fail.

--- a/net/stream.c
+++ b/net/stream.c
@@ -12,6 +12,9 @@
 
 /* Most bytes read from the socket in one call. */
 #define READ_BYTES 16384
+/* What ends a line; a CR or LF alone is data. */
+#define LINE_END "\r\n"
+#define LINE_END_BYTES 2
 /* Most connections accepted in one iteration of the event loop. */
 #define ACCEPT_BATCH 16
 #define LISTEN_BACKLOG 512
@@ -26,7 +29,8 @@
   struct tevent_fd *event;
   char *in; /**< Received bytes of an incomplete line. */
   size_t in_len;
-  char *out; /**< Bytes that the socket has not accepted yet. */
+  size_t searched; /**< Bytes of @c in that contain no line end. */
+  char *out;       /**< Bytes that the socket has not accepted yet. */
   size_t out_len;
   bool connecting; /**< The connection is not established yet. */
   bool refused;    /**< Connecting failed with ECONNREFUSED. */
@@ -111,18 +115,17 @@
 static void
 handle_lines (struct stream *s)
 {
-  size_t start = 0;
+  size_t start = 0, from = s->searched;
   s->in_handler = true;
   while (!s->dead && !s->closing)
     {
-      char *end = memchr (s->in + start, '\n', s->in_len - start);
+      const char *end
+          = memmem (s->in + from, s->in_len - from, LINE_END, LINE_END_BYTES);
       if (end == NULL)
         break;
-      size_t len = (size_t)(end - (s->in + start));
-      struct bstr line = { s->in + start, len };
-      if (len > 0 && line.start[len - 1] == '\r')
-        line.len--;
-      start += len + 1;
+      struct bstr line = { s->in + start, (size_t)(end - (s->in + start)) };
+      start += line.len + LINE_END_BYTES;
+      from = start;
       s->options.ops->line (s->options.data, line);
     }
   s->in_handler = false;
@@ -133,6 +136,8 @@
     }
   memmove (s->in, s->in + start, s->in_len - start);
   s->in_len -= start;
+  /* The last byte may be the first one of a line end. */
+  s->searched = s->in_len > 0 ? s->in_len - 1 : 0;
 }
 
 static void
--- a/net/stream.h
+++ b/net/stream.h
@@ -1,7 +1,8 @@
 /** @file
- * TCP connections that carry lines ending in CR LF or LF, inside a tevent
- * loop.  Sending never blocks; bytes that the socket does not accept are
- * buffered and sent later.
+ * TCP connections that carry lines, inside a tevent loop.  A line ends in
+ * CR LF and nowhere else: every other byte, a CR or LF alone too, is data.
+ * Sending never blocks; bytes that the socket does not accept are buffered and
+ * sent later.
  */
 #ifndef NET_STREAM_H
 #define NET_STREAM_H
