wire: write lines as counted bytes

What callers saw: a write whose data held a NUL ran cut there (UNASKED); a row with a NUL arrived cut (MIXED); session values and errors were cut as well. Cause: wire_add_* built lines with printf and "%.*s", and the senders measured them with strlen; a NUL ends both. Evidence: the database ran "WRITE k ab" for "WRITE k ab\0cd". Change: common/buffer.c, a string that grows and is never terminated; lines, error texts and the error of a BEGIN are counted bytes. wire_add_demote, which nothing called, is gone.

--- a/session/callers.c
+++ b/session/callers.c
@@ -94,7 +94,7 @@
   /** Outcome of a BEGIN that failed at the owner; OUTCOME_OK: none failed. */
   enum outcome begin_outcome;
   int begin_retry_ms;
-  char *begin_text;
+  struct bstr begin_text;
 };
 
 /** All sessions of callers at this session daemon. */
@@ -139,42 +139,53 @@
 
 /* Answers to the caller. */
 
+/* Send what was written, and free it. */
 static void
-send_text (struct caller *c, char *out)
+send_lines (struct caller *c, struct buffer *out)
 {
-  stream_send (c->stream, (struct bstr){ out, strlen (out) });
-  talloc_free (out);
+  stream_send (c->stream, buffer_bytes (out));
+  buffer_clear (out);
 }
 
 static void
 answer_complete (struct caller *c)
 {
-  char *out = wire_add_complete (talloc_strdup (c, ""), bstr_from ("-"));
-  send_text (
-      c, wire_add_ready (out, c->session->state, (struct position){ 0, 0 }));
+  struct buffer out = { .parent = c };
+  wire_add_complete (&out, bstr_from ("-"));
+  wire_add_ready (&out, c->session->state, (struct position){ 0, 0 });
+  send_lines (c, &out);
+}
+
+static void
+answer_error_bytes (struct caller *c, enum outcome outcome, struct bstr text,
+                    int retry_ms)
+{
+  struct buffer out = { .parent = c }, reason = { .parent = c };
+  buffer_add (&reason, text);
+  if (retry_ms > 0)
+    buffer_add_format (&reason, "; retry-after-ms=%d", retry_ms);
+  wire_add_error (&out, outcome, buffer_bytes (&reason));
+  wire_add_ready (&out, c->session->state, (struct position){ 0, 0 });
+  send_lines (c, &out);
+  buffer_clear (&reason);
 }
 
 static void
 answer_error (struct caller *c, enum outcome outcome, const char *text,
               int retry_ms)
 {
-  char *reason = retry_ms > 0 ? talloc_asprintf (c, "%s; retry-after-ms=%d",
-                                                 text, retry_ms)
-                              : talloc_strdup (c, text);
-  char *out = wire_add_error (talloc_strdup (c, ""), outcome, reason);
-  talloc_free (reason);
-  send_text (
-      c, wire_add_ready (out, c->session->state, (struct position){ 0, 0 }));
+  answer_error_bytes (c, outcome, bstr_from (text), retry_ms);
 }
 
 static void
 answer_result (struct caller *c, const struct packet_result *r)
 {
-  char *out = talloc_strdup (c, "");
+  struct buffer out = { .parent = c };
   for (int i = 0; i < r->row_count; i++)
-    out = wire_add_row (out, r->rows[i]);
-  out = wire_add_complete (out, r->signature);
-  send_text (c, wire_add_ready (out, c->session->state, r->position));
+    wire_add_row (&out, r->rows[i]);
+  wire_add_complete (&out, r->signature);
+  wire_add_ready (&out, c->session->state, r->position);
+  send_lines (c, &out);
 }
 
 /* Statements that are sent to owners. */
@@ -217,41 +228,57 @@
     }
 }
 
+/* Keep the error of a BEGIN that was answered already. */
+static void
+set_begin_error (struct caller *c, enum outcome outcome, struct bstr text,
+                 int retry_ms)
+{
+  c->begin_outcome = outcome;
+  c->begin_retry_ms = retry_ms;
+  struct bstr old = c->begin_text;
+  c->begin_text = bstr_copy (c, text);
+  talloc_free ((char *)old.start);
+}
+
 /* Answer a statement with an error, and remove it.  A failed BEGIN was
    answered already: its error is kept for the next statement of the
    transaction. */
 static void
-fail_statement (struct forwarded_statement *w, enum outcome outcome,
-                const char *text, int retry_ms)
+fail_statement_bytes (struct forwarded_statement *w, enum outcome outcome,
+                      struct bstr text, int retry_ms)
 {
   struct caller *c = w->caller;
   sessiond_log_request (
       PART,
       "event=refused id=%.*s database=%.*s outcome=%s waited_us=%" PRId64
-      " sent=%d retry_ms=%d reason=\"%s\"",
+      " sent=%d retry_ms=%d reason=\"%.*s\"",
       BSTR_ARG (w->message.statement.id), BSTR_ARG (c->database),
       wire_outcome_name (outcome), clock_now () - w->arrived_at,
-      w->member != 0, retry_ms, text);
+      w->member != 0, retry_ms, BSTR_ARG (text));
   if (w->is_begin)
     {
-      c->begin_outcome = outcome;
-      c->begin_retry_ms = retry_ms;
-      talloc_free (c->begin_text);
-      c->begin_text = talloc_strdup (c, text);
+      set_begin_error (c, outcome, text, retry_ms);
       remove_statement (w);
       /* The statement that follows BEGIN cannot run either. */
       if (c->forwarded != NULL)
-        fail_statement (c->forwarded, outcome, c->begin_text, retry_ms);
+        fail_statement_bytes (c->forwarded, outcome, c->begin_text, retry_ms);
       return;
     }
   count_result (c, w, outcome);
   session_record_result (c->session, &w->statement, outcome,
                          (struct position){ 0, 0 });
   remove_statement (w);
-  answer_error (c, outcome, text, retry_ms);
+  answer_error_bytes (c, outcome, text, retry_ms);
   handle_queued_lines (c);
 }
 
+static void
+fail_statement (struct forwarded_statement *w, enum outcome outcome,
+                const char *text, int retry_ms)
+{
+  fail_statement_bytes (w, outcome, bstr_from (text), retry_ms);
+}
+
 /* @return whether a reader may run the statement: a read outside of
    transactions that may miss the newest commits. */
 static bool
@@ -508,6 +535,7 @@
 static void
 answer_start (struct caller *c)
 {
+  struct buffer out = { .parent = c };
   enum outcome outcome = check_access (c);
   c->start_until = 0;
   if (outcome != OUTCOME_OK)
@@ -516,14 +544,14 @@
                             "event=session_refused database=%.*s outcome=%s",
                             BSTR_ARG (bstr_cut (c->database, OPTION_MAX_NAME)),
                             wire_outcome_name (outcome));
-      send_text (c, wire_add_error (talloc_strdup (c, ""), outcome,
-                                    access_error_text (outcome)));
+      wire_add_error (&out, outcome, bstr_from (access_error_text (outcome)));
+      send_lines (c, &out);
       end_caller (c);
       return;
     }
   c->is_started = true;
-  send_text (c, wire_add_ready (talloc_strdup (c, ""), SESSION_IDLE,
-                                (struct position){ 0, 0 }));
+  wire_add_ready (&out, SESSION_IDLE, (struct position){ 0, 0 });
+  send_lines (c, &out);
 }
 
 static void
@@ -566,7 +594,7 @@
   if (statement->verb == VERB_ROLLBACK)
     answer_complete (c);
   else
-    answer_error (c, outcome, c->begin_text, c->begin_retry_ms);
+    answer_error_bytes (c, outcome, c->begin_text, c->begin_retry_ms);
 }
 
 /* Refuse a statement that the daemon cannot run before it ends. */
@@ -578,10 +606,7 @@
       answer_error (c, OUTCOME_BUSY, ENDING_TEXT, NO_OWNER_RETRY_MS);
       return;
     }
-  c->begin_outcome = OUTCOME_ABORTED;
-  c->begin_retry_ms = 0;
-  talloc_free (c->begin_text);
-  c->begin_text = talloc_strdup (c, ENDING_TEXT);
+  set_begin_error (c, OUTCOME_ABORTED, bstr_from (ENDING_TEXT), 0);
   answer_failed_begin (c, statement);
 }
 
@@ -663,8 +688,9 @@
     answer_error (c, OUTCOME_MALFORMED, "not understood", 0);
   else
     {
-      send_text (c, wire_add_error (talloc_strdup (c, ""), OUTCOME_MALFORMED,
-                                    "not understood"));
+      struct buffer out = { .parent = c };
+      wire_add_error (&out, OUTCOME_MALFORMED, bstr_from ("not understood"));
+      send_lines (c, &out);
       end_caller (c);
     }
 }
@@ -803,9 +829,7 @@
     }
   if (r->outcome != OUTCOME_OK)
     {
-      char *text = bstr_to_text (NULL, r->text);
-      fail_statement (w, r->outcome, text, r->retry_ms);
-      talloc_free (text);
+      fail_statement_bytes (w, r->outcome, r->text, r->retry_ms);
       return;
     }
   if (w->is_begin)
--- a/session/link.c
+++ b/session/link.c
@@ -42,7 +42,7 @@
   void *answer_memory; /**< Parent of the texts and rows of that answer. */
   /** Text of the newest COMPLETE line with a signature, or ERROR line. */
   struct bstr last_end;
-  char *out; /**< Request that is being written. */
+  struct buffer out; /**< Request that is being written. */
 };
 
 /* Append an answer to the outstanding ones. */
@@ -58,14 +58,8 @@
 static void
 send_request (struct link *l)
 {
-  stream_send (l->stream, (struct bstr){ l->out, strlen (l->out) });
-  TALLOC_FREE (l->out);
-}
-
-static void
-begin_request (struct link *l)
-{
-  l->out = talloc_strdup (l, "");
+  stream_send (l->stream, buffer_bytes (&l->out));
+  buffer_clear (&l->out);
 }
 
 /* Report the end of the connection and free the link. */
@@ -220,6 +214,7 @@
   l->options = *options;
   l->organisation = bstr_copy (l, options->organisation);
   l->answer_memory = talloc_new (l);
+  l->out.parent = l;
   /* The stream is a child of the session daemon, not of the link, as the link
      may be freed in a callback of the stream. */
   l->stream = stream_connect (
@@ -234,9 +229,8 @@
       talloc_free (l);
       return NULL;
     }
-  begin_request (l);
-  l->out = wire_add_start (l->out, options->service, l->organisation,
-                           options->endpoint);
+  wire_add_start (&l->out, bstr_from (options->service), l->organisation,
+                  bstr_from (options->endpoint));
   expect_answer (l, LINK_START);
   send_request (l);
   return l;
@@ -272,7 +266,7 @@
 static void
 add_reset (struct link *l)
 {
-  l->out = wire_add_reset (l->out);
+  wire_add_reset (&l->out);
   expect_answer (l, LINK_RESET);
   TALLOC_FREE (l->values);
   l->value_count = 0;
@@ -288,7 +282,7 @@
       l->values, l->value_count, value->name);
   if (v != NULL && bstr_equals (v->value, value->value))
     return;
-  l->out = wire_add_set (l->out, value->name, value->value);
+  wire_add_set (&l->out, value->name, value->value);
   expect_answer (l, LINK_SET);
   if (v == NULL)
     {
@@ -317,8 +311,8 @@
   for (int i = 0; i < l->prepared_count; i++)
     if (strcmp (l->prepared[i], name) == 0)
       return;
-  l->out
-      = wire_add_prepare (l->out, name, request->reads_only, request->shape);
+  wire_add_prepare (&l->out, bstr_from (name), request->reads_only,
+                    request->shape);
   expect_answer (l, LINK_PREPARE);
   l->prepared
       = talloc_realloc (l, l->prepared, char *, (size_t)l->prepared_count + 1);
@@ -332,21 +326,20 @@
   switch (request->verb)
     {
     case VERB_BEGIN:
-      l->out = wire_add_begin (l->out, request->after, request->reads_only);
+      wire_add_begin (&l->out, request->after, request->reads_only);
       break;
     case VERB_ROLLBACK:
-      l->out = wire_add_rollback (l->out);
+      wire_add_rollback (&l->out);
       break;
     case VERB_EXECUTE:
       name = canonical_name (l, request);
       add_prepare (l, name, request);
-      l->out = wire_add_execute (l->out, request->id, request->after, name,
-                                 request->arguments);
+      wire_add_execute (&l->out, request->id, request->after, bstr_from (name),
+                        request->arguments);
       talloc_free (name);
       break;
     default:
-      l->out = wire_add_statement (l->out, request->id, request->after,
-                                   request->text);
+      wire_add_statement (&l->out, request->id, request->after, request->text);
       break;
     }
   expect_answer (l, LINK_STATEMENT);
@@ -355,7 +348,6 @@
 void
 link_run (struct link *l, const struct link_request *request)
 {
-  begin_request (l);
   if (link_setup_cost (l, request->values, request->value_count) < 0
       || (l->prepared_count >= MAX_PREPARED && !request->in_transaction))
     add_reset (l);
@@ -368,8 +360,7 @@
 void
 link_rollback (struct link *l)
 {
-  begin_request (l);
-  l->out = wire_add_rollback (l->out);
+  wire_add_rollback (&l->out);
   expect_answer (l, LINK_ROLLBACK);
   send_request (l);
 }
@@ -377,8 +368,7 @@
 void
 link_request_status (struct link *l)
 {
-  begin_request (l);
-  l->out = wire_add_status (l->out);
+  wire_add_status (&l->out);
   expect_answer (l, LINK_STATUS);
   send_request (l);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -102,36 +102,52 @@
   CU_ASSERT_FALSE (wire_parse_status (bstr_from (""), &status));
 }
 
-/* Guards against a change of the lines that endpoints expect. */
+/* Guards against a change of the lines that endpoints expect, and against a
+   byte of a string that ends or changes its line: NUL, CR, LF and blanks. */
 static void
 lines_to_endpoints (void)
 {
-  char *out = talloc_strdup (NULL, "");
+  static const char expected[] = "START huvo11a tenant i-7f3a91c2\r\n"
+                                 "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
+                                 "QUERY 5c0f COMMIT\r\n"
+                                 "QUERY 5c10 EXECUTE w_q2c 1a4 x\0k\r\r\n"
+                                 "QUERY - AFTER 3.1207 BEGIN READ\r\n"
+                                 "QUERY - SET zo\0ne \na b \r\n"
+                                 "QUERY - PREPARE w_q2c WRITE q\0 2c\r\n"
+                                 "QUERY - ROLLBACK\r\n"
+                                 "QUERY - RESET\r\n"
+                                 "QUERY - STATUS\r\n"
+                                 "ROW a\0b\nc\r\n"
+                                 "ROW \r\n"
+                                 "COMPLETE s\0g\r\n"
+                                 "ERROR BUSY a\0b\r\n"
+                                 "READY T 3.1207\r\n"
+                                 "READY I -\r\n";
+  struct buffer out = { 0 };
   struct position none = { 0, 0 }, after = { 3, 1207 };
-  out = wire_add_start (out, "huvo11a", bstr_from ("tenant"), "i-7f3a91c2");
-  out = wire_add_statement (out, bstr_from ("5c0e"), after,
-                            bstr_from ("READ 1a4"));
-  out = wire_add_statement (out, bstr_from ("5c0f"), none,
-                            bstr_from ("COMMIT"));
-  out = wire_add_execute (out, bstr_from ("5c10"), none, "w_q2c",
-                          bstr_from ("1a4 xkq"));
-  out = wire_add_begin (out, after, true);
-  out = wire_add_set (out, bstr_from ("zone"), bstr_from ("a b"));
-  out = wire_add_prepare (out, "w_q2c", false, bstr_from ("q2c"));
-  out = wire_add_rollback (out);
-  out = wire_add_reset (out);
-  out = wire_add_status (out);
-  CU_ASSERT_STRING_EQUAL (out, "START huvo11a tenant i-7f3a91c2\r\n"
-                               "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n"
-                               "QUERY 5c0f COMMIT\r\n"
-                               "QUERY 5c10 EXECUTE w_q2c 1a4 xkq\r\n"
-                               "QUERY - AFTER 3.1207 BEGIN READ\r\n"
-                               "QUERY - SET zone a b\r\n"
-                               "QUERY - PREPARE w_q2c WRITE q2c\r\n"
-                               "QUERY - ROLLBACK\r\n"
-                               "QUERY - RESET\r\n"
-                               "QUERY - STATUS\r\n");
-  talloc_free (out);
+  wire_add_start (&out, bstr_from ("huvo11a"), bstr_from ("tenant"),
+                  bstr_from ("i-7f3a91c2"));
+  wire_add_statement (&out, bstr_from ("5c0e"), after, bstr_from ("READ 1a4"));
+  wire_add_statement (&out, bstr_from ("5c0f"), none, bstr_from ("COMMIT"));
+  wire_add_execute (&out, bstr_from ("5c10"), none, bstr_from ("w_q2c"),
+                    (struct bstr){ "1a4 x\0k\r", 8 });
+  wire_add_begin (&out, after, true);
+  wire_add_set (&out, (struct bstr){ "zo\0ne", 5 },
+                (struct bstr){ "\na b ", 5 });
+  wire_add_prepare (&out, bstr_from ("w_q2c"), false,
+                    (struct bstr){ "q\0 2c", 5 });
+  wire_add_rollback (&out);
+  wire_add_reset (&out);
+  wire_add_status (&out);
+  wire_add_row (&out, (struct bstr){ "a\0b\nc", 5 });
+  wire_add_row (&out, bstr_from (""));
+  wire_add_complete (&out, (struct bstr){ "s\0g", 3 });
+  wire_add_error (&out, OUTCOME_BUSY, (struct bstr){ "a\0b", 3 });
+  wire_add_ready (&out, SESSION_IN_TRANSACTION, after);
+  wire_add_ready (&out, SESSION_IDLE, none);
+  CU_ASSERT_TRUE (bstr_equals (
+      buffer_bytes (&out), (struct bstr){ expected, sizeof expected - 1 }));
+  buffer_clear (&out);
 }
 
 /* Guards against a route of an unknown kind that is used, and a configuration
