link: the name of a prepared statement holds nothing of its shape

Cause: canonical_name made the name of the shape, and a name ends at a blank or NUL for the database: "q15 WRITE rb" got the name of "q15". Evidence: the stand-in ran "rb WRITE q15 WRITE rb" for the session that had prepared "q15 WRITE rb". Change: a name is "p" and a number that the connection never uses again; a shape is found by its BLAKE2b digest with its mode, so that a connection does not keep shapes of up to a megabyte.

--- a/session/link.c
+++ b/session/link.c
@@ -4,12 +4,18 @@
 #include "net/stream.h"
 #include "platform/wire.h"
 
+#include <sodium.h>
+#include <stdio.h>
+
 #define PART "link"
 
 /* A connection whose bytes are not acknowledged for this time is closed. */
 #define DEAD_CONNECTION_MS 2500
 /* A connection is reset once it has this many prepared statements. */
 #define MAX_PREPARED 200
+#define SHAPE_DIGEST_BYTES crypto_generichash_BYTES
+/* Size of a buffer for the name of a prepared statement. */
+#define PREPARED_NAME_SIZE 16
 /* Answers that may be outstanding on a connection. */
 #define MAX_EXPECTED_ANSWERS 128
 
@@ -23,6 +29,13 @@
   bool has_ended; /**< COMPLETE or an error was received. */
 };
 
+/** A prepared statement of a connection. */
+struct prepared
+{
+  unsigned char digest[SHAPE_DIGEST_BYTES]; /**< Of its mode and shape. */
+  unsigned number; /**< Selects its name, unique on the connection. */
+};
+
 /** State of a connection. */
 struct link
 {
@@ -33,8 +46,9 @@
   bool setup_failed; /**< Values or prepared statements could not be set. */
   struct session_value *values;
   int value_count;
-  char **prepared; /**< Names of the prepared statements. */
+  struct prepared *prepared;
   int prepared_count;
+  unsigned prepared_total; /**< Statements that were ever prepared on it. */
   struct expected_answer expected[MAX_EXPECTED_ANSWERS]; /**< Ring buffer. */
   unsigned first, count; /**< Oldest outstanding answer; number of them. */
   struct bstr *rows;     /**< Rows of the answer that is being read. */
@@ -294,35 +308,54 @@
   v->value = bstr_copy (l->values, value->value);
 }
 
-/* @return the name of the prepared statement.  A shape has the same name on
-   every connection, so that sessions share prepared statements. */
-static char *
-canonical_name (void *parent, const struct link_request *request)
+/* Digest what makes two prepared statements the same.  A shape may have a
+   megabyte, and a connection keeps many. */
+static void
+digest_shape (unsigned char digest[SHAPE_DIGEST_BYTES],
+              const struct link_request *request)
 {
-  return talloc_asprintf (parent, "%c_%.*s", request->reads_only ? 'r' : 'w',
-                          BSTR_ARG (request->shape));
+  crypto_generichash_state state;
+  unsigned char mode = request->reads_only;
+  crypto_generichash_init (&state, NULL, 0, SHAPE_DIGEST_BYTES);
+  crypto_generichash_update (&state, &mode, sizeof mode);
+  crypto_generichash_update (
+      &state, (const unsigned char *)request->shape.start, request->shape.len);
+  crypto_generichash_final (&state, digest, SHAPE_DIGEST_BYTES);
 }
 
-/* Prepare a statement under @p name, unless the connection has it already. */
+/* Find the prepared statement of a request on the connection, or prepare it.
+   Its name holds nothing of the shape, which may hold any byte.
+   @param name set to its name. */
 static void
-add_prepare (struct link *l, const char *name,
-             const struct link_request *request)
+add_prepare (struct link *l, const struct link_request *request,
+             char name[PREPARED_NAME_SIZE])
 {
-  for (int i = 0; i < l->prepared_count; i++)
-    if (strcmp (l->prepared[i], name) == 0)
+  unsigned char digest[SHAPE_DIGEST_BYTES];
+  int i = 0;
+  digest_shape (digest, request);
+  while (i < l->prepared_count
+         && memcmp (l->prepared[i].digest, digest, sizeof digest) != 0)
+    i++;
+  if (i < l->prepared_count)
+    {
+      snprintf (name, PREPARED_NAME_SIZE, "p%u", l->prepared[i].number);
       return;
+    }
+  l->prepared = talloc_realloc (l, l->prepared, struct prepared,
+                                (size_t)l->prepared_count + 1);
+  struct prepared *p = &l->prepared[l->prepared_count++];
+  memcpy (p->digest, digest, sizeof digest);
+  p->number = ++l->prepared_total;
+  snprintf (name, PREPARED_NAME_SIZE, "p%u", p->number);
   wire_add_prepare (&l->out, bstr_from (name), request->reads_only,
                     request->shape);
   expect_answer (l, LINK_PREPARE);
-  l->prepared
-      = talloc_realloc (l, l->prepared, char *, (size_t)l->prepared_count + 1);
-  l->prepared[l->prepared_count++] = talloc_strdup (l->prepared, name);
 }
 
 static void
 add_statement (struct link *l, const struct link_request *request)
 {
-  char *name;
+  char name[PREPARED_NAME_SIZE];
   switch (request->verb)
     {
     case VERB_BEGIN:
@@ -332,11 +365,9 @@
       wire_add_rollback (&l->out);
       break;
     case VERB_EXECUTE:
-      name = canonical_name (l, request);
-      add_prepare (l, name, request);
+      add_prepare (l, request, name);
       wire_add_execute (&l->out, request->id, request->after, bstr_from (name),
                         request->arguments);
-      talloc_free (name);
       break;
     default:
       wire_add_statement (&l->out, request->id, request->after, request->text);
