link: an answer that comes twice is nobody else's

What callers saw: the rows and the signature of another statement (MIXED), and a write that took effect twice: it was told as BUSY, which was the copy of an earlier error, and sent again. Connections were closed with "unexpected line" when a copy came while nothing was outstanding. Cause: an answer belonged to the oldest outstanding request, whatever it was; after a copy every answer of the connection was one too early. Evidence: event=repeated_answer taken_for=statement; unexpected lines of kind row, complete and error with outstanding=0. Change: core/answers.c judges each whole answer. A signature that came before makes it a copy; other answers are compared by their content, state and log position. What cannot be told apart gives the connection up: a read is repeated, a write is INDOUBT, a transaction ABORTED. Writes are not sent where an error came before, nor a BEGIN that may write where one was answered at the same position, so that the doubt hardly meets them. A statement of a transaction that ran outside of it is INDOUBT, not ABORTED.

--- a/session/health.c
+++ b/session/health.c
@@ -46,7 +46,8 @@
                   int64_t now)
 {
   struct endpoint *e = p->endpoint;
-  struct link_loss loss = { OUTCOME_OK, true, "the answer is missing" };
+  struct link_loss loss
+      = { .was_connected = true, .reason = "the answer is missing" };
   bool too_late
       = now - ps->arrived_at > ps->statement->timeout_ms * USEC_PER_MSEC;
   /* The endpoint has answered later statements: this answer was lost. */
--- a/session/link.c
+++ b/session/link.c
@@ -4,6 +4,7 @@
 #include "net/stream.h"
 #include "platform/wire.h"
 
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
 
@@ -19,14 +20,11 @@
 /* Answers that may be outstanding on a connection. */
 #define MAX_EXPECTED_ANSWERS 128
 
-/** An outstanding answer, as far as it was received. */
+/** An outstanding answer. */
 struct expected_answer
 {
   enum link_task task;
-  enum outcome outcome;
-  struct bstr text;
-  struct bstr signature;
-  bool has_ended; /**< COMPLETE or an error was received. */
+  struct answer_form form;
 };
 
 /** A prepared statement of a connection. */
@@ -51,24 +49,66 @@
   unsigned prepared_total; /**< Statements that were ever prepared on it. */
   struct expected_answer expected[MAX_EXPECTED_ANSWERS]; /**< Ring buffer. */
   unsigned first, count; /**< Oldest outstanding answer; number of them. */
-  struct bstr *rows;     /**< Rows of the answer that is being read. */
-  int row_count;
-  void *answer_memory; /**< Parent of the texts and rows of that answer. */
-  /** Text of the newest COMPLETE line with a signature, or ERROR line. */
-  struct bstr last_end;
-  struct buffer out; /**< Request that is being written. */
+  struct answers *answers;
+  struct answer_received received; /**< Answer that is being read. */
+  struct bstr *rows;               /**< Its rows. */
+  void *answer_memory;             /**< Parent of its texts and rows. */
+  struct buffer out;               /**< Request that is being written. */
 };
 
 /* Append an answer to the outstanding ones. */
 static void
-expect_answer (struct link *l, enum link_task task)
+expect_answer (struct link *l, enum link_task task, struct answer_form form)
 {
   struct expected_answer *e
       = &l->expected[(l->first + l->count) % MAX_EXPECTED_ANSWERS];
-  *e = (struct expected_answer){ .task = task };
+  *e = (struct expected_answer){ .task = task, .form = form };
   l->count++;
 }
 
+/* @return the form of an answer without signature and rows. */
+static struct answer_form
+acknowledgement (enum session_state state)
+{
+  return (struct answer_form){ .is_replaceable = true,
+                               .success_state = state };
+}
+
+static enum session_state
+state_of (const struct link_request *request)
+{
+  return request->in_transaction ? SESSION_IN_TRANSACTION : SESSION_IDLE;
+}
+
+/* @return the form of the answer to a caller's statement. */
+static struct answer_form
+statement_form (const struct link_request *request)
+{
+  struct answer_form form = { .after = request->after };
+  switch (request->verb)
+    {
+    case VERB_BEGIN:
+      form.changes_state = true;
+      form.success_state = SESSION_IN_TRANSACTION;
+      /* A write must not follow a BEGIN that was refused. */
+      form.is_replaceable = request->reads_only;
+      break;
+    case VERB_ROLLBACK:
+      form.changes_state = true;
+      form.is_replaceable = true;
+      break;
+    case VERB_COMMIT:
+      form.is_signed = true;
+      form.changes_state = true;
+      break;
+    default:
+      form.is_signed = true;
+      form.success_state = state_of (request);
+      break;
+    }
+  return form;
+}
+
 static void
 send_request (struct link *l)
 {
@@ -78,45 +118,55 @@
 
 /* Report the end of the connection and free the link. */
 static void
-report_loss (struct link *l, enum outcome outcome, bool was_connected,
-             const char *reason)
+report_loss (struct link *l, const struct link_loss *loss)
 {
-  struct link_loss loss = { outcome, was_connected, reason };
-  l->options.ops->lost (l->options.data, l, &loss);
+  l->options.ops->lost (l->options.data, l, loss);
   talloc_free (l);
 }
 
-/* Report the oldest outstanding answer, which is complete. */
+/* Forget what was read of an answer.
+   @return its texts and rows, for the caller to free. */
+static void *
+take_received (struct link *l)
+{
+  void *memory = l->answer_memory;
+  l->received = (struct answer_received){ .end = ANSWER_BARE };
+  l->rows = NULL;
+  l->answer_memory = talloc_new (l);
+  return memory;
+}
+
+/* Pass the answer of the oldest outstanding request on. */
 static void
-finish_answer (struct link *l, const struct wire_reply *ready)
+finish_answer (struct link *l)
 {
-  struct expected_answer e = l->expected[l->first];
+  enum link_task task = l->expected[l->first].task;
+  const struct answer_received *r = &l->received;
   struct link_answer answer = {
-    .task = e.task,
-    .outcome = e.outcome,
-    .text = e.text,
+    .task = task,
+    .outcome = r->end == ANSWER_ERROR ? r->outcome : OUTCOME_OK,
+    .text = r->text,
     .rows = l->rows,
-    .row_count = l->row_count,
-    .signature = e.signature,
-    .state = ready->state,
-    .position = ready->position,
+    .row_count = r->row_count,
+    .signature = r->signature,
+    .state = r->state,
+    .position = r->position,
   };
-  void *memory = l->answer_memory;
+  void *memory = take_received (l);
   l->first = (l->first + 1) % MAX_EXPECTED_ANSWERS;
   l->count--;
-  l->rows = NULL;
-  l->row_count = 0;
-  l->answer_memory = talloc_new (l);
   bool is_setup
-      = e.task == LINK_SET || e.task == LINK_PREPARE || e.task == LINK_RESET;
-  if (e.task == LINK_START)
+      = task == LINK_SET || task == LINK_PREPARE || task == LINK_RESET;
+  if (task == LINK_START)
     l->started = true;
-  if (is_setup && e.outcome != OUTCOME_OK)
+  if (is_setup && answer.outcome != OUTCOME_OK)
     l->setup_failed = true;
   if (l->setup_failed && !is_setup)
     {
       stream_close (l->stream);
-      report_loss (l, OUTCOME_OK, true, "session values could not be set");
+      report_loss (l, &(struct link_loss){
+                          .was_connected = true,
+                          .reason = "session values could not be set" });
       return;
     }
   talloc_steal (l->options.sessiond, memory);
@@ -125,86 +175,136 @@
   talloc_free (memory);
 }
 
-/* Log a line that fits no outstanding answer. */
+/* Log a line that no answer can have here. */
 static void
 log_unexpected_line (const struct link *l, const struct wire_reply *reply,
                      size_t length)
 {
   static const char *const kinds[]
       = { "row", "complete", "error", "ready", "unknown" };
-  sessiond_log_request (
-      PART,
-      "event=unexpected_line service=%s endpoint=%s kind=%s"
-      " bytes=%zu outstanding=%u repeated=%d",
-      l->options.service, l->options.endpoint, kinds[reply->kind], length,
-      l->count, reply->text.len > 0 && bstr_equals (reply->text, l->last_end));
+  sessiond_log_request (PART,
+                        "event=unexpected_line service=%s endpoint=%s kind=%s"
+                        " bytes=%zu outstanding=%u",
+                        l->options.service, l->options.endpoint,
+                        kinds[reply->kind], length, l->count);
 }
 
-/* Remember how an answer ended, and log one that ends as the answer before it
-   with the same signature. */
+/* Log an answer that is not passed on, and count it. */
 static void
-note_answer_end (struct link *l, const struct wire_reply *reply,
-                 enum link_task task)
+log_verdict (const struct link *l, enum answer_verdict verdict)
 {
+  static const char *const verdicts[] = { "own", "copy", "doubtful", "wrong" };
+  static const char *const ends[] = { "ready", "complete", "error" };
   static const char *const tasks[] = { "start",   "reset",     "set",
                                        "prepare", "statement", "rollback",
                                        "status" };
-  if (reply->kind == WIRE_COMPLETE && !wire_is_signature (reply->text))
-    return;
-  if (reply->kind == WIRE_COMPLETE && bstr_equals (reply->text, l->last_end))
-    sessiond_log_request (PART,
-                          "event=repeated_answer service=%s endpoint=%s"
-                          " taken_for=%s outstanding=%u",
-                          l->options.service, l->options.endpoint, tasks[task],
-                          l->count);
-  talloc_free ((char *)l->last_end.start);
-  l->last_end = bstr_copy (l, reply->text);
+  char labels[32];
+  snprintf (labels, sizeof labels, "verdict=\"%s\"", verdicts[verdict]);
+  ++*stats_counter (l->options.sessiond->stats,
+                    "azurewind_unclear_answers_total", labels);
+  sessiond_log_request (
+      PART,
+      "event=unclear_answer service=%s endpoint=%s verdict=%s end=%s"
+      " outcome=%s signed=%d rows=%d state=%d position=%" PRIu64 ".%" PRIu64
+      " outstanding=%u oldest=%s",
+      l->options.service, l->options.endpoint, verdicts[verdict],
+      ends[l->received.end], wire_outcome_name (l->received.outcome),
+      l->received.signature.len > 0, l->received.row_count, l->received.state,
+      l->received.position.term, l->received.position.number, l->count,
+      l->count > 0 ? tasks[l->expected[l->first].task] : "none");
+}
+
+/* Give the connection up, as it cannot be known which requests its next
+   answers belong to. */
+static void
+give_up (struct link *l, bool is_doubtful, const char *reason)
+{
+  const struct answer_received *r = &l->received;
+  struct link_loss loss = {
+    .was_connected = true,
+    .is_doubtful = is_doubtful,
+    .may_be_kept = r->end == ANSWER_COMPLETE && r->signature.len > 0,
+    .reason = reason,
+  };
+  stream_close (l->stream);
+  report_loss (l, &loss);
+}
+
+/* Handle an answer that is complete. */
+static void
+handle_answer (struct link *l)
+{
+  enum answer_verdict verdict = answers_judge (
+      l->answers, l->count > 0 ? &l->expected[l->first].form : NULL,
+      &l->received);
+  if (verdict != ANSWER_OWN)
+    log_verdict (l, verdict);
+  switch (verdict)
+    {
+    case ANSWER_OWN:
+      finish_answer (l);
+      break;
+    case ANSWER_COPY:
+      talloc_free (take_received (l));
+      break;
+    case ANSWER_DOUBTFUL:
+      give_up (l, true, "the answer may be that of another statement");
+      break;
+    default:
+      give_up (l, false, "unexpected answer");
+      break;
+    }
+}
+
+static void
+add_row (struct link *l, struct bstr row)
+{
+  struct answer_received *r = &l->received;
+  l->rows = talloc_realloc (l->answer_memory, l->rows, struct bstr,
+                            (size_t)r->row_count + 1);
+  l->rows[r->row_count++] = bstr_copy (l->answer_memory, row);
+  r->rows = l->rows;
 }
 
 static void
 on_line (void *data, struct bstr line)
 {
   struct link *l = data;
+  struct answer_received *r = &l->received;
   struct wire_reply reply = wire_parse_reply (line);
-  struct expected_answer *e = &l->expected[l->first];
-  if (l->count == 0 || reply.kind == WIRE_UNKNOWN)
+  bool has_ended = r->end != ANSWER_BARE;
+  if (reply.kind == WIRE_UNKNOWN || (has_ended && reply.kind != WIRE_READY))
     {
       log_unexpected_line (l, &reply, line.len);
-      stream_close (l->stream);
-      report_loss (l, OUTCOME_OK, true, "unexpected line");
+      give_up (l, false, "unexpected line");
       return;
     }
   switch (reply.kind)
     {
     case WIRE_ROW:
-      l->rows = talloc_realloc (l->answer_memory, l->rows, struct bstr,
-                                (size_t)l->row_count + 1);
-      l->rows[l->row_count++] = bstr_copy (l->answer_memory, reply.text);
+      add_row (l, reply.text);
       break;
     case WIRE_COMPLETE:
-      note_answer_end (l, &reply, e->task);
-      e->signature = bstr_copy (l->answer_memory, reply.text);
-      e->has_ended = true;
+      r->end = ANSWER_COMPLETE;
+      if (wire_is_signature (reply.text))
+        r->signature = bstr_copy (l->answer_memory, reply.text);
       break;
     case WIRE_ERROR:
-      note_answer_end (l, &reply, e->task);
-      e->outcome = reply.outcome;
-      e->text = bstr_copy (l->answer_memory, reply.text);
-      e->has_ended = true;
-      if (e->task == LINK_START)
+      r->end = ANSWER_ERROR;
+      r->outcome = reply.outcome;
+      r->text = bstr_copy (l->answer_memory, reply.text);
+      if (l->count > 0 && l->expected[l->first].task == LINK_START)
         {
           stream_close (l->stream);
-          report_loss (l, reply.outcome, true, "start refused");
+          report_loss (l, &(struct link_loss){ .outcome = reply.outcome,
+                                               .was_connected = true,
+                                               .reason = "start refused" });
         }
       break;
     default:
-      if (!e->has_ended && e->task != LINK_START)
-        {
-          stream_close (l->stream);
-          report_loss (l, OUTCOME_OK, true, "answer without its end");
-        }
-      else
-        finish_answer (l, &reply);
+      r->state = reply.state;
+      r->position = reply.position;
+      handle_answer (l);
       break;
     }
 }
@@ -215,7 +315,8 @@
   struct link *l = data;
   bool connected = stream_was_connected (l->stream);
   l->stream = NULL;
-  report_loss (l, OUTCOME_OK, connected, reason);
+  report_loss (
+      l, &(struct link_loss){ .was_connected = connected, .reason = reason });
 }
 
 static const struct stream_ops stream_callbacks
@@ -227,6 +328,7 @@
   struct link *l = talloc_zero (parent, struct link);
   l->options = *options;
   l->organisation = bstr_copy (l, options->organisation);
+  l->answers = answers_create (l);
   l->answer_memory = talloc_new (l);
   l->out.parent = l;
   /* The stream is a child of the session daemon, not of the link, as the link
@@ -245,7 +347,7 @@
     }
   wire_add_start (&l->out, bstr_from (options->service), l->organisation,
                   bstr_from (options->endpoint));
-  expect_answer (l, LINK_START);
+  expect_answer (l, LINK_START, (struct answer_form){ .is_start = true });
   send_request (l);
   return l;
 }
@@ -281,23 +383,25 @@
 add_reset (struct link *l)
 {
   wire_add_reset (&l->out);
-  expect_answer (l, LINK_RESET);
+  expect_answer (l, LINK_RESET, acknowledgement (SESSION_IDLE));
   TALLOC_FREE (l->values);
   l->value_count = 0;
   TALLOC_FREE (l->prepared);
   l->prepared_count = 0;
 }
 
-/* Set a session value before the next statement, unless it is set already. */
+/* Set a session value before the next statement, unless it is set already.
+   @param state transaction state of the connection. */
 static void
-add_value (struct link *l, const struct session_value *value)
+add_value (struct link *l, const struct session_value *value,
+           enum session_state state)
 {
   struct session_value *v = (struct session_value *)find_value (
       l->values, l->value_count, value->name);
   if (v != NULL && bstr_equals (v->value, value->value))
     return;
   wire_add_set (&l->out, value->name, value->value);
-  expect_answer (l, LINK_SET);
+  expect_answer (l, LINK_SET, acknowledgement (state));
   if (v == NULL)
     {
       l->values = talloc_realloc (l, l->values, struct session_value,
@@ -349,7 +453,7 @@
   snprintf (name, PREPARED_NAME_SIZE, "p%u", p->number);
   wire_add_prepare (&l->out, bstr_from (name), request->reads_only,
                     request->shape);
-  expect_answer (l, LINK_PREPARE);
+  expect_answer (l, LINK_PREPARE, acknowledgement (state_of (request)));
 }
 
 static void
@@ -373,7 +477,7 @@
       wire_add_statement (&l->out, request->id, request->after, request->text);
       break;
     }
-  expect_answer (l, LINK_STATEMENT);
+  expect_answer (l, LINK_STATEMENT, statement_form (request));
 }
 
 void
@@ -383,7 +487,7 @@
       || (l->prepared_count >= MAX_PREPARED && !request->in_transaction))
     add_reset (l);
   for (int i = 0; i < request->value_count; i++)
-    add_value (l, &request->values[i]);
+    add_value (l, &request->values[i], state_of (request));
   add_statement (l, request);
   send_request (l);
 }
@@ -392,7 +496,9 @@
 link_rollback (struct link *l)
 {
   wire_add_rollback (&l->out);
-  expect_answer (l, LINK_ROLLBACK);
+  expect_answer (
+      l, LINK_ROLLBACK,
+      (struct answer_form){ .changes_state = true, .is_replaceable = true });
   send_request (l);
 }
 
@@ -400,7 +506,7 @@
 link_request_status (struct link *l)
 {
   wire_add_status (&l->out);
-  expect_answer (l, LINK_STATUS);
+  expect_answer (l, LINK_STATUS, (struct answer_form){ .has_row = true });
   send_request (l);
 }
 
@@ -423,6 +529,13 @@
   return l->started;
 }
 
+bool
+link_suits (const struct link *l, const struct link_use *use)
+{
+  return !(use->writes && answers_have_error (l->answers))
+         && !(use->begins && answers_repeat_begin (l->answers, use->position));
+}
+
 struct bstr
 link_organisation (const struct link *l)
 {
--- a/session/link.h
+++ b/session/link.h
@@ -6,6 +6,7 @@
 #ifndef SESSION_LINK_H
 #define SESSION_LINK_H
 
+#include "core/answers.h"
 #include "core/session.h"
 #include "session/sessiond.h"
 
@@ -59,6 +60,12 @@
   enum outcome outcome; /**< Why the endpoint refused START; OUTCOME_OK: it did
                            not. */
   bool was_connected;   /**< Requests that were sent may have arrived. */
+  /** The endpoint answered, but it cannot be told what the answer belongs
+   * to. */
+  bool is_doubtful;
+  /** The statement ran, but not in its transaction, and its write may be
+   * kept. */
+  bool may_be_kept;
   const char *reason;
 };
 
@@ -73,6 +80,14 @@
   void (*lost) (void *data, struct link *link, const struct link_loss *loss);
 };
 
+/** What a connection is wanted for. */
+struct link_use
+{
+  bool writes;              /**< A write, or a transaction that may write. */
+  bool begins;              /**< A transaction that may write. */
+  struct position position; /**< Newest known position of the endpoint. */
+};
+
 /** What a link connects to, and its callbacks. */
 struct link_options
 {
@@ -103,6 +118,9 @@
  * @p values can run; -1 if the connection must be reset first. */
 int link_setup_cost (const struct link *l, const struct session_value *values,
                      int value_count);
+/** @return whether the answers to the use can be told from copies of answers
+ * that came on the connection before. */
+bool link_suits (const struct link *l, const struct link_use *use);
 /** @return whether no answer is outstanding. */
 bool link_is_idle (const struct link *l);
 /** @return whether the endpoint has accepted the session. */
--- a/session/pool.c
+++ b/session/pool.c
@@ -101,20 +101,28 @@
          && link_is_idle (p->link);
 }
 
-/* @return the free connection of an organisation that needs the fewest values
-   set; one that must be reset comes last. */
+/* @return the free connection of an organisation that suits the statement and
+   needs the fewest values set; one that must be reset comes last. */
 static struct pooled_link *
-find_free_link (struct endpoint *e, struct bstr organisation,
-                const struct session_value *values, int value_count)
+find_free_link (struct endpoint *e, const struct packet_statement *statement)
 {
+  bool begins = statement->verb == VERB_BEGIN && !statement->is_read;
+  struct link_use use = {
+    .writes = !statement->is_read,
+    .begins = begins,
+    .position = e->replica.position,
+  };
   struct pooled_link *best = NULL;
   int best_cost = 0;
   for (struct pooled_link *p = e->links; p != NULL; p = p->next)
     {
       if (!link_is_free (p)
-          || !bstr_equals (link_organisation (p->link), organisation))
+          || !bstr_equals (link_organisation (p->link),
+                           statement->organisation)
+          || !link_suits (p->link, &use))
         continue;
-      int cost = link_setup_cost (p->link, values, value_count);
+      int cost = link_setup_cost (p->link, statement->values,
+                                  statement->value_count);
       if (cost < 0)
         cost = RESET_COST;
       if (best == NULL || cost < best_cost)
@@ -186,11 +194,9 @@
 }
 
 struct pooled_link *
-pool_acquire (struct endpoint *e, struct bstr organisation,
-              const struct session_value *values, int value_count)
+pool_acquire (struct endpoint *e, const struct packet_statement *statement)
 {
-  struct pooled_link *p
-      = find_free_link (e, organisation, values, value_count);
+  struct pooled_link *p = find_free_link (e, statement);
   if (p != NULL)
     return p;
   if (e->link_count >= connection_limit (e))
@@ -200,7 +206,7 @@
     }
   else if (clock_now () < e->no_connection_until)
     return NULL;
-  return pool_open (e, organisation);
+  return pool_open (e, statement->organisation);
 }
 
 void
--- a/session/service.c
+++ b/session/service.c
@@ -350,9 +350,7 @@
   struct endpoint *e = choose_endpoint (s, ps, required, now);
   if (e == NULL)
     return false;
-  struct pooled_link *p
-      = pool_acquire (e, ps->statement->organisation, ps->statement->values,
-                      ps->statement->value_count);
+  struct pooled_link *p = pool_acquire (e, ps->statement);
   if (p == NULL)
     return false;
   if (ps->transaction != NULL)
@@ -684,11 +682,11 @@
       return;
     }
   t->pooled_link = NULL;
+  bool may_be_kept = loss->may_be_kept && !ps->statement->is_read;
+  bool commits = ps->statement->verb == VERB_COMMIT && t->has_written;
   /* An endpoint that did not receive COMMIT rolls back. */
   service_refuse (ps,
-                  ps->statement->verb == VERB_COMMIT && t->has_written
-                      ? OUTCOME_UNKNOWN
-                      : OUTCOME_ABORTED,
+                  commits || may_be_kept ? OUTCOME_UNKNOWN : OUTCOME_ABORTED,
                   loss->reason, 0);
   free_transaction (t);
 }
@@ -717,7 +715,7 @@
     {
       if (!loss->was_connected)
         e->refusals++;
-      if (e->suspect_since == 0)
+      if (e->suspect_since == 0 && !loss->is_doubtful)
         e->suspect_since = now;
       sessiond_log_request (
           PART,
@@ -746,7 +744,7 @@
   while (e->links != NULL)
     {
       struct pooled_link *p = e->links;
-      struct link_loss loss = { OUTCOME_OK, true, reason };
+      struct link_loss loss = { .was_connected = true, .reason = reason };
       struct pending_statement *ps = p->pending;
       struct transaction *t = p->transaction;
       p->pending = NULL;
@@ -975,8 +973,7 @@
       && find_required_position (s, ps->statement, ps->arrived_at, &required))
     e = choose_near_replica (s, required, ps->arrived_at);
   if (e != NULL)
-    p = pool_acquire (e, ps->statement->organisation, ps->statement->values,
-                      ps->statement->value_count);
+    p = pool_acquire (e, ps->statement);
   ++*stats_counter (s->sessiond->stats, "azurewind_reader_statements_total",
                     p != NULL ? "ran=\"1\"" : "ran=\"0\"");
   if (p == NULL)
--- a/session/service.h
+++ b/session/service.h
@@ -285,12 +285,11 @@
 void service_tick (struct service *s, int64_t now);
 
 /* pool.c */
-/** @return a free or new connection for @p organisation, preferably one
- * that has @p values already; NULL if there is none and none may be opened
+/** @return a free or new connection for a statement, preferably one that has
+ * its session values already; NULL if there is none and none may be opened
  * now. */
-struct pooled_link *pool_acquire (struct endpoint *e, struct bstr organisation,
-                                  const struct session_value *values,
-                                  int value_count);
+struct pooled_link *pool_acquire (struct endpoint *e,
+                                  const struct packet_statement *statement);
 /** The endpoint refused a connection because it has too many: keep to those
  * that it accepted for a while. */
 void pool_limit_connections (struct endpoint *e, int64_t now);
