--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -1,6 +1,8 @@
 #include "platform/objects.h"
 #include "tests/tests.h"
 
+#include <stdio.h>
+
 static const char good_entry[]
     = "{\"service\":\"ledger-1\",\"address\":\"127.0.0.1:8000\",\"zone\":"
       "\"z\","
@@ -113,7 +115,34 @@
   CU_ASSERT_EQUAL (entry.slots, 1000000000);
 }
 
+/* Guards against an organisation whose name is more than one field of the
+   line that opens a connection. */
+static void
+organisations_are_fields (void)
+{
+  struct error err = { 0 };
+  json_t *object = json_pack (
+      "{s:{s:i, s:[], s:[], s:[{s:s, s:[s]}, {s:s, s:[s]}, {s:s, s:[s]},"
+      " {s:s, s:[s]}]}}",
+      "spec", "config-version", 3, "routes", "services", "tenants", "name",
+      "a b", "api-keys", "k1", "name", "a\r\nQUERY - DEMOTE 9", "api-keys",
+      "k2", "name", "", "api-keys", "k3", "name", "a\nb", "api-keys", "k4");
+  struct config *config = objects_decode_config (NULL, object, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  CU_ASSERT_EQUAL (config->organisation_count, 1);
+  for (int i = 1; i <= 4; i++)
+    {
+      char key[8];
+      snprintf (key, sizeof key, "k%d", i);
+      CU_ASSERT_EQUAL (
+          config_find_organisation (config, bstr_from (key)) != NULL, i == 4);
+    }
+  talloc_free (config);
+  json_decref (object);
+}
+
 static const struct test_case cases[] = {
+  { "organisations_are_fields", organisations_are_fields },
   { "ids_and_services_are_words", ids_and_services_are_words },
   { "address_needs_a_port", address_needs_a_port },
   { "members_have_their_types", members_have_their_types },
