log: texts from outside add no field and hide none

Cause: ids, names and error texts went into log lines and metric labels with "%.*s": a quote ended the value, a NUL cut it, and an id of a megabyte hid the outcome behind it. Change: LOG_TEXT escapes and cuts such a text; so do the labels.

--- a/common/bstr.h
+++ b/common/bstr.h
@@ -79,6 +79,27 @@
   return text;
 }
 
+/** Write @p s so that it can stand between quotes in a log line or a label of
+ * a metric: quotes and backslashes are escaped, a line feed becomes "\\n",
+ * other control characters and NUL become "?".  It is cut to fit.
+ * @return @p buffer. */
+static inline const char *
+bstr_escape (char *buffer, size_t size, struct bstr s)
+{
+  size_t at = 0;
+  for (size_t i = 0; i < s.len && at + 2 < size; i++)
+    {
+      unsigned char byte = (unsigned char)s.start[i];
+      if (byte == '"' || byte == '\\' || byte == '\n')
+        buffer[at++] = '\\';
+      buffer[at++] = byte == '\n'                   ? 'n'
+                     : byte < ' ' || byte == '\x7f' ? '?'
+                                                    : (char)byte;
+    }
+  buffer[at] = '\0';
+  return buffer;
+}
+
 /** Copy @p s into memory owned by @p parent. */
 static inline struct bstr
 bstr_copy (void *parent, struct bstr s)
--- a/common/log.h
+++ b/common/log.h
@@ -5,8 +5,15 @@
 #ifndef COMMON_LOG_H
 #define COMMON_LOG_H
 
+#include "common/bstr.h"
 #include "common/error.h"
 
+/** Most bytes of a text from outside in a log line, with the NUL. */
+#define LOG_TEXT_SIZE 130
+/** Expand to an argument for "%s": a bstr from outside, escaped and cut so
+ * that it adds no field or line and leaves room for the fields behind it. */
+#define LOG_TEXT(s) bstr_escape ((char[LOG_TEXT_SIZE]){ "" }, LOG_TEXT_SIZE, s)
+
 /** Open log4c and send the lines of every component to standard error.
  * @param level "error", "warn", "info" or "debug".
  * @return false if the level is unknown or log4c cannot start. */
--- a/session/callers.c
+++ b/session/callers.c
@@ -124,15 +124,15 @@
               enum outcome outcome)
 {
   struct stats *stats = c->callers->sessiond->stats;
-  char labels[160];
+  char labels[400];
   snprintf (labels, sizeof labels,
-            "organisation=\"%.*s\",database=\"%.*s\",outcome=\"%s\"",
-            BSTR_ARG (bstr_cut (c->organisation, OPTION_MAX_NAME)),
-            BSTR_ARG (bstr_cut (c->database, OPTION_MAX_NAME)),
+            "organisation=\"%s\",database=\"%s\",outcome=\"%s\"",
+            LOG_TEXT (bstr_cut (c->organisation, OPTION_MAX_NAME)),
+            LOG_TEXT (bstr_cut (c->database, OPTION_MAX_NAME)),
             wire_outcome_name (outcome));
   ++*stats_counter (stats, "azurewind_statements_total", labels);
-  snprintf (labels, sizeof labels, "database=\"%.*s\"",
-            BSTR_ARG (bstr_cut (c->database, OPTION_MAX_NAME)));
+  snprintf (labels, sizeof labels, "database=\"%s\"",
+            LOG_TEXT (bstr_cut (c->database, OPTION_MAX_NAME)));
   histogram_add (stats_histogram (stats, "azurewind_statement_us", labels),
                  (uint64_t)(clock_now () - w->arrived_at));
 }
@@ -250,11 +250,11 @@
   struct caller *c = w->caller;
   sessiond_log_request (
       PART,
-      "event=refused id=%.*s database=%.*s outcome=%s waited_us=%" PRId64
-      " sent=%d retry_ms=%d reason=\"%.*s\"",
-      BSTR_ARG (w->message.statement.id), BSTR_ARG (c->database),
+      "event=refused id=%s database=%s outcome=%s waited_us=%" PRId64
+      " sent=%d retry_ms=%d reason=\"%s\"",
+      LOG_TEXT (w->message.statement.id), LOG_TEXT (c->database),
       wire_outcome_name (outcome), clock_now () - w->arrived_at,
-      w->member != 0, retry_ms, BSTR_ARG (text));
+      w->member != 0, retry_ms, LOG_TEXT (text));
   if (w->is_begin)
     {
       set_begin_error (c, outcome, text, retry_ms);
@@ -540,10 +540,9 @@
   c->start_until = 0;
   if (outcome != OUTCOME_OK)
     {
-      sessiond_log_request (PART,
-                            "event=session_refused database=%.*s outcome=%s",
-                            BSTR_ARG (bstr_cut (c->database, OPTION_MAX_NAME)),
-                            wire_outcome_name (outcome));
+      sessiond_log_request (
+          PART, "event=session_refused database=%s outcome=%s",
+          LOG_TEXT (c->database), wire_outcome_name (outcome));
       wire_add_error (&out, outcome, bstr_from (access_error_text (outcome)));
       send_lines (c, &out);
       end_caller (c);
@@ -636,10 +635,10 @@
       enum outcome outcome = check_access (c);
       if (outcome != OUTCOME_OK)
         {
-          sessiond_log_request (
-              PART, "event=refused id=%.*s database=%.*s outcome=%s",
-              BSTR_ARG (request->id), BSTR_ARG (c->database),
-              wire_outcome_name (outcome));
+          sessiond_log_request (PART,
+                                "event=refused id=%s database=%s outcome=%s",
+                                LOG_TEXT (request->id), LOG_TEXT (c->database),
+                                wire_outcome_name (outcome));
           answer_error (c, outcome, access_error_text (outcome),
                         outcome == OUTCOME_BUSY ? UNCERTAIN_CONFIG_RETRY_MS
                                                 : 0);
@@ -840,9 +839,9 @@
   if (needs_signature (w->statement.verb) && !wire_is_signature (r->signature))
     {
       log_warn (PART,
-                "event=unsigned_result id=%.*s database=%.*s "
+                "event=unsigned_result id=%s database=%s "
                 "owner_incarnation=%" PRIx64 " reader=%d",
-                BSTR_ARG (w->message.statement.id), BSTR_ARG (c->database),
+                LOG_TEXT (w->message.statement.id), LOG_TEXT (c->database),
                 m->sender.incarnation, w->message.statement.for_reader);
       fail_unknown (w, "the result has no signature");
       return;
--- a/session/commit_query.c
+++ b/session/commit_query.c
@@ -52,9 +52,9 @@
     at = &(*at)->next;
   *at = c->next;
   log_info (PART,
-            "event=former_commit id=%.*s service=%s position=%" PRIu64
+            "event=former_commit id=%s service=%s position=%" PRIu64
             ".%" PRIu64 " noted=%d asked_ms=%" PRId64 " reason=\"%s\"",
-            BSTR_ARG (ps->statement->id), ps->service->name,
+            LOG_TEXT (ps->statement->id), ps->service->name,
             c->result.position.term, c->result.position.number, noted,
             (clock_now () - c->asked_at) / USEC_PER_MSEC, reason);
   if (noted)
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -418,8 +418,8 @@
       break;
     case PACKET_STATEMENT:
       if (is_too_old (f, m))
-        log_warn (PART, "event=statement_dropped id=%.*s reason=too_old",
-                  BSTR_ARG (m->statement.id));
+        log_warn (PART, "event=statement_dropped id=%s reason=too_old",
+                  LOG_TEXT (m->statement.id));
       else
         {
           owner_handle_statement (f->sessiond->owner, m);
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -288,10 +288,9 @@
 {
   struct promotion_record record = objects_decode_promotion (body);
   log_info (PART,
-            "event=record service=%s endpoint=%.*s term=%" PRIu64
-            " led=%" PRIu64 " position=%" PRIu64 ".%" PRIu64
-            " known_term=%" PRIu64,
-            s->name, BSTR_ARG (record.endpoint), record.term, record.led,
+            "event=record service=%s endpoint=%s term=%" PRIu64 " led=%" PRIu64
+            " position=%" PRIu64 ".%" PRIu64 " known_term=%" PRIu64,
+            s->name, LOG_TEXT (record.endpoint), record.term, record.led,
             record.position.term, record.position.number, known_term (s));
   remember_record (s, objects_revision (body),
                    record.led != 0 ? record.led : record.term + 1);
--- a/session/service.c
+++ b/session/service.c
@@ -69,9 +69,9 @@
   m.result = *result;
   if (!fleet_answer (s->sessiond->fleet, to, &m))
     sessiond_log_request (PART,
-                          "event=result_dropped id=%.*s service=%s outcome=%s"
+                          "event=result_dropped id=%s service=%s outcome=%s"
                           " reason=\"the process that sent it has ended\"",
-                          BSTR_ARG (to->statement.id), s->name,
+                          LOG_TEXT (to->statement.id), s->name,
                           wire_outcome_name (result->outcome));
 }
 
@@ -83,16 +83,16 @@
   int64_t now = clock_now ();
   if (result->outcome != OUTCOME_OK || result->moved)
     sessiond_log_request (PART,
-                          "event=result id=%.*s service=%s organisation=%.*s"
+                          "event=result id=%s service=%s organisation=%s"
                           " outcome=%s moved=%d"
                           " waited_us=%" PRId64
                           " sent=%d attempts=%d retry_ms=%d"
-                          " reason=\"%.*s\"",
-                          BSTR_ARG (ps->statement->id), s->name,
-                          BSTR_ARG (ps->statement->organisation),
+                          " reason=\"%s\"",
+                          LOG_TEXT (ps->statement->id), s->name,
+                          LOG_TEXT (ps->statement->organisation),
                           wire_outcome_name (result->outcome), result->moved,
                           now - ps->arrived_at, ps->sent_at != 0, ps->attempts,
-                          result->retry_ms, BSTR_ARG (result->text));
+                          result->retry_ms, LOG_TEXT (result->text));
   send_result_packet (s, ps->message, result);
   if (ps->pooled_link != NULL)
     ps->pooled_link->pending = NULL;
@@ -591,8 +591,8 @@
   if (answer->outcome == OUTCOME_NOT_PRIMARY && e == s->primary
       && s->phase == SERVICE_SERVING)
     {
-      log_warn (PART, "event=primary_lost service=%s endpoint=%s id=%.*s",
-                s->name, e->id, BSTR_ARG (ps->statement->id));
+      log_warn (PART, "event=primary_lost service=%s endpoint=%s id=%s",
+                s->name, e->id, LOG_TEXT (ps->statement->id));
       s->primary = NULL;
       service_set_phase (s, SERVICE_TAKEOVER, "the primary lost the lead");
     }
--- a/tests/test_common.c
+++ b/tests/test_common.c
@@ -2,6 +2,7 @@
 #include "common/compress.h"
 #include "common/error.h"
 #include "common/json_number.h"
+#include "common/log.h"
 #include "common/sorted.h"
 #include "common/stats.h"
 #include "tests/tests.h"
@@ -158,6 +159,23 @@
   talloc_free (memory);
 }
 
+/* Guards against a text from outside that forges a field or a line of the log,
+   or hides the fields behind it. */
+static void
+texts_add_no_field_to_the_log (void)
+{
+  char buffer[12];
+  CU_ASSERT_STRING_EQUAL (
+      bstr_escape (buffer, sizeof buffer, (struct bstr){ "a\0b\nc\"d", 7 }),
+      "a?b\\nc\\\"d");
+  CU_ASSERT_STRING_EQUAL (
+      bstr_escape (buffer, sizeof buffer, bstr_from ("\r\x7f\\")), "??\\\\");
+  CU_ASSERT_STRING_EQUAL (
+      bstr_escape (buffer, sizeof buffer, bstr_from ("0123456789abcdef")),
+      "0123456789");
+  CU_ASSERT_STRING_EQUAL (LOG_TEXT (bstr_from ("x")), "x");
+}
+
 /* Guards against a search that fails at the ends of an array. */
 static void
 places_in_sorted_arrays (void)
@@ -190,6 +208,7 @@
   { "json_numbers_are_exact", json_numbers_are_exact },
   { "addresses_are_exact", addresses_are_exact },
   { "large_configuration_is_compressed", large_configuration_is_compressed },
+  { "texts_add_no_field_to_the_log", texts_add_no_field_to_the_log },
   { "places_in_sorted_arrays", places_in_sorted_arrays },
   { NULL, NULL },
 };
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -354,6 +354,34 @@
   talloc_free (s);
 }
 
+/* Guards against an id that forges a field of a log line, or is so long that
+   the fields behind it are missing. */
+static void
+ids_forge_no_log_field (void)
+{
+  struct sessiond_site *s = start_site ();
+  struct line_caller *c = start_session (s, 0, "main1");
+  char *id = talloc_array (s, char, 3000);
+  memset (id, 'i', 3000);
+  memcpy (id, "QUERY a\tb\"c\n\0", 13);
+  memcpy (id + 2990, " READ k\r\n", 9);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (sessiond_site_fault (s,
+                                         i == 0   ? "db-1-a"
+                                         : i == 1 ? "db-1-b"
+                                                  : "db-1-c",
+                                         "refuse FAILED READ"));
+  CU_ASSERT_TRUE (line_send_bytes (c, (struct bstr){ id, 2999 }));
+  CU_ASSERT_EQUAL (line_count_answers (c, 1), 1);
+  usleep (50000);
+  char *log = bstr_to_text (s, process_output (s->daemons[0]));
+  const char *line = strstr (log, "event=refused id=a?b\\\"c\\n?iii");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (line);
+  const char *outcome = strstr (line, " outcome=FAILED");
+  CU_ASSERT_TRUE (outcome != NULL && outcome < strchr (line, '\n'));
+  talloc_free (s);
+}
+
 /* Answers that come twice. */
 
 /** What a caller was told of a statement. */
@@ -630,6 +658,7 @@
   { "random_bytes_arrive_unchanged", random_bytes_arrive_unchanged },
   { "lines_in_pieces_and_together", lines_in_pieces_and_together },
   { "largest_message_is_served", largest_message_is_served },
+  { "ids_forge_no_log_field", ids_forge_no_log_field },
   { "repeated_results_are_nobody_elses", repeated_results_are_nobody_elses },
   { "repeated_errors_are_nobody_elses", repeated_errors_are_nobody_elses },
   { "repeated_answers_in_transactions", repeated_answers_in_transactions },
