session: what does not fit between daemons is refused at once

What callers saw: a session with five values of 900,000 bytes had its read refused after its time-out, and each such message closed the bus connection (the receiver's limit is 4 MiB); a result of more rows than a message may hold was dropped, and its caller waited. Change: the values and prepared statements of a session have 4 MiB together, SET or PREPARE beyond gets FAILED; a message may have 8 MiB, so that a statement with its values always fits; a read whose result has more than 4096 rows or 3 MiB gets FAILED from the owner. Result: line_protocol/large_values_and_results_harm_nobody failed in each run before (4909 and 1684 ms, reads refused) and passes (115 and 52 ms).

--- a/core/session.c
+++ b/core/session.c
@@ -19,8 +19,14 @@
   while (i < s->value_count
          && !bstr_equals (s->values[i].name, statement->name))
     i++;
-  if (i == SESSION_MAX_VALUES)
+  size_t old_bytes = i < s->value_count
+                         ? s->values[i].name.len + s->values[i].value.len
+                         : 0;
+  size_t bytes = statement->name.len + statement->rest.len;
+  if (i == SESSION_MAX_VALUES
+      || s->bytes - old_bytes + bytes > SESSION_MAX_BYTES)
     return refuse_statement (OUTCOME_FAILED);
+  s->bytes += bytes - old_bytes;
   if (i == s->value_count)
     {
       s->values = talloc_realloc (s, s->values, struct session_value, i + 1);
@@ -46,6 +52,7 @@
 static void
 drop_prepared (struct session *s, int i)
 {
+  s->bytes -= s->prepared[i].name.len + s->prepared[i].shape.len;
   talloc_free ((char *)s->prepared[i].name.start);
   talloc_free ((char *)s->prepared[i].shape.start);
   s->prepared[i] = s->prepared[--s->prepared_count];
@@ -57,8 +64,11 @@
   int i = find_prepared (s, statement->name);
   if (i >= 0)
     drop_prepared (s, i);
-  if (s->prepared_count == SESSION_MAX_PREPARED)
+  size_t bytes = statement->name.len + statement->rest.len;
+  if (s->prepared_count == SESSION_MAX_PREPARED
+      || s->bytes + bytes > SESSION_MAX_BYTES)
     return refuse_statement (OUTCOME_FAILED);
+  s->bytes += bytes;
   s->prepared = talloc_realloc (s, s->prepared, struct session_prepared,
                                 s->prepared_count + 1);
   s->prepared[s->prepared_count++] = (struct session_prepared){
--- a/core/session.h
+++ b/core/session.h
@@ -11,6 +11,9 @@
 /* Limits of one session, so that no caller can exhaust the memory. */
 #define SESSION_MAX_VALUES 64
 #define SESSION_MAX_PREPARED 256
+/** Bytes of all values and prepared statements together.  With the values, a
+ * statement must fit into a message between daemons. */
+#define SESSION_MAX_BYTES ((size_t)4 << 20)
 
 /** A value that the caller has set with SET. */
 struct session_value
@@ -43,6 +46,8 @@
                           sent to the owner. */
   struct session_prepared *prepared;
   int prepared_count;
+  size_t bytes; /**< Of the names and texts of values and prepared
+                   statements. */
 };
 
 /** What to do with a statement. */
--- a/session/packet.h
+++ b/session/packet.h
@@ -11,16 +11,20 @@
 #include "platform/objects.h"
 #include "session/model.h"
 
-/** Maximum length of an encoded message, in bytes. */
-#define PACKET_MAX_BYTES ((size_t)4 << 20)
+/** Maximum length of an encoded message, in bytes: a statement's text or its
+ * shape and arguments, with SESSION_MAX_BYTES of values.  The bus closes a
+ * connection that brings a longer one. */
+#define PACKET_MAX_BYTES ((size_t)8 << 20)
 /** Maximum length of the JSON in a copy, in bytes.  Values in the platform's
  * store have at most 1 MiB; the entries of 2,000 endpoints together have about
  * the same size. */
 #define PACKET_MAX_COPY_BYTES ((size_t)16 << 20)
 /** Maximum number of organisations whose demand one heartbeat reports. */
 #define PACKET_MAX_DEMAND 256
-/** Maximum number of rows in a result. */
+/** Maximum number of rows in a result, and of their bytes together, which a
+ * caller's connection can buffer. */
 #define PACKET_MAX_ROWS 4096
+#define PACKET_MAX_ROW_BYTES ((size_t)3 << 20)
 
 /** Kind of a message. */
 enum packet_kind
--- a/session/service.c
+++ b/session/service.c
@@ -570,6 +570,16 @@
          || outcome == OUTCOME_NOT_PRIMARY || outcome == OUTCOME_NOT_PREPARED;
 }
 
+/* @return whether a result fits into a message to the entry daemon. */
+static bool
+result_fits (const struct link_answer *answer)
+{
+  size_t bytes = 0;
+  for (int i = 0; i < answer->row_count; i++)
+    bytes += answer->rows[i].len;
+  return answer->row_count <= PACKET_MAX_ROWS && bytes <= PACKET_MAX_ROW_BYTES;
+}
+
 /* Handle the answer to a statement of a caller: repeat the statement elsewhere
    if it did not run, or send its result. */
 static void
@@ -579,9 +589,18 @@
   struct endpoint *e = p->endpoint;
   struct service *s = e->service;
   struct pending_statement *ps = p->pending;
+  struct link_answer too_large = {
+    .task = answer->task,
+    .outcome = OUTCOME_FAILED,
+    .text = bstr_from ("the result is too large"),
+    .state = answer->state,
+    .position = answer->position,
+  };
   decrement_running (p);
   if (ps == NULL)
     return;
+  if (!result_fits (answer))
+    answer = &too_large;
   if (ps->sent_at > e->answered_sent_at)
     e->answered_sent_at = ps->sent_at;
   if (answer->outcome == OUTCOME_OK && ps->statement->verb != VERB_BEGIN)
--- a/standins/site_database.c
+++ b/standins/site_database.c
@@ -369,6 +369,7 @@
 /* Set a fault that has arguments.
    "stutter PERCENT KINDS": answers come twice, see set_stutter.
    "busy PERCENT": reads and writes are refused.
+   "row HEX": what reads answer first; "rows COUNT": how often.
    "repeat MS VERB": the answer of the next such statement comes again later.
    "refuse CODE VERB": the next such statement is not run.
    "refuse CODE VERB MS": its error comes again later. */
@@ -383,6 +384,8 @@
     return set_stutter (d, number, word);
   if (sscanf (fault, "busy %d", &number) == 1)
     d->busy_share = number;
+  else if (sscanf (fault, "rows %d", &number) == 1)
+    d->row_count = number;
   else if (sscanf (fault, "repeat %d %15s", &number, verb) == 2)
     add_next_fault (d, verb, NULL, number);
   else if (sscanf (fault, "refuse %15s %15s %d", word, verb, &number) == 3)
@@ -444,6 +447,7 @@
     {
       d->stutter_share = d->busy_share = 0;
       d->row = (struct bstr){ NULL, 0 };
+      d->row_count = 1;
     }
   else
     return set_fault_with_arguments (d, fault);
@@ -502,6 +506,7 @@
         d->id = talloc_asprintf (d, "db-%d-%c", s + 1, 'a' + i);
         d->is_primary = i == 0;
         d->term = 1;
+        d->row_count = 1;
         d->born_ms = s * 100 + i + 1;
         g->databases[g->count++] = d;
         if (!start_listening (d))
--- a/standins/site_private.h
+++ b/standins/site_private.h
@@ -65,6 +65,7 @@
   int stutter_share;
   enum answer_kind stutter_kinds;
   int busy_share;  /**< Fault: percent of reads and writes refused as BUSY. */
+  int row_count;   /**< Fault: how often reads answer their first row. */
   struct bstr row; /**< Fault: first row of every read; NULL: no fault. */
   uint64_t term;   /**< Newest term that it knows. */
   int64_t born_ms; /**< Start time that it publishes. */
--- a/standins/site_session.c
+++ b/standins/site_session.c
@@ -270,10 +270,11 @@
   int i = d->log_count - 1;
   while (i >= 0 && !bstr_equals (d->log[i].item, item))
     i--;
-  if (d->row.start != NULL)
-    add_recorded_row (s, run, d->row);
-  else
-    add_recorded_row (s, run, bstr_from (i >= 0 ? d->log[i].id : "none"));
+  struct bstr first = d->row.start != NULL
+                          ? d->row
+                          : bstr_from (i >= 0 ? d->log[i].id : "none");
+  for (int n = 0; n < d->row_count; n++)
+    add_recorded_row (s, run, first);
   if (i >= 0 && d->log[i].data.len > 0)
     add_recorded_row (s, run, d->log[i].data);
   add_done (s, signature);
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -354,6 +354,42 @@
   talloc_free (s);
 }
 
+/* Guards against session values, or a result, that are too large for a message
+   between daemons: the caller must be told at once, and nobody else may
+   notice. */
+static void
+large_values_and_results_harm_nobody (void)
+{
+  struct sessiond_site *s = start_site ();
+  struct line_answer a;
+  char *text = talloc_array (s, char, 900000);
+  for (int daemon = 0; daemon < 2; daemon++)
+    {
+      struct line_caller *c = start_session (s, daemon, "main1");
+      struct line_caller *other = start_session (s, daemon, "main1");
+      bool refused = false;
+      for (int i = 0; i < 6 && !refused; i++)
+        {
+          memset (text, 'v', 900000);
+          memcpy (text, "SET name0 ", 10);
+          text[8] = (char)('0' + i);
+          refused = !line_query_bytes (c, &a, (struct bstr){ text, 900000 });
+        }
+      int64_t begin = sessiond_site_now_ms ();
+      CU_ASSERT_TRUE (line_query (c, &a, "READ k"));
+      CU_ASSERT_TRUE (line_query (other, &a, "WRITE k x"));
+      set_all_faults (s, "rows 5000");
+      CU_ASSERT_FALSE (line_query (other, &a, "READ k"));
+      CU_ASSERT_STRING_EQUAL (a.code, "FAILED");
+      set_all_faults (s, "rows 1");
+      CU_ASSERT_TRUE (line_query (other, &a, "READ k"));
+      CU_ASSERT_TRUE (line_query (c, &a, "READ k"));
+      printf ("[%d ms] ", (int)(sessiond_site_now_ms () - begin));
+      CU_ASSERT_TRUE (sessiond_site_now_ms () - begin < 1000);
+    }
+  talloc_free (s);
+}
+
 /* Guards against an id that forges a field of a log line, or is so long that
    the fields behind it are missing. */
 static void
@@ -658,6 +694,8 @@
   { "random_bytes_arrive_unchanged", random_bytes_arrive_unchanged },
   { "lines_in_pieces_and_together", lines_in_pieces_and_together },
   { "largest_message_is_served", largest_message_is_served },
+  { "large_values_and_results_harm_nobody",
+    large_values_and_results_harm_nobody },
   { "ids_forge_no_log_field", ids_forge_no_log_field },
   { "repeated_results_are_nobody_elses", repeated_results_are_nobody_elses },
   { "repeated_errors_are_nobody_elses", repeated_errors_are_nobody_elses },
