soak: callers send any bytes, databases answer twice

Change: data, session values and shapes are random bytes; callers record what they sent and were told; the check compares every run with its sender's text, shape and values, and every success with the signature and rows of its run. Databases stutter and are busy, as faults and, in every other run, all the time.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -1,5 +1,6 @@
 #include "tests/soak/caller.h"
 
+#include "standins/site_line.h"
 #include "tests/relay_site.h"
 
 #include <signal.h>
@@ -16,6 +17,8 @@
 #define MAX_PAUSE_US 16000
 /* The caller ends its session after one in this many operations. */
 #define END_SESSION_ONE_IN 12
+/* Longest random text of a statement, in bytes. */
+#define MAX_RANDOM_BYTES 40
 
 /** Routes of a service; the database name of a session selects one. */
 enum route
@@ -31,11 +34,15 @@
 {
   const struct caller_options *o;
   FILE *file;
+  FILE *sent; /**< See caller_options. */
   unsigned random_state;
   struct line_caller *line; /**< Current session; NULL: none. */
   int service;              /**< Service of the current session. */
   enum route route;         /**< Route of the current session. */
   int session;              /**< Number of the current session. */
+  struct bstr mode;         /**< Session value "mode"; empty: not set. */
+  struct bstr shape; /**< Of the prepared write "s1"; empty: there is none. */
+  void *session_memory;
   int generation; /**< Part of the item's name; incremented after an unknown
                      outcome. */
 };
@@ -78,11 +85,92 @@
            (long long)r->end_ms, r->row[0] != '\0' ? r->row : "-");
 }
 
+static json_t *
+escaped_json (struct bstr bytes)
+{
+  char *text = site_line_escape (NULL, bytes);
+  json_t *json = json_string (text);
+  talloc_free (text);
+  return json;
+}
+
+/* Record a statement that was sent, and its answer. */
+static void
+write_sent (struct caller *c, struct bstr text, struct bstr shape,
+            const struct line_answer *a)
+{
+  json_t *rows = json_array (), *values = json_object ();
+  for (int i = 0; i < c->line->row_count; i++)
+    json_array_append_new (rows, escaped_json (c->line->rows[i]));
+  if (c->mode.len > 0)
+    json_object_set_new (values, "mode", escaped_json (c->mode));
+  json_t *sent
+      = json_pack ("{s:s, s:o, s:o, s:o, s:b, s:s, s:o}", "id", a->id, "text",
+                   escaped_json (text), "shape", escaped_json (shape),
+                   "values", values, "ok", a->state != 0 && a->code[0] == '\0',
+                   "signature", a->signature, "rows", rows);
+  char *line = json_dumps (sent, JSON_COMPACT);
+  fprintf (c->sent, "%s\n", line);
+  free (line);
+  json_decref (sent);
+}
+
+/* @return a random text of any bytes, without CR LF inside; half of the bytes
+   are those that a reader could mistake. */
+static struct bstr
+random_text (struct caller *c, void *parent)
+{
+  static const char special[] = { '\n', '\r', '\0', ' ' };
+  char *bytes = talloc_array (parent, char, MAX_RANDOM_BYTES);
+  size_t len = 1 + random_below (c, MAX_RANDOM_BYTES);
+  for (size_t i = 0; i < len; i++)
+    {
+      bytes[i] = random_below (c, 2) == 0 ? special[random_below (c, 4)]
+                                          : (char)random_below (c, 256);
+      if (i > 0 && bytes[i - 1] == '\r' && bytes[i] == '\n')
+        bytes[i] = 'x';
+    }
+  return (struct bstr){ bytes, len };
+}
+
+/* @return the text and then the bytes. */
+static struct bstr
+join (void *parent, const char *text, struct bstr bytes)
+{
+  size_t len = strlen (text);
+  char *joined = talloc_array (parent, char, len + bytes.len + 1);
+  memcpy (joined, text, len);
+  memcpy (joined + len, bytes.start, bytes.len);
+  return (struct bstr){ joined, len + bytes.len };
+}
+
 static void
 end_session (struct caller *c)
 {
   talloc_free (c->line);
   c->line = NULL;
+  TALLOC_FREE (c->session_memory);
+  c->mode = c->shape = (struct bstr){ "", 0 };
+}
+
+/* Set a value and prepare a write, each in half of the sessions.
+   @return whether they were accepted. */
+static bool
+set_up_session (struct caller *c)
+{
+  struct line_answer a;
+  c->session_memory = talloc_new (NULL);
+  if (random_below (c, 2) == 0)
+    c->mode = random_text (c, c->session_memory);
+  if (random_below (c, 2) == 0)
+    c->shape = random_text (c, c->session_memory);
+  return (c->mode.len == 0
+          || line_query_bytes (c->line, &a,
+                               join (c->session_memory, "SET mode ", c->mode)))
+         && (c->shape.len == 0
+             || line_query_bytes (
+                 c->line, &a,
+                 join (c->session_memory, "PREPARE s1 WRITE ", c->shape)));
 }
 
 /* Open a session of a random service and route through a random daemon.
@@ -99,7 +187,8 @@
   c->line = line_open (
       NULL, c->o->ports[random_below (c, (unsigned)c->o->port_count)]);
   c->session++;
-  if (c->line != NULL && line_start (c->line, database, "key-a1", &a))
+  if (c->line != NULL && line_start (c->line, database, "key-a1", &a)
+      && set_up_session (c))
     return true;
   end_session (c);
   return false;
@@ -118,7 +207,21 @@
   };
   snprintf (r.item, sizeof r.item, "c%d-%d-%d", c->o->number, c->service,
             c->generation);
-  line_query (c->line, a, writes ? "WRITE %s x" : "READ %s", r.item);
+  void *memory = talloc_new (NULL);
+  bool executes = writes && c->shape.len > 0 && random_below (c, 2) == 0;
+  char start[40];
+  snprintf (start, sizeof start, "%s%s%s",
+            executes ? "EXECUTE s1 "
+            : writes ? "WRITE "
+                     : "READ ",
+            r.item, writes ? " " : "");
+  struct bstr text
+      = join (memory, start,
+              writes ? random_text (c, memory) : (struct bstr){ "", 0 });
+  line_query_bytes (c->line, a, text);
+  write_sent (c, executes ? bstr_skip (text, strlen ("EXECUTE s1 ")) : text,
+              executes ? c->shape : (struct bstr){ "", 0 }, a);
+  talloc_free (memory);
   snprintf (r.id, sizeof r.id, "%s", a->id);
   snprintf (r.row, sizeof r.row, "%.23s", a->row);
   r.outcome = outcome_from_answer (a);
@@ -173,6 +276,8 @@
   else if (a.state == 'T')
     {
       line_query (c->line, &a, rolls_back ? "ROLLBACK" : "COMMIT");
+      if (!rolls_back)
+        write_sent (c, bstr_from ("COMMIT"), (struct bstr){ "", 0 }, &a);
       outcome = rolls_back ? CALLER_NOT_COMMITTED : outcome_from_answer (&a);
     }
 done:
@@ -221,8 +326,10 @@
       = { .o = options,
           .random_state = options->seed * 1000 + (unsigned)options->number };
   c.file = fopen (options->path, "w");
-  if (c.file == NULL)
+  c.sent = fopen (options->sent_path, "w");
+  if (c.file == NULL || c.sent == NULL)
     _exit (1);
+  c.mode = c.shape = (struct bstr){ "", 0 };
   run_operations (&c);
-  _exit (fclose (c.file) == 0 ? 0 : 1);
+  _exit (fclose (c.file) == 0 && fclose (c.sent) == 0 ? 0 : 1);
 }
--- a/tests/soak/caller.h
+++ b/tests/soak/caller.h
@@ -19,6 +19,9 @@
   int64_t
       end_ms; /**< Value of sessiond_site_now_ms at which the caller ends. */
   const char *path; /**< File that the caller writes its records to. */
+  /** File of all statements that it sent, a JSON object a line: id, text (of
+   * EXECUTE: the arguments), shape, values, ok, signature, rows. */
+  const char *sent_path;
 };
 
 /** Outcome of one statement as far as the caller knows it. */
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -205,3 +205,100 @@
   talloc_free (c.records);
   return c.result;
 }
+
+/* Text that sessiond_site_wait sends. */
+#define WAIT_TEXT "WRITE ready x"
+
+/* Read the sent statements of all callers into an object by id. */
+static json_t *
+read_sent (const char *const *paths, int count)
+{
+  json_t *sent = json_object (), *one;
+  for (int i = 0; i < count; i++)
+    {
+      FILE *file = fopen (paths[i], "r");
+      while (file != NULL
+             && (one = json_loadf (file, JSON_DISABLE_EOF_CHECK, NULL))
+                    != NULL)
+        json_object_set_new (
+            sent, json_string_value (json_object_get (one, "id")), one);
+      if (file == NULL)
+        printf ("%s cannot be read\n", paths[i]);
+      else
+        fclose (file);
+    }
+  return sent;
+}
+
+static const char *
+member (const json_t *object, const char *name)
+{
+  const char *text = json_string_value (json_object_get (object, name));
+  return text != NULL ? text : "";
+}
+
+/* @return what a run did that nobody asked for, NULL: nothing. */
+static const char *
+find_fault_of_run (const json_t *run, const json_t *sent)
+{
+  const char *text = member (run, "text"), *shape = member (sent, "shape");
+  if (sent == NULL)
+    return strcmp (text, WAIT_TEXT) != 0 ? "nobody sent it" : NULL;
+  if (!json_equal (json_object_get (run, "values"),
+                   json_object_get (sent, "values")))
+    return "the session values are others";
+  if (shape[0] == '\0')
+    return strcmp (text, member (sent, "text")) != 0 ? "the text is another"
+                                                     : NULL;
+  /* "EXECUTE", the name of the daemon, and the arguments. */
+  const char *arguments = strchr (text, ' ');
+  arguments = arguments != NULL ? strchr (arguments + 1, ' ') : NULL;
+  if (strcmp (member (run, "what"), shape) != 0)
+    return "the shape is another";
+  return arguments == NULL
+                 || strcmp (arguments + 1, member (sent, "text")) != 0
+             ? "the arguments are others"
+             : NULL;
+}
+
+int
+check_statements (const json_t *observed, const char *const *paths, int count)
+{
+  json_t *sent = read_sent (paths, count), *run, *one;
+  /* Successes that no run has confirmed yet. */
+  json_t *unconfirmed = json_object ();
+  int violations = 0;
+  size_t i;
+  const char *id;
+  json_object_foreach (sent, id, one)
+  {
+    if (json_is_true (json_object_get (one, "ok")))
+      json_object_set (unconfirmed, id, one);
+  }
+  json_array_foreach (json_object_get (observed, "runs"), i, run)
+  {
+    id = member (run, "id");
+    one = json_object_get (sent, id);
+    const char *fault = find_fault_of_run (run, one);
+    if (fault != NULL)
+      {
+        violations++;
+        printf ("violation: id=%s ran \"%s\" at %s: %s\n", id,
+                member (run, "text"), member (run, "database"), fault);
+      }
+    if (one != NULL
+        && strcmp (member (run, "signature"), member (one, "signature")) == 0
+        && json_equal (json_object_get (run, "rows"),
+                       json_object_get (one, "rows")))
+      json_object_del (unconfirmed, id);
+  }
+  json_object_foreach (unconfirmed, id, one)
+  {
+    violations++;
+    printf ("violation: id=%s \"%s\": signature or rows of no run of it\n", id,
+            member (one, "text"));
+  }
+  json_decref (unconfirmed);
+  json_decref (sent);
+  return violations;
+}
--- a/tests/soak/check.h
+++ b/tests/soak/check.h
@@ -18,6 +18,14 @@
   int violations;   /**< Broken promises. */
 };
 
+/** Check every statement that a database ran against those that callers sent:
+ * somebody sent it, its text, shape and session values are the sender's, and a
+ * success has the signature and the rows of a run of that statement.
+ * @param paths files of the sent statements, see caller_options.
+ * @return number of violations. */
+int check_statements (const json_t *observed, const char *const *paths,
+                      int count);
+
 /** Check all records and print each violation.
  * @param observed state of the databases, from the platform stand-in.
  * @param paths files of the callers.
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -93,7 +93,8 @@
   int active_fault_count;
   int64_t begin_ms;
   int failures;
-  char *paths[MAX_CALLERS]; /**< Record files of the callers. */
+  char *paths[MAX_CALLERS];      /**< Record files of the callers. */
+  char *sent_paths[MAX_CALLERS]; /**< Files of what they sent. */
   pid_t callers[MAX_CALLERS];
   int ports[SITE_MAX_DAEMONS]; /**< Ports of LINK_CALLERS. */
 };
@@ -210,18 +211,19 @@
 
 /* Inject a fault into a random database, unless its service has one: it
    crashes, takes statements without answering, receives no replicated commits,
-   or loses the answer of its next write.  Each pair has the names of a fault
-   and of its end; the last one needs no end. */
+   answers some statements twice, refuses some, or loses the answer of its next
+   write.  Each pair has the names of a fault and of its end; the last one
+   needs no end. */
 static void
 inject_database_fault (struct soak *s)
 {
-  static const char *const faults[][2] = { { "kill", "revive" },
-                                           { "silence", "speak" },
-                                           { "deaf", "hear" },
-                                           { "lose", NULL } };
+  static const char *const faults[][2]
+      = { { "kill", "revive" },    { "silence", "speak" },
+          { "deaf", "hear" },      { "stutter 30 any", "steady" },
+          { "busy 20", "steady" }, { "lose", NULL } };
   int service = (int)random_below (s, (unsigned)s->o->services);
   int target = service * 3 + (int)random_below (s, 3);
-  unsigned k = random_below (s, 4);
+  unsigned k = random_below (s, sizeof faults / sizeof faults[0]);
   if (database_has_fault (s, service))
     return;
   print_event (s, "database", target, faults[k][0]);
@@ -367,6 +369,7 @@
   for (int i = 0; i < s->o->callers; i++)
     {
       s->paths[i] = talloc_asprintf (s, "%s/caller-%d", s->site->folder, i);
+      s->sent_paths[i] = talloc_asprintf (s, "%s.sent", s->paths[i]);
       s->callers[i] = caller_start (&(struct caller_options){
           .seed = s->seed,
           .number = i,
@@ -375,6 +378,7 @@
           .port_count = s->o->daemons,
           .end_ms = end_ms,
           .path = s->paths[i],
+          .sent_path = s->sent_paths[i],
       });
     }
 }
@@ -386,8 +390,11 @@
   json_t *observed = sessiond_site_observed (s->site);
   struct check_result r
       = check_records (observed, (const char *const *)s->paths, s->o->callers);
+  s->failures
+      += r.violations
+         + check_statements (observed, (const char *const *)s->sent_paths,
+                             s->o->callers);
   json_decref (observed);
-  s->failures += r.violations;
   printf ("seed %u: %d statements, writes: %d acknowledged, %d refused, %d "
           "unknown, %d rolled back by a promotion; %d failures\n",
           s->seed, r.records, r.acknowledged, r.refused, r.unknown,
@@ -404,6 +411,10 @@
   int64_t next = 0;
   s->begin_ms = sessiond_site_now_ms ();
   int64_t end = s->begin_ms + (int64_t)s->o->seconds * 1000;
+  /* Other faults meet databases that answer twice all the time in every other
+     run. */
+  for (int i = 0; s->seed % 2 == 0 && i < s->o->services * 3; i++)
+    set_database_fault (s, i, "stutter 15 any");
   start_callers (s, end);
   while (sessiond_site_now_ms () < end)
     {
@@ -420,6 +431,8 @@
   for (int i = 0; i < s->o->callers; i++)
     waitpid (s->callers[i], NULL, 0);
   undo_due_faults (s, INT64_MAX);
+  for (int i = 0; i < s->o->services * 3; i++)
+    set_database_fault (s, i, "steady");
   for (int i = 0; i < s->o->daemons; i++)
     for (int k = 1; k <= s->o->services; k++)
       if (!sessiond_site_wait (s->site, i, k, RECOVERY_TIMEOUT_MS))
@@ -427,7 +440,10 @@
   restart_ended_daemons (s);
   check_promises (s);
   for (int i = 0; i < s->o->callers; i++)
-    unlink (s->paths[i]);
+    {
+      unlink (s->paths[i]);
+      unlink (s->sent_paths[i]);
+    }
 }
 
 /* Run one seed with a new fleet. @return whether it has passed. */
