tests: a refusal that comes twice is told to one statement

Cause: the other cases repeat answers of statements that ran; a refusal is a promise, and may belong to a statement that ran. Change: BEGIN, READ, WRITE, EXECUTE and COMMIT are refused once with BUSY, READONLY or FAILED, and the error comes again 1, 4 or 7 ms later.

--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -682,6 +682,38 @@
   talloc_free (s);
 }
 
+/* Guards against a promise that belongs to another statement: each kind of
+   statement is refused once, and the error comes a second time while the next
+   ones run. */
+static void
+repeated_error_of_each_statement (void)
+{
+  static const char *const verbs[]
+      = { "BEGIN", "READ", "WRITE", "EXECUTE", "COMMIT" };
+  static const char *const codes[] = { "BUSY", "READONLY", "FAILED" };
+  struct sessiond_site *s = start_site ();
+  struct told_list list = { NULL, 0 };
+  int successes;
+  for (size_t i = 0; i < sizeof verbs / sizeof verbs[0]; i++)
+    for (size_t k = 0; k < sizeof codes / sizeof codes[0]; k++)
+      for (int ms = 1; ms <= 7; ms += 3)
+        {
+          char fault[40];
+          snprintf (fault, sizeof fault, "refuse %s %s %d", codes[k], verbs[i],
+                    ms);
+          set_all_faults (s, fault);
+          run_transactions (s, &list, 40);
+          run_single_statements (s, &list, 20);
+        }
+  int wrong = count_false_answers (s, &list, &successes);
+  printf ("[%d of %d] ", wrong, successes);
+  CU_ASSERT_EQUAL (wrong, 0);
+  CU_ASSERT_EQUAL (count_broken_promises (s, &list), 0);
+  check_violations (s);
+  CU_ASSERT_TRUE (successes > list.count / 3);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "data_with_line_feed_is_one_field", data_with_line_feed_is_one_field },
   { "data_is_no_second_statement", data_is_no_second_statement },
@@ -701,6 +733,7 @@
   { "repeated_errors_are_nobody_elses", repeated_errors_are_nobody_elses },
   { "repeated_answers_in_transactions", repeated_answers_in_transactions },
   { "repeated_answer_of_each_statement", repeated_answer_of_each_statement },
+  { "repeated_error_of_each_statement", repeated_error_of_each_statement },
   { NULL, NULL },
 };
 
