--- a/session/callers.c
+++ b/session/callers.c
@@ -40,6 +40,9 @@
 /* Maximum number of lines that a caller may send before its running statement
    is answered. */
 #define MAX_QUEUED_LINES 64
+/* Bytes that a statement may gain on its way to an endpoint: AFTER with a
+   position, and the name of a prepared statement. */
+#define MAX_ADDED_BYTES 80
 /* Initial size of the table of sessions; it grows by doubling. */
 #define INITIAL_SLOTS 64
 /* The low bits of a session number are its slot in the table, the high bits
@@ -673,10 +676,28 @@
     }
 }
 
+/* @return whether the line would be longer than a message may be on its way to
+   an endpoint. */
+static bool
+is_too_long (const struct wire_request *request, struct bstr line)
+{
+  switch (request->statement.verb)
+    {
+    case VERB_READ:
+    case VERB_PREPARE:
+    case VERB_EXECUTE:
+      return line.len + MAX_ADDED_BYTES > STREAM_MAX_LINE;
+    default:
+      return false;
+    }
+}
+
 static void
 handle_line (struct caller *c, struct bstr line)
 {
   struct wire_request request = wire_parse_request (line);
+  if (request.kind == WIRE_QUERY && is_too_long (&request, line))
+    request.kind = WIRE_MALFORMED;
   if (request.kind == WIRE_RELEASE)
     end_caller (c);
   else if (request.kind == WIRE_START && !c->is_started)
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -230,7 +230,7 @@
 {
   static const struct bstr values[]
       = { BYTES ("a\nb"), BYTES ("a\0b"), BYTES ("a\0c"), BYTES ("a  b "),
-          BYTES ("a\r"),  BYTES ("a"),    BYTES ("\n"),   BYTES (" ") };
+          BYTES ("a\r"),  BYTES (""),     BYTES ("\n"),   BYTES (" ") };
   struct sessiond_site *s = start_site ();
   struct line_caller *c[8];
   struct line_answer a;
@@ -351,6 +351,11 @@
   CU_ASSERT_EQUAL_FATAL (c->row_count, 2);
   CU_ASSERT_TRUE (
       bstr_equals (c->rows[1], (struct bstr){ text + 8, len - 8 }));
+  /* With AFTER before it, a read of this length would be too long. */
+  memcpy (text, "READ kkk", 8);
+  CU_ASSERT_FALSE (line_query_bytes (c, &a, (struct bstr){ text, len }));
+  CU_ASSERT_STRING_EQUAL (a.code, "MALFORMED");
+  CU_ASSERT_TRUE (line_query (c, &a, "READ k"));
   talloc_free (s);
 }
 
