http: a path or parameter is counted bytes

Cause: libmicrohttpd decodes the target in place and passes a NUL-terminated path and value. Change: the path is decoded from the target as it was sent, with its length; values and headers are looked up with theirs.

--- a/net/http.c
+++ b/net/http.c
@@ -128,15 +128,19 @@
              : 0;
 }
 
-static struct pending_request *
-begin_request (struct http_server *server, struct MHD_Connection *connection,
-               const char *url, const char *method)
+/* libmicrohttpd calls this with the target of a request as it was sent.  The
+   path that it passes to on_request ends at an encoded NUL.
+   @return the context of the request. */
+static void *
+on_request_line (void *data, const char *target,
+                 struct MHD_Connection *connection)
 {
+  struct http_server *server = data;
   struct pending_request *p = talloc_zero (server, struct pending_request);
   p->server = server;
   p->connection = connection;
-  p->request.method = bstr_copy (p, bstr_from (method));
-  p->request.path = bstr_copy (p, bstr_from (url));
+  char *path = talloc_strndup (p, target, strcspn (target, "?"));
+  p->request.path = (struct bstr){ path, MHD_http_unescape (path) };
   p->request.connection = connection_id (connection);
   return p;
 }
@@ -181,14 +185,14 @@
             const char *method, const char *version, const char *upload_data,
             size_t *upload_size, void **context)
 {
-  (void)version;
+  (void)connection, (void)url, (void)version;
   struct http_server *server = data;
   struct pending_request *p = *context;
   if (server->stopping)
     return MHD_NO;
-  if (p == NULL)
+  if (p->request.method.start == NULL)
     {
-      *context = begin_request (server, connection, url, method);
+      p->request.method = bstr_copy (p, bstr_from (method));
       return MHD_YES;
     }
   if (*upload_size > 0)
@@ -298,9 +302,10 @@
       MHD_OPTION_CONNECTION_LIMIT, options->max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT, options->idle_seconds,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, server, MHD_OPTION_NOTIFY_CONNECTION, on_connection,
-      server, MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_URI_LOG_CALLBACK,
+      on_request_line, server, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
+      MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
   if (server->mhd == NULL)
     {
       error_set (err, ERROR_UNAVAILABLE, "cannot listen on %s",
@@ -352,7 +357,10 @@
               const char *name)
 {
   const struct pending_request *p = (const struct pending_request *)request;
-  return bstr_from (MHD_lookup_connection_value (p->connection, kind, name));
+  struct bstr value = { NULL, 0 };
+  MHD_lookup_connection_value_n (p->connection, kind, name, strlen (name),
+                                 &value.start, &value.len);
+  return value;
 }
 
 struct bstr
--- a/net/http.h
+++ b/net/http.h
@@ -19,7 +19,7 @@
 struct http_request
 {
   struct bstr method;
-  struct bstr path; /**< Without the query string. */
+  struct bstr path; /**< Decoded, without the query string; any bytes. */
   struct bstr body;
   bool too_large;      /**< The body exceeds the limit; parts of it were
                           dropped. */
@@ -77,7 +77,8 @@
 /** @return the header's value; an empty string if it is absent. */
 struct bstr http_header_value (const struct http_request *request,
                                const char *name);
-/** @return the value of a query parameter; an empty string if it is absent. */
+/** @return the decoded value of a query parameter, any bytes; an empty string
+ * if it is absent. */
 struct bstr http_query_value (const struct http_request *request,
                               const char *name);
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -14,8 +14,9 @@
 #define MAX_HELD 4
 #define BUFFER_SIZE 65536
 
-/* A server that answers each request with "[PATH BODY-LENGTH TOO-LARGE]": at
-   once, or only when the test calls answer if the path starts with "/held". */
+/* A server that answers each request with "[PATH BODY-LENGTH TOO-LARGE]", or
+   "[PATH-LENGTH VALUE-LENGTH]" if the path starts with "/bytes/": at once, or
+   only when the test calls answer if the path starts with "/held". */
 struct fixture
 {
   struct http_handler handler; /* First, so that it can be cast back. */
@@ -41,8 +42,12 @@
 answer (struct http_request *request)
 {
   char text[200];
-  snprintf (text, sizeof text, "[%.*s %zu %d]", BSTR_ARG (request->path),
-            request->body.len, request->too_large);
+  if (bstr_starts_with (request->path, "/bytes/"))
+    snprintf (text, sizeof text, "[%zu %zu]", request->path.len,
+              http_query_value (request, "v").len);
+  else
+    snprintf (text, sizeof text, "[%.*s %zu %d]", BSTR_ARG (request->path),
+              request->body.len, request->too_large);
   http_reply (request, 200, "text/plain", bstr_from (text), NULL);
 }
 
@@ -293,6 +298,69 @@
   talloc_free (f);
 }
 
+/* Guards against a path or a parameter that ends at an encoded NUL, so that
+   the answer is the one to another path. */
+static void
+nul_does_not_end_a_path (void)
+{
+  static const struct
+  {
+    const char *request;
+    size_t path_len, value_len;
+  } requests[] = {
+    { GET ("/bytes/ab%00cd"), 12, 0 },
+    { GET ("/bytes/%00"), 8, 0 },
+    { GET ("/bytes/a%2500"), 11, 0 },
+    { GET ("/bytes/a%%00b?v=%00"), 11, 1 },
+    { GET ("/bytes/a%2Fb%3Fc?v=a%00b+c"), 12, 5 },
+    { GET ("/bytes/a?w=1&v=%zz%0"), 8, 5 },
+  };
+  struct fixture *f = fixture_create ();
+  struct client *c = client_open (f);
+  char expected[40];
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  for (int i = 0; i < (int)(sizeof requests / sizeof requests[0]); i++)
+    {
+      client_send (c, requests[i].request);
+      snprintf (expected, sizeof expected, "[%zu %zu]", requests[i].path_len,
+                requests[i].value_len);
+      CU_ASSERT_STRING_EQUAL (client_wait (f, c, i + 1), expected);
+    }
+  talloc_free (f);
+}
+
+/* Guards against memory of requests that end before their headers do. */
+static void
+unfinished_requests_are_freed (void)
+{
+  struct fixture *f = fixture_create ();
+  struct client *c = client_open (f);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+  client_send (c, GET ("/first"));
+  CU_ASSERT_STRING_EQUAL (client_wait (f, c, 1), "[/first 0 0]");
+  talloc_free (c);
+  CU_ASSERT (loop_run (f->ev, LOOP_TIMEOUT_MS, has_no_connections, f));
+  size_t blocks = talloc_total_blocks (f->server);
+  static const char *const parts[]
+      = { "GET /a",
+          "GET /a HTTP/1.1\r\n",
+          "GET /a HTTP/1.1\r\nHost: x\r\n",
+          "GET /a HTTP/1.1\r\nHost\r\n\r\n",
+          "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab",
+          "GET /a HTTP/1.1\r\n\r\n" };
+  for (size_t i = 0; i < sizeof parts / sizeof parts[0]; i++)
+    {
+      c = client_open (f);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (c);
+      client_send (c, parts[i]);
+      loop_run (f->ev, 20, NULL, NULL);
+      talloc_free (c);
+      CU_ASSERT (loop_run (f->ev, LOOP_TIMEOUT_MS, has_no_connections, f));
+      CU_ASSERT_EQUAL (talloc_total_blocks (f->server), blocks);
+    }
+  talloc_free (f);
+}
+
 /* Guards against an answer to a client that has disconnected: it must neither
    crash the daemon nor reach the next client. */
 static void
@@ -364,6 +432,8 @@
     late_reply_to_a_gone_client_is_dropped },
   { "requests_are_answered_while_draining",
     requests_are_answered_while_draining },
+  { "nul_does_not_end_a_path", nul_does_not_end_a_path },
+  { "unfinished_requests_are_freed", unfinished_requests_are_freed },
   { "server_ends_with_an_open_request", server_ends_with_an_open_request },
   { NULL, NULL },
 };
