front: a key that is looked up must be a text

What callers saw: GET /v1/requests/k%00x barred the key "k", so the write with that key was answered key_barred; a key with a byte that is not UTF-8, which PostgreSQL refuses each time, would be asked for until the deadline (by reading; the stand-in accepts such bytes). Cause: only the length of the key in the path was checked. A key in a body is a JSON string without NUL, so no write can have another one. Change: query_is_text; other keys are refused with invalid_request at once. A transaction's id keeps its length too.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -44,7 +44,7 @@
   int64_t deadline;
   int64_t first_admit_at;  /**< Time of the first call of budget_admit. */
   bool admit_was_tried;    /**< budget_admit was called for the request. */
-  char *transaction;       /**< Id of its transaction; NULL: none. */
+  struct bstr transaction; /**< Id of its transaction; NULL: none. */
   bool begins_transaction; /**< The request opens a transaction. */
   char *lookup_key; /**< Key of GET /v1/requests/<key>; NULL: other route. */
 };
@@ -309,8 +309,7 @@
 static struct transaction *
 find_transaction (struct pending_request *r)
 {
-  struct transaction *t
-      = transaction_find (r->front->daemon, bstr_from (r->transaction));
+  struct transaction *t = transaction_find (r->front->daemon, r->transaction);
   if (t == NULL || !transaction_belongs_to (t, r->key_id, r->http->connection))
     {
       refuse (r, 404, "unknown_transaction",
@@ -341,7 +340,7 @@
 static void
 run_admitted (struct pending_request *r)
 {
-  if (r->transaction != NULL)
+  if (r->transaction.start != NULL)
     {
       run_in_transaction (r);
       return;
@@ -455,9 +454,10 @@
 static void
 on_lookup (struct pending_request *r, struct bstr key)
 {
-  if (key.len == 0 || key.len > QUERY_MAX_KEY_BYTES)
+  if (key.len == 0 || key.len > QUERY_MAX_KEY_BYTES || !query_is_text (key))
     {
-      refuse (r, 400, "invalid_request", "the idempotency key is missing", 0);
+      refuse (r, 400, "invalid_request",
+              "the idempotency key is missing, too long, or not a text", 0);
       return;
     }
   if (!find_group (r, http_query_value (r->http, "service"))
@@ -517,7 +517,7 @@
   const char *slash = memchr (rest.start, '/', rest.len);
   size_t len = slash != NULL ? (size_t)(slash - rest.start) : rest.len;
   struct bstr verb = bstr_skip (rest, len + 1);
-  r->transaction = bstr_to_text (r, (struct bstr){ rest.start, len });
+  r->transaction = bstr_copy (r, (struct bstr){ rest.start, len });
   if (!authenticate (r, false))
     return;
   if (bstr_equals_text (verb, "commit"))
--- a/daemon/query.c
+++ b/daemon/query.c
@@ -113,6 +113,15 @@
   return true;
 }
 
+bool
+query_is_text (struct bstr text)
+{
+  json_t *json = json_stringn (text.start, text.len);
+  bool is_utf8 = json != NULL;
+  json_decref (json);
+  return is_utf8 && memchr (text.start, 0, text.len) == NULL;
+}
+
 /* Reads an optional string field; a missing one is empty. */
 static bool
 get_text (const json_t *json, const char *name, struct bstr *text,
--- a/daemon/query.h
+++ b/daemon/query.h
@@ -36,6 +36,9 @@
   int statement_count;
 };
 
+/** @return whether @p text is UTF-8 without NUL, as PostgreSQL's texts are. */
+bool query_is_text (struct bstr text);
+
 /** Parse and validate @p body.
  * @return the request, allocated under @p parent together with its strings;
  * NULL with the reason in @p err: ERROR_REFUSED for a statement that callers
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -751,6 +751,30 @@
   talloc_free (f);
 }
 
+/* Guards against a lookup that reads and bars another key, the one before an
+   encoded NUL, and one that asks until its deadline for a key that no server
+   accepts. */
+static void
+lookup_of_a_key_that_is_no_text_is_refused (void)
+{
+  static const char *const paths[] = { "/v1/requests/k%00x?service=lending",
+                                       "/v1/requests/k%FF?service=lending",
+                                       "/v1/requests/%00?service=lending" };
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  REQUIRE (f != NULL);
+  for (size_t i = 0; i < sizeof paths / sizeof paths[0]; i++)
+    {
+      struct fleet_answer a = fleet_get (f, 0, paths[i], f->key);
+      CU_ASSERT_STRING_EQUAL (fleet_answer_text (&a, "code"),
+                              "invalid_request");
+      json_decref (a.json);
+    }
+  REQUIRE (outcome_is (f, 0, "write", NULL, ",\"idempotency_key\":\"k\"",
+                       "INSERT INTO bookings VALUES ('k', 1)", "ran"));
+done:
+  talloc_free (f);
+}
+
 /* Guards against a planned stop that aborts an open transaction. */
 static void
 graceful_shutdown_cuts_nothing (void)
@@ -871,6 +895,8 @@
   { "rate_holds_over_all_daemons", rate_holds_over_all_daemons },
   { "configuration_never_reverts", configuration_never_reverts },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
+  { "lookup_of_a_key_that_is_no_text_is_refused",
+    lookup_of_a_key_that_is_no_text_is_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
   { "bad_input_gets_one_clear_error", bad_input_gets_one_clear_error },
   { NULL, NULL },
