reply: a message holds any text of a server

What callers saw: an error without the field "message" when the server's text has bytes that are not UTF-8, as one of an SQL_ASCII or Latin-1 database may. Cause: json_string refuses such a text, and the object was left without it. Change: json_text_readable puts U+FFFD in place of the bytes that are not part of UTF-8; a message is for people. Result: query/messages_need_no_utf8 passes (new function, so not run before; json_string returns NULL for 3 of its 5 texts).

--- a/daemon/reply.c
+++ b/daemon/reply.c
@@ -29,7 +29,8 @@
   json_object_set_new (json, "outcome",
                        json_string (reply_outcome_name (outcome)));
   json_object_set_new (json, "code", json_string (code));
-  json_object_set_new (json, "message", json_string (message));
+  json_object_set_new (json, "message",
+                       json_text_readable (bstr_from (message)));
   if (retry_us > 0)
     json_object_set_new (json, "retry_after_ms",
                          json_integer ((retry_us + 999) / USEC_PER_MSEC));
--- a/tests/test_query.c
+++ b/tests/test_query.c
@@ -1,3 +1,4 @@
+#include "common/json_text.h"
 #include "daemon/query.h"
 #include "tests/tests.h"
 
@@ -68,9 +69,32 @@
   json_decref (json);
 }
 
+/* Guards against an error reply without its message, the text of a server that
+   does not use UTF-8. */
+static void
+messages_need_no_utf8 (void)
+{
+  static const char *const texts[][2] = {
+    { "", "" },
+    { "caf\xC3\xA9 \xF0\x9F\x99\x82", "caf\xC3\xA9 \xF0\x9F\x99\x82" },
+    { "caf\xE9", "caf\xEF\xBF\xBD" },
+    { "\xFF\"\n\xC3", "\xEF\xBF\xBD\"\n\xEF\xBF\xBD" },
+    { "\xED\xA0\x80 \xC3\xA9",
+      "\xEF\xBF\xBD\xEF\xBF\xBD\xEF\xBF\xBD \xC3\xA9" },
+  };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      json_t *json = json_text_readable (bstr_from (texts[i][0]));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (json);
+      CU_ASSERT_STRING_EQUAL (json_string_value (json), texts[i][1]);
+      json_decref (json);
+    }
+}
+
 static const struct test_case cases[] = {
   { "comments_do_not_hide_a_statement", comments_do_not_hide_a_statement },
   { "messages_hold_whole_characters", messages_hold_whole_characters },
+  { "messages_need_no_utf8", messages_need_no_utf8 },
   { NULL, NULL },
 };
 TEST_SUITE (query, cases)
