call: an answer that JSON cannot hold is an error

Cause: values went into the JSON unchecked, so json_dumps failed and its NULL was sent as an empty body; names that json_string refuses were left out. Change: call_result_json returns NULL for such a result, and the answer is 422 "not_utf8" with the outcome "ran", as for "too_many_rows". Result: fleet/text_that_is_not_utf8_is_an_error failed in 9 assertions before (read, write, transaction) and passes; query/results_are_whole_or_none failed in 3 before and passes. The row of the code in docs/interface.md is still to be written (docs/interface_names_every_error_code).

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -166,6 +166,9 @@
   if (outcome == OUTCOME_RAN && c->too_many_rows)
     reply_error (c->http, 422, c->request_id, outcome, "too_many_rows",
                  "the answer has more rows than max_rows allows", 0);
+  else if (outcome == OUTCOME_RAN && c->not_utf8)
+    reply_error (c->http, 422, c->request_id, outcome, "not_utf8",
+                 CALL_NOT_UTF8_TEXT, 0);
   else if (outcome == OUTCOME_RAN)
     reply_with_results (c);
   else
@@ -216,6 +219,7 @@
   TYPE_FLOAT8 = 701
 };
 
+/* @return NULL if the value is a text that is not UTF-8. */
 static json_t *
 value_json (const PGresult *result, int row, int column)
 {
@@ -238,8 +242,7 @@
         return number != NULL ? number : json_string (text);
       }
     default:
-      return json_stringn_nocheck (text,
-                                   (size_t)PQgetlength (result, row, column));
+      return json_stringn (text, (size_t)PQgetlength (result, row, column));
     }
 }
 
@@ -249,13 +252,18 @@
   json_t *json = json_object ();
   json_t *columns = json_array (), *rows = json_array ();
   int width = PQnfields (result);
+  bool complete = true;
   for (int i = 0; i < width; i++)
-    json_array_append_new (columns, json_string (PQfname (result, i)));
+    complete
+        = json_array_append_new (columns, json_string (PQfname (result, i)))
+              == 0
+          && complete;
   for (int r = 0; r < PQntuples (result); r++)
     {
       json_t *row = json_array ();
       for (int i = 0; i < width; i++)
-        json_array_append_new (row, value_json (result, r, i));
+        complete = json_array_append_new (row, value_json (result, r, i)) == 0
+                   && complete;
       json_array_append_new (rows, row);
     }
   json_object_set_new (json, "columns", columns);
@@ -264,6 +272,11 @@
       json, "affected",
       json_integer (
           strtoll (PQcmdTuples ((PGresult *)(uintptr_t)result), NULL, 10)));
+  if (!complete)
+    {
+      json_decref (json);
+      json = NULL;
+    }
   return json;
 }
 
@@ -297,8 +310,10 @@
         return false;
       rows += PQntuples (result);
       c->too_many_rows = rows > c->organisation->values.max_rows;
-      if (!c->too_many_rows)
-        json_array_append_new (c->results, call_result_json (result));
+      if (!c->too_many_rows
+          && json_array_append_new (c->results, call_result_json (result))
+                 != 0)
+        c->not_utf8 = true;
     }
   return true;
 }
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -59,6 +59,7 @@
   json_t *results;    /**< Array, one result per statement; NULL: none. */
   bool replayed;      /**< The outcome comes from a lookup, without results. */
   bool too_many_rows; /**< The results exceed max_rows and are not sent. */
+  bool not_utf8;      /**< The results are not UTF-8 and are not sent. */
   bool served_by_replica;
   const char *code;  /**< Error code of the reply; NULL: none set. */
   char message[200]; /**< Error message of the reply. */
@@ -109,7 +110,12 @@
 /** Check again whether writes that wait for confirmation can be answered. */
 void call_recheck_unconfirmed (struct group *g);
 
-/** Convert one statement's result to JSON. @return a new reference. */
+/** Message of the error "not_utf8". */
+#define CALL_NOT_UTF8_TEXT "the answer has text that is not UTF-8"
+
+/** Convert one statement's result to JSON.
+ * @return a new reference; NULL if a name or a value is not UTF-8, as JSON
+ * cannot hold it. */
 json_t *call_result_json (const PGresult *result);
 
 #endif
--- a/daemon/transaction.c
+++ b/daemon/transaction.c
@@ -253,11 +253,22 @@
   else
     {
       json_t *json = create_reply_json (t), *results = json_array ();
+      bool complete = true;
       for (int i = 0; i < reply->count; i++)
-        json_array_append_new (results, call_result_json (reply->results[i]));
+        complete = json_array_append_new (results,
+                                          call_result_json (reply->results[i]))
+                       == 0
+                   && complete;
       json_object_set_new (json, "outcome", json_string ("ran"));
       json_object_set_new (json, "results", results);
-      reply_success (t, json);
+      if (complete)
+        reply_success (t, json);
+      else
+        {
+          json_decref (json);
+          reply_error (detach_http_request (t), 422, t->request_id,
+                       OUTCOME_RAN, "not_utf8", CALL_NOT_UTF8_TEXT, 0);
+        }
     }
   start_idle_timer (t);
 }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -751,6 +751,42 @@
   talloc_free (f);
 }
 
+/* Guards against an empty answer, and one without some columns, when a server
+   sends text that is not UTF-8 (an SQL_ASCII database). */
+static void
+text_that_is_not_utf8_is_an_error (void)
+{
+  static const char select[] = "SELECT CAST(x'63C3' AS text) AS n";
+  static const char body[]
+      = "{\"service\":\"lending\",\"mode\":\"write\",\"statements\":[{\"sql\":"
+        "\"SELECT CAST(x'63C3' AS text) AS n\"}]}";
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  CURL *curl = curl_easy_init ();
+  REQUIRE (f != NULL);
+  for (int i = 0; i < 3; i++)
+    {
+      struct fleet_answer a;
+      if (i < 2)
+        a = fleet_sql (f, 0, i == 0 ? "read" : "write", NULL, "", select);
+      else
+        {
+          a = fleet_post (f, 0, curl, "/v1/transactions", f->key, NULL,
+                          "{\"service\":\"lending\"}");
+          char *path = talloc_asprintf (f, "/v1/transactions/%s/query",
+                                        fleet_answer_text (&a, "transaction"));
+          json_decref (a.json);
+          a = fleet_post (f, 0, curl, path, f->key, NULL, body);
+        }
+      CU_ASSERT_EQUAL (a.status, 422);
+      CU_ASSERT_STRING_EQUAL (fleet_answer_text (&a, "code"), "not_utf8");
+      CU_ASSERT_STRING_EQUAL (fleet_answer_text (&a, "outcome"), "ran");
+      json_decref (a.json);
+    }
+done:
+  curl_easy_cleanup (curl);
+  talloc_free (f);
+}
+
 /* Guards against a lookup that reads and bars another key, the one before an
    encoded NUL, and one that asks until its deadline for a key that no server
    accepts. */
@@ -895,6 +931,7 @@
   { "rate_holds_over_all_daemons", rate_holds_over_all_daemons },
   { "configuration_never_reverts", configuration_never_reverts },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
+  { "text_that_is_not_utf8_is_an_error", text_that_is_not_utf8_is_an_error },
   { "lookup_of_a_key_that_is_no_text_is_refused",
     lookup_of_a_key_that_is_no_text_is_refused },
   { "graceful_shutdown_cuts_nothing", graceful_shutdown_cuts_nothing },
--- a/tests/test_query.c
+++ b/tests/test_query.c
@@ -1,4 +1,5 @@
 #include "common/json_text.h"
+#include "daemon/call.h"
 #include "daemon/query.h"
 #include "tests/tests.h"
 
@@ -91,10 +92,68 @@
     }
 }
 
+/* @return a result with one column of these bytes. */
+static PGresult *
+make_result (struct bstr name, struct bstr value)
+{
+  PGresult *result = PQmakeEmptyPGresult (NULL, PGRES_TUPLES_OK);
+  char *text = bstr_to_text (NULL, name);
+  PGresAttDesc column = { .name = text, .typid = 25, .typlen = -1 };
+  CU_ASSERT_EQUAL_FATAL (PQsetResultAttrs (result, 1, &column), 1);
+  CU_ASSERT_EQUAL_FATAL (PQsetvalue (result, 0, 0,
+                                     (char *)(uintptr_t)value.start,
+                                     (int)value.len),
+                         1);
+  talloc_free (text);
+  return result;
+}
+
+/* Guards against rows and names of columns that are cut or missing in an
+   answer. */
+static void
+results_are_whole_or_none (void)
+{
+  static const struct
+  {
+    struct bstr name, value;
+    bool whole;
+  } results[] = {
+    { { "n", 1 }, { "a\"\\\n\r\x01\x7F'b", 9 }, true },
+    { { "\"n\"\n", 4 }, { "", 0 }, true },
+    { { "\xC3\xA9", 2 }, { "\xF0\x9F\x99\x82", 4 }, true },
+    { { "n", 1 }, { "ab\0cd", 5 }, true },
+    { { "n", 1 }, { "caf\xE9", 4 }, false },
+    { { "caf\xE9", 4 }, { "x", 1 }, false },
+  };
+  for (size_t i = 0; i < sizeof results / sizeof results[0]; i++)
+    {
+      PGresult *result = make_result (results[i].name, results[i].value);
+      json_t *json = call_result_json (result);
+      CU_ASSERT_EQUAL (json != NULL, results[i].whole);
+      struct bstr text = json_text_take (NULL, json, JSON_COMPACT);
+      json = json_loadb (text.start, text.len, JSON_ALLOW_NUL, NULL);
+      CU_ASSERT_EQUAL (json != NULL, results[i].whole);
+      const json_t *name
+          = json_array_get (json_object_get (json, "columns"), 0);
+      const json_t *value = json_array_get (
+          json_array_get (json_object_get (json, "rows"), 0), 0);
+      CU_ASSERT (!results[i].whole
+                 || (json_string_length (name) == results[i].name.len
+                     && json_string_length (value) == results[i].value.len
+                     && memcmp (json_string_value (value),
+                                results[i].value.start, results[i].value.len)
+                            == 0));
+      json_decref (json);
+      talloc_free ((char *)(uintptr_t)text.start);
+      PQclear (result);
+    }
+}
+
 static const struct test_case cases[] = {
   { "comments_do_not_hide_a_statement", comments_do_not_hide_a_statement },
   { "messages_hold_whole_characters", messages_hold_whole_characters },
   { "messages_need_no_utf8", messages_need_no_utf8 },
+  { "results_are_whole_or_none", results_are_whole_or_none },
   { NULL, NULL },
 };
 TEST_SUITE (query, cases)
