pgsql: names cannot set options of the connection

What callers saw: a service whose "database" or "user" has a blank or a quote was not served, or its connections took other options (host, sslmode) from the name; answers of a database whose encoding is not UTF8 came in that encoding, which JSON does not have. Cause: the names were put into a conninfo string as they are, and a blank ends a value there; no client_encoding was asked for. Change: PQconnectStartParams, one argument for each value, and client_encoding=UTF8, so the server converts both ways.

--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -39,7 +39,8 @@
 struct pgsql_pool
 {
   struct tevent_context *ev;
-  char *conninfo;
+  char *host, *database, *user;
+  int port;
   int limit; /**< Most connections open at once. */
   int open;  /**< Connections that are open or being opened. */
   int connect_timeout_ms;
@@ -463,11 +464,10 @@
   pool->connect_timeout_ms = options->connect_timeout_ms;
   pool->connection_available = options->connection_available;
   pool->data = options->data;
-  pool->conninfo = talloc_asprintf (
-      pool,
-      "hostaddr=%s port=%d dbname=%s user=%s application_name=azurewind "
-      "sslmode=prefer gssencmode=disable",
-      options->host, options->port, options->database, options->user);
+  pool->host = talloc_strdup (pool, options->host);
+  pool->port = options->port;
+  pool->database = talloc_strdup (pool, options->database);
+  pool->user = talloc_strdup (pool, options->user);
   return pool;
 }
 
@@ -491,6 +491,34 @@
   return pool->idle != NULL || pool->open < pool->limit;
 }
 
+/* Start to connect.  Each value is an argument of its own, so that a name
+   cannot set other options. */
+static PGconn *
+start_connecting (const struct pgsql_pool *pool)
+{
+  char port[12];
+  const char *const options[][2] = {
+    { "hostaddr", pool->host },
+    { "port", port },
+    { "dbname", pool->database },
+    { "user", pool->user },
+    { "application_name", "azurewind" },
+    { "client_encoding", "UTF8" },
+    { "sslmode", "prefer" },
+    { "gssencmode", "disable" },
+    { NULL, NULL },
+  };
+  const char *names[sizeof options / sizeof options[0]];
+  const char *values[sizeof options / sizeof options[0]];
+  snprintf (port, sizeof port, "%d", pool->port);
+  for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
+    {
+      names[i] = options[i][0];
+      values[i] = options[i][1];
+    }
+  return PQconnectStartParams (names, values, 0);
+}
+
 static void
 open_connection (struct pgsql_pool *pool, pgsql_acquired_fn *done, void *data)
 {
@@ -502,7 +530,7 @@
   c->data = data;
   c->state = CONNECTION_OPENING;
   c->read_later = tevent_create_immediate (c);
-  c->pg = PQconnectStart (pool->conninfo);
+  c->pg = start_connecting (pool);
   pool->open++;
   talloc_set_destructor (c, connection_destructor);
   if (c->pg == NULL || PQstatus (c->pg) == CONNECTION_BAD)
--- a/tests/test_pgsql.c
+++ b/tests/test_pgsql.c
@@ -4,9 +4,13 @@
 #include "tests/process.h"
 #include "tests/tests.h"
 
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 /* Far below the connect timeout of 2 s. */
 #define REFUSED_LIMIT_US (500 * USEC_PER_MSEC)
@@ -372,6 +376,129 @@
   fixture_free (f);
 }
 
+/* ---- A server that sends what the test says ----------------------- */
+
+#define SSL_REQUEST_BYTES 8
+
+/* A server for one connection.  It keeps what it receives. */
+struct raw_server
+{
+  struct tevent_context *ev;
+  struct tevent_fd *listen_fde, *fde;
+  int listen_fd, fd, port;
+  char in[4096];
+  size_t used;
+  bool started; /* The startup message has arrived. */
+};
+
+static int
+raw_server_destructor (struct raw_server *s)
+{
+  TALLOC_FREE (s->listen_fde);
+  TALLOC_FREE (s->fde);
+  close (s->listen_fd);
+  if (s->fd > 0)
+    close (s->fd);
+  return 0;
+}
+
+static void
+raw_send (struct raw_server *s, const void *bytes, size_t len)
+{
+  CU_ASSERT_EQUAL (send (s->fd, bytes, len, MSG_NOSIGNAL), (ssize_t)len);
+}
+
+static void
+on_raw_data (struct tevent_context *ev, struct tevent_fd *fde, uint16_t flags,
+             void *data)
+{
+  (void)ev, (void)flags;
+  struct raw_server *s = data;
+  ssize_t n = recv (s->fd, s->in + s->used, sizeof s->in - s->used, 0);
+  if (n <= 0)
+    {
+      TEVENT_FD_NOT_READABLE (fde);
+      return;
+    }
+  s->used += (size_t)n;
+  if (!s->started && s->used == SSL_REQUEST_BYTES)
+    {
+      s->used = 0;
+      raw_send (s, "N", 1);
+    }
+  else if (!s->started)
+    {
+      /* AuthenticationOk and ReadyForQuery. */
+      s->started = true;
+      raw_send (s, "R\0\0\0\10\0\0\0\0Z\0\0\0\5I", 15);
+    }
+}
+
+static void
+on_raw_connection (struct tevent_context *ev, struct tevent_fd *fde,
+                   uint16_t flags, void *data)
+{
+  (void)flags;
+  struct raw_server *s = data;
+  s->fd = accept (s->listen_fd, NULL, NULL);
+  s->fde = tevent_add_fd (ev, s, s->fd, TEVENT_FD_READ, on_raw_data, s);
+  TEVENT_FD_NOT_READABLE (fde);
+}
+
+static struct raw_server *
+raw_server_create (struct tevent_context *ev)
+{
+  struct raw_server *s = talloc_zero (ev, struct raw_server);
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  s->ev = ev;
+  s->listen_fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (s->listen_fd, (struct sockaddr *)&address, sizeof address), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (s->listen_fd, 1), 0);
+  getsockname (s->listen_fd, (struct sockaddr *)&address, &len);
+  s->port = ntohs (address.sin_port);
+  s->listen_fde = tevent_add_fd (ev, s, s->listen_fd, TEVENT_FD_READ,
+                                 on_raw_connection, s);
+  talloc_set_destructor (s, raw_server_destructor);
+  return s;
+}
+
+static bool
+raw_server_received (const struct raw_server *s, const char *bytes, size_t len)
+{
+  return memmem (s->in, s->used, bytes, len) != NULL;
+}
+
+/* Guards against a name of a database or a user that sets other options of the
+   connection, and texts that the server sends in the encoding of its database,
+   which JSON does not have. */
+static void
+names_are_sent_whole (void)
+{
+  static const char database[] = "d port=1 'x\\", user[] = "u' host=h";
+  struct tevent_context *ev = tevent_context_init (NULL);
+  struct raw_server *s = raw_server_create (ev);
+  struct call_outcome o = { 0 };
+  struct pgsql_pool_options options = { .ev = ev,
+                                        .host = "127.0.0.1",
+                                        .port = s->port,
+                                        .database = database,
+                                        .user = user,
+                                        .limit = 1,
+                                        .connect_timeout_ms = 2000 };
+  struct pgsql_pool *pool = pgsql_pool_create (ev, &options);
+  pgsql_acquire (pool, on_acquired, &o);
+  CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, is_acquired, &o));
+  CU_ASSERT_PTR_NOT_NULL (o.connection);
+  CU_ASSERT (raw_server_received (s, database, sizeof database));
+  CU_ASSERT (raw_server_received (s, user, sizeof user));
+  CU_ASSERT (raw_server_received (s, "client_encoding\0UTF8", 21));
+  talloc_free (pool);
+  talloc_free (ev);
+}
+
 /* ---- Random jobs ---------------------------------------------------- */
 
 #define JOBS 2000
@@ -555,6 +682,7 @@
   { "late_answers_after_abort_are_dropped",
     late_answers_after_abort_are_dropped },
   { "lost_answer_to_commit_is_lost", lost_answer_to_commit_is_lost },
+  { "names_are_sent_whole", names_are_sent_whole },
   { "results_of_two_users_never_mix", results_of_two_users_never_mix },
   { NULL, NULL },
 };
