answers: an endpoint that gives no position is understood

Cause: READY may have the position '-'. A signed success without position was judged to be before the position that its read required, so that the connection was given up and the read repeated until it was refused; a BEGIN that was answered without position was sent again on the same connection, where its answer is always doubtful. Change: only a position that is given can be too early; a connection where BEGIN was answered without position is not used for the next BEGIN that may write.

--- a/core/answers.c
+++ b/core/answers.c
@@ -15,6 +15,7 @@
   struct position newest;
   struct position newest_begin; /**< Newest position of a success that left a
                                    transaction open without a signature. */
+  bool has_begun;               /**< There was such a success. */
   bool has_error;
   /** An unsigned answer was accepted that may have been a copy, and no signed
    * one came since: the answer of that request may still come. */
@@ -111,7 +112,8 @@
       return !form->is_start && form->is_signed == is_signed
              && (is_signed || form->has_row == (r->row_count > 0))
              && r->state == form->success_state
-             && position_compare (r->position, form->after) >= 0;
+             && (r->position.term == 0
+                 || position_compare (r->position, form->after) >= 0);
     }
 }
 
@@ -179,7 +181,10 @@
   a->newest = position_max (a->newest, r->position);
   if (verdict == ANSWER_OWN && r->end == ANSWER_COMPLETE
       && r->signature.len == 0 && r->state == SESSION_IN_TRANSACTION)
-    a->newest_begin = position_max (a->newest_begin, r->position);
+    {
+      a->newest_begin = position_max (a->newest_begin, r->position);
+      a->has_begun = true;
+    }
   return verdict;
 }
 
@@ -192,7 +197,8 @@
 bool
 answers_repeat_begin (const struct answers *a, struct position endpoint)
 {
-  return a->newest_begin.term != 0
-         && position_compare (a->newest_begin, a->newest) >= 0
-         && position_compare (a->newest_begin, endpoint) >= 0;
+  return a->has_begun
+         && (a->newest_begin.term == 0
+             || (position_compare (a->newest_begin, a->newest) >= 0
+                 && position_compare (a->newest_begin, endpoint) >= 0));
 }
--- a/core/answers.h
+++ b/core/answers.h
@@ -27,7 +27,8 @@
   /** The request begins or ends a transaction: any state may follow an error.
    * Otherwise an error leaves an idle session idle, and no other one. */
   bool changes_state;
-  struct position after; /**< A success is not before this position. */
+  /** A success is not before this position, unless it has none. */
+  struct position after;
 };
 
 /** How an answer ends before READY. */
@@ -75,7 +76,8 @@
 bool answers_have_error (const struct answers *answers);
 
 /** @return whether BEGIN was answered on the connection at the newest position
- * that it has seen, unless the endpoint is known to be at a later one. */
+ * that it has seen, unless the endpoint is known to be at a later one; also
+ * if it was answered without a position. */
 bool answers_repeat_begin (const struct answers *answers,
                            struct position endpoint);
 
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -337,12 +337,34 @@
   talloc_free (a);
 }
 
+/* Guards against answers of an endpoint that gives no position, which are
+   neither too early nor those of a BEGIN that can be told apart. */
+static void
+answers_without_position (void)
+{
+  struct answers *a = answers_create (NULL);
+  struct answer_form read = { .is_signed = true, .after = { 1, 6 } };
+  struct answer_form begin
+      = { .changes_state = true, .success_state = SESSION_IN_TRANSACTION };
+  struct answer_received r = complete ("s1", SESSION_IDLE, 0);
+  r.position.term = 0;
+  CU_ASSERT_EQUAL (answers_judge (a, &read, &r), ANSWER_OWN);
+  CU_ASSERT_FALSE (answers_repeat_begin (a, (struct position){ 0, 0 }));
+  r = complete ("", SESSION_IN_TRANSACTION, 0);
+  r.position.term = 0;
+  CU_ASSERT_EQUAL (answers_judge (a, &begin, &r), ANSWER_OWN);
+  CU_ASSERT_TRUE (answers_repeat_begin (a, (struct position){ 0, 0 }));
+  CU_ASSERT_EQUAL (answers_judge (a, &begin, &r), ANSWER_DOUBTFUL);
+  talloc_free (a);
+}
+
 static const struct test_case cases[] = {
   { "copies_are_no_answers", copies_are_no_answers },
   { "nothing_is_ignored_without_copies", nothing_is_ignored_without_copies },
   { "early_position_is_a_copy", early_position_is_a_copy },
   { "old_signatures_are_known", old_signatures_are_known },
   { "repeated_status_is_doubtful", repeated_status_is_doubtful },
+  { "answers_without_position", answers_without_position },
   { NULL, NULL },
 };
 
