answers: positions of a log that was rolled back are no copies

Cause: a promotion rolls replicas back that were ahead. The newest position of a connection was the largest one, so that acknowledgements and errors which repeat those of before the roll-back were ignored for as long as the log was behind: the caller waited for its time-out, or the connection for ever. Change: the newest position is that of the last new answer; new answers come in their order. An endpoint's first answer after a roll-back, if it repeats one, is still ignored.

--- a/core/answers.c
+++ b/core/answers.c
@@ -9,10 +9,10 @@
 
 struct answers
 {
-  uint64_t *digests; /**< Ring buffer. */
-  unsigned size;     /**< Its allocated entries. */
-  unsigned count;    /**< Answers that were ever remembered. */
-  struct position newest;
+  uint64_t *digests;            /**< Ring buffer. */
+  unsigned size;                /**< Its allocated entries. */
+  unsigned count;               /**< Answers that were ever remembered. */
+  struct position newest;       /**< Of the last answer that was new. */
   struct position newest_begin; /**< Newest position of a success that left a
                                    transaction open without a signature. */
   bool has_begun;               /**< There was such a success. */
@@ -176,9 +176,11 @@
     {
       verdict = judge_new (a, form, r);
       remember (a, digest);
+      /* New answers come in order; a log that is rolled back falls behind. */
+      if (r->position.term != 0)
+        a->newest = r->position;
     }
   a->has_error |= r->end == ANSWER_ERROR;
-  a->newest = position_max (a->newest, r->position);
   if (verdict == ANSWER_OWN && r->end == ANSWER_COMPLETE
       && r->signature.len == 0 && r->state == SESSION_IN_TRANSACTION)
     {
--- a/tests/test_answers.c
+++ b/tests/test_answers.c
@@ -358,6 +358,26 @@
   talloc_free (a);
 }
 
+/* Guards against an answer that is ignored, so that its caller waits for the
+   time-out, once a promotion has rolled the endpoint's log back. */
+static void
+rolled_back_positions_are_no_copies (void)
+{
+  struct answers *a = answers_create (NULL);
+  struct answer_form read = { .is_signed = true };
+  struct answer_form rollback
+      = { .is_replaceable = true, .changes_state = true };
+  struct answer_received at_5 = complete ("", SESSION_IDLE, 5);
+  struct answer_received at_9 = complete ("s1", SESSION_IDLE, 9);
+  struct answer_received back = complete ("s2", SESSION_IDLE, 5);
+  CU_ASSERT_EQUAL (answers_judge (a, &rollback, &at_5), ANSWER_OWN);
+  CU_ASSERT_EQUAL (answers_judge (a, &read, &at_9), ANSWER_OWN);
+  CU_ASSERT_EQUAL (answers_judge (a, &rollback, &at_5), ANSWER_COPY);
+  CU_ASSERT_EQUAL (answers_judge (a, &read, &back), ANSWER_OWN);
+  CU_ASSERT_EQUAL (answers_judge (a, &rollback, &at_5), ANSWER_OWN);
+  talloc_free (a);
+}
+
 static const struct test_case cases[] = {
   { "copies_are_no_answers", copies_are_no_answers },
   { "nothing_is_ignored_without_copies", nothing_is_ignored_without_copies },
@@ -365,6 +385,8 @@
   { "old_signatures_are_known", old_signatures_are_known },
   { "repeated_status_is_doubtful", repeated_status_is_doubtful },
   { "answers_without_position", answers_without_position },
+  { "rolled_back_positions_are_no_copies",
+    rolled_back_positions_are_no_copies },
   { NULL, NULL },
 };
 
