service: a connection whose ROLLBACK was refused is closed

Cause: the answer to a ROLLBACK without caller (the caller left, was idle for too long, or its transaction failed) was not looked at. If the endpoint refused it, as with READONLY after it has lost the lead, the connection went back to the pool with the transaction open or failed, and the next caller's statement got MALFORMED, or would have run in the transaction of another. Change: the connection is closed, which rolls back, and the refusal is logged (event=rollback_refused).

--- a/session/service.c
+++ b/session/service.c
@@ -637,6 +637,22 @@
     }
 }
 
+/* Handle the answer to a ROLLBACK that no caller waits for. */
+static void
+handle_rollback_answer (struct pooled_link *p,
+                        const struct link_answer *answer)
+{
+  if (answer->outcome == OUTCOME_OK)
+    return;
+  /* The transaction may still be open; a closed connection rolls back. */
+  sessiond_log_request (PART,
+                        "event=rollback_refused service=%s endpoint=%s"
+                        " outcome=%s state=%d",
+                        p->endpoint->service->name, p->endpoint->id,
+                        wire_outcome_name (answer->outcome), answer->state);
+  pool_close (p);
+}
+
 static void
 handle_status_answer (struct pooled_link *p, const struct link_answer *answer)
 {
@@ -672,6 +688,12 @@
       service_dispatch (s);
       return;
     }
+  else if (answer->task == LINK_ROLLBACK)
+    {
+      handle_rollback_answer (p, answer);
+      service_dispatch (s);
+      return;
+    }
   if (p->is_probe && link_is_idle (p->link))
     {
       p->is_probe = false;
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -721,6 +721,31 @@
   talloc_free (s);
 }
 
+/* Guards against a connection that is used again although the endpoint did not
+   roll its transaction back. */
+static void
+refused_rollback_harms_nobody (void)
+{
+  struct sessiond_site *s = start_site ();
+  struct line_answer a;
+  for (int i = 0; i < 10; i++)
+    {
+      struct line_caller *first = start_session (s, 0, "main1");
+      set_all_faults (s, "refuse READONLY ROLLBACK");
+      CU_ASSERT_TRUE (line_query (first, &a, "BEGIN READ"));
+      CU_ASSERT_TRUE (line_query (first, &a, "READ k"));
+      talloc_free (first);
+      usleep (40000);
+      struct line_caller *next = start_session (s, 0, "main1");
+      CU_ASSERT_TRUE (line_query (next, &a, "BEGIN READ"));
+      CU_ASSERT_TRUE (line_query (next, &a, "READ k"));
+      CU_ASSERT_TRUE (line_query (next, &a, "COMMIT"));
+      talloc_free (next);
+    }
+  check_violations (s);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "data_with_line_feed_is_one_field", data_with_line_feed_is_one_field },
   { "data_is_no_second_statement", data_is_no_second_statement },
@@ -741,6 +766,7 @@
   { "repeated_answers_in_transactions", repeated_answers_in_transactions },
   { "repeated_answer_of_each_statement", repeated_answer_of_each_statement },
   { "repeated_error_of_each_statement", repeated_error_of_each_statement },
+  { "refused_rollback_harms_nobody", refused_rollback_harms_nobody },
   { NULL, NULL },
 };
 
