--- a/session/packet.h
+++ b/session/packet.h
@@ -128,9 +128,8 @@
   bool for_reader;
   bool is_counted;  /**< It was counted against the organisation's rate. */
   struct bstr id;   /**< The caller's id of the statement. */
-  struct bstr text; /**< Empty if @c shape is set. */
-  /** Statement with placeholders that EXECUTE refers to; empty: @c text is
-   * sent instead. */
+  struct bstr text; /**< Empty for EXECUTE. */
+  /** EXECUTE: the statement with placeholders, which may be empty. */
   struct bstr shape;
   struct bstr arguments; /**< Arguments of EXECUTE. */
   struct position own;   /**< See struct session. */
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -198,12 +198,13 @@
 prepared_names_are_the_shapes_own (void)
 {
   struct sessiond_site *s = start_site ();
-  const struct bstr blanks[] = { BYTES ("q15 WRITE rb"), BYTES ("q15"),
-                                 BYTES ("q15 "), BYTES ("q15  WRITE rb") };
+  const struct bstr blanks[]
+      = { BYTES (""), BYTES ("q15 WRITE rb"), BYTES ("q15"), BYTES ("q15 "),
+          BYTES ("q15  WRITE rb") };
   const struct bstr bytes[]
       = { BYTES ("q1\0a"), BYTES ("q1\0b"), BYTES ("q1"),
           BYTES ("q1\na"), BYTES ("q1\nb"), BYTES ("q1\r") };
-  check_shapes (s, blanks, 4);
+  check_shapes (s, blanks, 5);
   check_shapes (s, bytes, 6);
   talloc_free (s);
 }
