wire: READY has a position

Cause: READY with a position that cannot be parsed counted as one without a position, so that a line that was broken off, or has bytes of another one in it, ended an answer (found by the trials with a database written apart, whose byte-by-byte answers a copy ran into). Result: wire/replies_of_endpoints has such a line, accepted before.

--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -89,6 +89,9 @@
   r = wire_parse_reply (bstr_from ("ERROR TOOBIG x"));
   CU_ASSERT_EQUAL (r.outcome, OUTCOME_FAILED);
   CU_ASSERT_FALSE (outcome_is_refusal (r.outcome));
+  /* A line that was broken off, or has bytes of another one in it. */
+  CU_ASSERT_EQUAL (wire_parse_reply (bstr_from ("READY I 1.ROW")).kind,
+                   WIRE_UNKNOWN);
   CU_ASSERT_EQUAL (wire_parse_reply (bstr_from ("READY X 1.1")).kind,
                    WIRE_UNKNOWN);
   struct wire_status status;
