answers: doubt an error only where answers come twice

Cause: two values set in a row have equal acknowledgements, so the error behind them was doubtful although nothing had come twice; a copy was recognised by its signature alone, whatever rows stood before it. Change: such an error is doubtful where an answer certainly came twice on the connection. Elsewhere it is the statement's, and the connection is closed after it, as another answer could still come. A signature that comes again with other rows, or an error with other rows, is doubtful.

--- a/core/answers.c
+++ b/core/answers.c
@@ -7,16 +7,24 @@
 #define MAX_REMEMBERED 512
 #define FIRST_REMEMBERED 16
 
+/** What is kept of an answer. */
+struct remembered
+{
+  uint64_t key;  /**< Digest of what a copy of it has too; see digest_key. */
+  uint64_t rows; /**< Digest of its rows. */
+};
+
 struct answers
 {
-  uint64_t *digests;            /**< Ring buffer. */
-  unsigned size;                /**< Its allocated entries. */
-  unsigned count;               /**< Answers that were ever remembered. */
-  struct position newest;       /**< Of the last answer that was new. */
-  struct position newest_begin; /**< Newest position of a success that left a
-                                   transaction open without a signature. */
-  bool has_begun;               /**< There was such a success. */
+  struct remembered *remembered; /**< Ring buffer. */
+  unsigned size;                 /**< Its allocated entries. */
+  unsigned count;                /**< Answers that were ever remembered. */
+  struct position newest;        /**< Of the last answer that was new. */
+  struct position newest_begin;  /**< Newest position of a success that left a
+                                    transaction open without a signature. */
+  bool has_begun;                /**< There was such a success. */
   bool has_error;
+  bool has_copies; /**< An answer has certainly come twice. */
   /** An unsigned answer was accepted that may have been a copy, and no signed
    * one came since: the answer of that request may still come. */
   bool is_unsure;
@@ -27,7 +35,7 @@
 {
   struct answers *a = talloc_zero (parent, struct answers);
   a->size = FIRST_REMEMBERED;
-  a->digests = talloc_zero_array (a, uint64_t, a->size);
+  a->remembered = talloc_zero_array (a, struct remembered, a->size);
   return a;
 }
 
@@ -47,51 +55,71 @@
                              sizeof number);
 }
 
-/* Digest what two answers have in common if one is a copy of the other: the
-   signature alone, which is unique, or everything. */
 static uint64_t
-digest_answer (const struct answer_received *r)
+finish_digest (crypto_generichash_state *state)
 {
-  crypto_generichash_state state;
   unsigned char digest[crypto_generichash_BYTES_MIN];
   uint64_t result;
-  crypto_generichash_init (&state, NULL, 0, sizeof digest);
+  crypto_generichash_final (state, digest, sizeof digest);
+  memcpy (&result, digest, sizeof result);
+  return result;
+}
+
+static uint64_t
+digest_rows (const struct answer_received *r)
+{
+  crypto_generichash_state state;
+  if (r->row_count == 0)
+    return 0;
+  crypto_generichash_init (&state, NULL, 0, crypto_generichash_BYTES_MIN);
+  for (int i = 0; i < r->row_count; i++)
+    digest_bytes (&state, r->rows[i]);
+  return finish_digest (&state);
+}
+
+/* Digest what two answers have in common if one is a copy of the other: the
+   signature alone, which is unique, or everything; of an error without its
+   rows, which may be those of an answer that it came in the middle of. */
+static uint64_t
+digest_key (const struct answer_received *r, uint64_t rows)
+{
+  crypto_generichash_state state;
+  crypto_generichash_init (&state, NULL, 0, crypto_generichash_BYTES_MIN);
   digest_bytes (&state, r->signature);
   if (r->signature.len == 0)
     {
       digest_number (&state, r->end);
       digest_number (&state, r->outcome);
       digest_bytes (&state, r->text);
-      for (int i = 0; i < r->row_count; i++)
-        digest_bytes (&state, r->rows[i]);
+      digest_number (&state, r->end == ANSWER_ERROR ? 0 : rows);
       digest_number (&state, r->state);
       digest_number (&state, r->position.term);
       digest_number (&state, r->position.number);
     }
-  crypto_generichash_final (&state, digest, sizeof digest);
-  memcpy (&result, digest, sizeof result);
-  return result;
+  return finish_digest (&state);
 }
 
-static bool
-has_come_before (const struct answers *a, uint64_t digest)
+/* @return what is kept of the answer that came before; NULL: none did. */
+static const struct remembered *
+find_remembered (const struct answers *a, uint64_t key)
 {
   unsigned known = a->count < a->size ? a->count : a->size;
   for (unsigned i = 0; i < known; i++)
-    if (a->digests[i] == digest)
-      return true;
-  return false;
+    if (a->remembered[i].key == key)
+      return &a->remembered[i];
+  return NULL;
 }
 
 static void
-remember (struct answers *a, uint64_t digest)
+remember (struct answers *a, uint64_t key, uint64_t rows)
 {
   if (a->count == a->size && a->size < MAX_REMEMBERED)
     {
       a->size *= 2;
-      a->digests = talloc_realloc (a, a->digests, uint64_t, a->size);
+      a->remembered
+          = talloc_realloc (a, a->remembered, struct remembered, a->size);
     }
-  a->digests[a->count++ % a->size] = digest;
+  a->remembered[a->count++ % a->size] = (struct remembered){ key, rows };
 }
 
 /* @return whether the answer can be that of the request.  Rows of a signed
@@ -155,7 +183,9 @@
     return ANSWER_COPY;
   if (form == NULL)
     return ANSWER_WRONG;
-  if (a->is_unsure && r->end == ANSWER_ERROR)
+  /* Only an endpoint that refuses settings lets the error belong to one of
+     them; where none has come twice, it is that of the oldest request. */
+  if (a->is_unsure && a->has_copies && r->end == ANSWER_ERROR)
     return ANSWER_DOUBTFUL;
   if (!fits (form, r))
     return lacks_signature (form, r) ? ANSWER_OWN : ANSWER_WRONG;
@@ -168,19 +198,24 @@
 answers_judge (struct answers *a, const struct answer_form *form,
                const struct answer_received *r)
 {
-  uint64_t digest = digest_answer (r);
+  uint64_t rows = digest_rows (r), key = digest_key (r, rows);
+  const struct remembered *before = find_remembered (a, key);
   enum answer_verdict verdict;
-  if (has_come_before (a, digest))
+  if (before != NULL && before->rows != rows)
+    /* It came in the middle of an answer, whose rows are among its own. */
+    verdict = ANSWER_DOUBTFUL;
+  else if (before != NULL)
     verdict = judge_repeated (a, form, r);
   else
     {
       verdict = judge_new (a, form, r);
-      remember (a, digest);
+      remember (a, key, rows);
       /* New answers come in order; a log that is rolled back falls behind. */
       if (r->position.term != 0)
         a->newest = r->position;
     }
   a->has_error |= r->end == ANSWER_ERROR;
+  a->has_copies |= verdict == ANSWER_COPY;
   if (verdict == ANSWER_OWN && r->end == ANSWER_COMPLETE
       && r->signature.len == 0 && r->state == SESSION_IN_TRANSACTION)
     {
@@ -190,6 +225,12 @@
   return verdict;
 }
 
+bool
+answers_are_unsure (const struct answers *a)
+{
+  return a->is_unsure;
+}
+
 bool
 answers_have_error (const struct answers *a)
 {
--- a/core/answers.h
+++ b/core/answers.h
@@ -71,6 +71,11 @@
                                    const struct answer_form *form,
                                    const struct answer_received *received);
 
+/** @return whether an answer was accepted that may have been a copy, and no
+ * signed one came since.  After an error the connection must not be used then:
+ * another answer may still come. */
+bool answers_are_unsure (const struct answers *answers);
+
 /** @return whether an error has come on the connection.  The same error could
  * then be taken for a copy. */
 bool answers_have_error (const struct answers *answers);
--- a/session/link.c
+++ b/session/link.c
@@ -151,6 +151,7 @@
     .signature = r->signature,
     .state = r->state,
     .position = r->position,
+    .is_last = r->end == ANSWER_ERROR && answers_are_unsure (l->answers),
   };
   void *memory = take_received (l);
   l->first = (l->first + 1) % MAX_EXPECTED_ANSWERS;
--- a/session/link.h
+++ b/session/link.h
@@ -52,6 +52,8 @@
   enum session_state state;
   struct position position; /**< Position of the endpoint's log; term 0: not
                                given. */
+  /** The connection is to be closed: another answer may still come on it. */
+  bool is_last;
 };
 
 /** How a connection ended. */
--- a/session/service.c
+++ b/session/service.c
@@ -530,6 +530,17 @@
     run_on_link (ps, t->pooled_link, (struct position){ 0, 0 });
 }
 
+/* Leave the connection of a statement that has ended to others: close it if it
+   cannot be used, or roll its transaction back if that is still open. */
+static void
+release_link (struct pooled_link *p, const struct link_answer *answer)
+{
+  if (answer->is_last || answer->outcome == OUTCOME_NOT_PREPARED)
+    pool_close (p);
+  else if (answer->state != SESSION_IDLE)
+    link_rollback (p->link);
+}
+
 /* Handle the answer to a statement of a transaction. */
 static void
 handle_transaction_answer (struct pooled_link *p, struct pending_statement *ps,
@@ -554,8 +565,7 @@
     {
       p->transaction = NULL;
       free_transaction (t);
-      if (answer->state != SESSION_IDLE)
-        link_rollback (p->link);
+      release_link (p, answer);
     }
 }
 
@@ -595,6 +605,7 @@
     .text = bstr_from ("the result is too large"),
     .state = answer->state,
     .position = answer->position,
+    .is_last = answer->is_last,
   };
   decrement_running (p);
   if (ps == NULL)
@@ -620,10 +631,7 @@
     {
       enum outcome outcome = answer->outcome;
       p->transaction = NULL;
-      if (answer->state != SESSION_IDLE)
-        link_rollback (p->link);
-      else if (outcome == OUTCOME_NOT_PREPARED)
-        pool_close (p);
+      release_link (p, answer);
       retry_statement (ps, outcome, "no endpoint could run it");
       return;
     }
@@ -632,8 +640,7 @@
   else
     {
       deliver_answer (ps, answer);
-      if (answer->state != SESSION_IDLE)
-        link_rollback (p->link);
+      release_link (p, answer);
     }
 }
 
