pgsql: an answer that comes twice is nobody else's

What callers saw (with a server that sends an answer twice): the rows of the statement before, or no answer until the deadline, in an interactive transaction; a reset was taken as confirmed by the copy of another answer, and the connection went to the next caller one answer behind. Cause: input that came while nothing was due stayed unread in libpq's buffer, and libpq gives it to the next statement; the answer to DISCARD ALL and the number of results were not looked at. Change: input without a statement is read at once and, if it is more than a notice, closes the connection; a reset is confirmed by the tag DISCARD ALL only; a call with another number of results, or with that tag, is lost. A copy that comes after the next statement was sent, with as many results, can not be told from its answer.

--- a/net/pgsql.c
+++ b/net/pgsql.c
@@ -62,9 +62,11 @@
   void *data;               /**< Passed to the callback that is due. */
   struct pgsql_reply reply; /**< Reply of the running call or reset. */
   struct tevent_immediate *read_later;
+  int statement_count; /**< Statements of the running call. */
   int syncs_expected;  /**< Syncs not answered yet while resetting. */
   bool reset_sent;     /**< The reset was sent after the statements. */
   bool is_final_reset; /**< The running reset is not repeated if it fails. */
+  bool out_of_step;    /**< A message came that answers no statement. */
 };
 
 static void close_connection (struct pgsql_connection *c);
@@ -271,6 +273,27 @@
     set_socket_events (c, PQflush (c->pg) == 1);
 }
 
+/* libpq calls this for notices of the server and, without an SQLSTATE, for a
+   message that it did not expect. */
+static void
+on_notice (void *data, const PGresult *notice)
+{
+  struct pgsql_connection *c = data;
+  if (PQresultErrorField (notice, PG_DIAG_SQLSTATE) == NULL)
+    c->out_of_step = true;
+}
+
+/* @return whether the reply ends with the answer to DISCARD ALL. */
+static bool
+is_reset_reply (const struct pgsql_reply *reply)
+{
+  const PGresult *last
+      = reply->count > 0 ? reply->results[reply->count - 1] : NULL;
+  return last != NULL
+         && strcmp (PQcmdStatus ((PGresult *)(uintptr_t)last), "DISCARD ALL")
+                == 0;
+}
+
 /* The server answered the Sync that ends a call or a reset. */
 static void
 on_pipeline_synced (struct pgsql_connection *c)
@@ -279,8 +302,11 @@
     {
       bool clean
           = c->reply.failed < 0 && PQtransactionStatus (c->pg) == PQTRANS_IDLE;
+      bool own = c->reply.failed >= 0 || is_reset_reply (&c->reply);
       clear_reply (c);
-      if (clean)
+      if (!own || c->out_of_step)
+        close_connection (c);
+      else if (clean)
         return_to_pool (c);
       else if (!c->is_final_reset)
         {
@@ -293,6 +319,14 @@
         close_connection (c);
       return;
     }
+  /* Users do not run DISCARD ALL. */
+  if (c->out_of_step || is_reset_reply (&c->reply)
+      || (c->reply.failed < 0 && c->reply.count != c->statement_count))
+    {
+      set_error_message (&c->reply, "the server sent another answer");
+      finish_call (c, PGSQL_LOST);
+      return;
+    }
   finish_call (c, c->reply.failed < 0 ? PGSQL_DONE : PGSQL_FAILED);
 }
 
@@ -410,9 +444,13 @@
     return;
   if (c->state == CONNECTION_IDLE || c->state == CONNECTION_ACQUIRED)
     {
-      /* No result is due: the server closed the connection or sent a
-         notice. */
-      if (!PQconsumeInput (c->pg))
+      /* No result is due: the server closed the connection or sent a notice.
+         Any other message, if it were left unread, would be taken for the
+         answer to the next statement; PQnotifies makes libpq read it. */
+      bool open = PQconsumeInput (c->pg) != 0;
+      if (open)
+        PQfreemem (PQnotifies (c->pg));
+      if (!open || c->out_of_step)
         break_connection (c);
       return;
     }
@@ -541,6 +579,7 @@
       done (data, NULL, &err);
       return;
     }
+  PQsetNoticeReceiver (c->pg, on_notice, c);
   c->fde = tevent_add_fd (pool->ev, c, PQsocket (c->pg), CONNECT_FLAGS,
                           on_socket, c);
   c->timer = tevent_add_timer (
@@ -583,7 +622,9 @@
   c->data = data;
   c->state = CONNECTION_RUNNING;
   c->reset_sent = with_reset;
-  if (count > PGSQL_MAX_STATEMENTS || PQstatus (c->pg) == CONNECTION_BAD)
+  c->statement_count = count;
+  if (count > PGSQL_MAX_STATEMENTS || PQstatus (c->pg) == CONNECTION_BAD
+      || c->out_of_step)
     {
       finish_call (c, PGSQL_NOT_SENT);
       return;
@@ -628,7 +669,8 @@
 void
 pgsql_release (struct pgsql_connection *c)
 {
-  if (PQstatus (c->pg) == CONNECTION_BAD || c->pool->open > c->pool->limit)
+  if (PQstatus (c->pg) == CONNECTION_BAD || c->out_of_step
+      || c->pool->open > c->pool->limit)
     {
       close_connection (c);
       return;
--- a/tests/test_pgsql.c
+++ b/tests/test_pgsql.c
@@ -499,6 +499,143 @@
   talloc_free (ev);
 }
 
+/* Append one message of the server; @p bytes follow its length. */
+static char *
+add_message (char *text, char type, const char *bytes, size_t len)
+{
+  size_t used = talloc_get_size (text);
+  uint32_t size = htonl ((uint32_t)len + 4);
+  text = talloc_realloc (NULL, text, char, (unsigned)(used + 5 + len));
+  text[used] = type;
+  memcpy (text + used + 1, &size, 4);
+  memcpy (text + used + 5, bytes, len);
+  return text;
+}
+
+/* Send the answer to one statement and its Sync.
+   @param value the row, of one character; 0: there is none. */
+static void
+raw_answer (struct raw_server *s, char value, const char *tag)
+{
+  char row[] = { 0, 1, 0, 0, 0, 1, value };
+  char *text = talloc_array (NULL, char, 0);
+  text = add_message (text, '1', "", 0);
+  text = add_message (text, '2', "", 0);
+  if (value != 0)
+    {
+      /* One column "n" of the type text. */
+      text = add_message (
+          text, 'T',
+          "\0\1n\0\0\0\0\0\0\0\0\0\0\31\377\377\377\377\377\377\0\0", 22);
+      text = add_message (text, 'D', row, sizeof row);
+    }
+  else
+    text = add_message (text, 'n', "", 0);
+  text = add_message (text, 'C', tag, strlen (tag) + 1);
+  text = add_message (text, 'Z', "I", 1);
+  raw_send (s, text, talloc_get_size (text));
+  talloc_free (text);
+}
+
+static bool
+has_received (const void *data)
+{
+  return ((const struct raw_server *)data)->used > 0;
+}
+
+static bool
+can_acquire (const void *data)
+{
+  return pgsql_pool_can_acquire (data);
+}
+
+/* Order of the answers to "SELECT 'a'" and DISCARD ALL, of which one comes a
+   second time, and the call that may take it for its own. */
+enum copy_place
+{
+  COPY_BEFORE_RESET,  /* a a DISCARD */
+  COPY_WHILE_IDLE,    /* a DISCARD, later a */
+  RESET_COPY_AT_IDLE, /* a DISCARD, later DISCARD */
+  RESET_COPY_AT_RUN,  /* a DISCARD, the next call, DISCARD b DISCARD */
+  COPY_WHILE_ACQUIRED /* a, without a reset, later a */
+};
+
+/* Guards against an answer that comes twice and is taken for the answer to the
+   next statement, of this or another caller. */
+static void
+repeated_answers_are_nobody_elses (void)
+{
+  static const struct pgsql_statement a = { "SELECT 'a'", NULL, 0 };
+  static const struct pgsql_statement b = { "SELECT 'b'", NULL, 0 };
+  for (int place = 0; place <= COPY_WHILE_ACQUIRED; place++)
+    {
+      struct tevent_context *ev = tevent_context_init (NULL);
+      struct raw_server *s = raw_server_create (ev);
+      struct call_outcome first = { 0 }, second = { 0 }, next = { 0 };
+      struct pgsql_pool_options options = { .ev = ev,
+                                            .host = "127.0.0.1",
+                                            .port = s->port,
+                                            .database = "d",
+                                            .user = "u",
+                                            .limit = 1,
+                                            .connect_timeout_ms = 2000 };
+      struct pgsql_pool *pool = pgsql_pool_create (ev, &options);
+      pgsql_acquire (pool, on_acquired, &first);
+      CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, is_acquired, &first));
+      s->used = 0;
+      if (place == COPY_WHILE_ACQUIRED)
+        pgsql_run (first.connection, &a, 1, on_done, &first);
+      else
+        pgsql_run_with_reset (first.connection, &a, 1, on_done, &first);
+      CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, has_received, s));
+      raw_answer (s, 'a', "SELECT 1");
+      if (place == COPY_BEFORE_RESET)
+        raw_answer (s, 'a', "SELECT 1");
+      if (place != COPY_WHILE_ACQUIRED)
+        raw_answer (s, 0, "DISCARD ALL");
+      CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, is_done, &first));
+      CU_ASSERT_STRING_EQUAL (first.value, "a");
+      if (place != COPY_WHILE_ACQUIRED)
+        {
+          pgsql_release (first.connection);
+          CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, can_acquire, pool));
+        }
+      if (place == COPY_WHILE_IDLE || place == COPY_WHILE_ACQUIRED)
+        raw_answer (s, 'a', "SELECT 1");
+      if (place == RESET_COPY_AT_IDLE)
+        raw_answer (s, 0, "DISCARD ALL");
+      if (place == COPY_WHILE_ACQUIRED)
+        {
+          loop_run (ev, 50, NULL, NULL);
+          pgsql_run (first.connection, &b, 1, on_done, &second);
+          CU_ASSERT (loop_run (ev, 200, is_done, &second));
+          CU_ASSERT_EQUAL (second.end, PGSQL_NOT_SENT);
+        }
+      else if (place == RESET_COPY_AT_RUN)
+        {
+          pgsql_acquire (pool, on_acquired, &next);
+          CU_ASSERT_PTR_NOT_NULL_FATAL (next.connection);
+          s->used = 0;
+          pgsql_run_with_reset (next.connection, &b, 1, on_done, &second);
+          CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, has_received, s));
+          raw_answer (s, 0, "DISCARD ALL");
+          raw_answer (s, 'b', "SELECT 1");
+          raw_answer (s, 0, "DISCARD ALL");
+          CU_ASSERT (loop_run (ev, LOOP_TIMEOUT_MS, is_done, &second));
+          if (second.end != PGSQL_LOST)
+            pgsql_abort (next.connection);
+          CU_ASSERT_EQUAL (second.end, PGSQL_LOST);
+        }
+      CU_ASSERT_STRING_NOT_EQUAL (second.value, "a");
+      bool closed = loop_run (ev, 500, pool_is_empty, pool);
+      if (!closed)
+        printf ("the connection is kept after case %d ", place);
+      CU_ASSERT (closed);
+      talloc_free (pool);
+      talloc_free (ev);
+    }
+}
+
 /* ---- Random jobs ---------------------------------------------------- */
 
 #define JOBS 2000
@@ -683,6 +820,7 @@
     late_answers_after_abort_are_dropped },
   { "lost_answer_to_commit_is_lost", lost_answer_to_commit_is_lost },
   { "names_are_sent_whole", names_are_sent_whole },
+  { "repeated_answers_are_nobody_elses", repeated_answers_are_nobody_elses },
   { "results_of_two_users_never_mix", results_of_two_users_never_mix },
   { NULL, NULL },
 };
