store: a name is one part of a path

What callers saw: the promotion record of a service whose name has '?', '#', '%' or "/../" was read, written and removed under the name of another object; two such services shared one record. Cause: object_url put the name into the URL as it is, and libcurl resolves "..".

--- a/tests/test_objects.c
+++ b/tests/test_objects.c
@@ -1,4 +1,7 @@
+#include "net/http.h"
 #include "platform/objects.h"
+#include "platform/store.h"
+#include "tests/loop.h"
 #include "tests/tests.h"
 
 #include <stdio.h>
@@ -141,11 +144,98 @@
   json_decref (object);
 }
 
+/* A store that keeps the path of the last request. */
+struct path_keeper
+{
+  struct http_handler handler; /* First, so that it can be cast back. */
+  char path[80];
+  bool answered;
+};
+
+static void
+keep_path (struct http_handler *handler, struct http_request *request)
+{
+  struct path_keeper *keeper = (struct path_keeper *)handler;
+  snprintf (keeper->path, sizeof keeper->path, "%s %zu %s",
+            bstr_to_text (keeper, request->method), request->path.len,
+            bstr_to_text (keeper, request->path));
+  http_reply (request, 200, "application/json", bstr_from ("{}"), NULL);
+}
+
+static void
+on_answer (void *data, const struct error *err, const json_t *body)
+{
+  (void)err, (void)body;
+  *(bool *)data = true;
+}
+
+static bool
+is_answered (const void *data)
+{
+  return *(const bool *)data;
+}
+
+/* Guards against a call about another object than the one with this name, in
+   which '?' or '#' ends the path and '%' begins another byte. */
+static void
+names_are_one_part_of_a_path (void)
+{
+  static const struct http_handler_ops ops = { keep_path, NULL };
+  static const char *const names[]
+      = { "plain-1.a_b", "a?b", "a#b", "a%62", "..", "\xC3\xA9\"'" };
+  struct path_keeper *keeper = talloc_zero (NULL, struct path_keeper);
+  struct tevent_context *ev = tevent_context_init (keeper);
+  struct error err = { 0 };
+  keeper->handler.ops = &ops;
+  struct http_server *server = http_server_create (
+      keeper,
+      &(struct http_server_options){ .ev = ev,
+                                     .address = "127.0.0.1:0",
+                                     .handler = &keeper->handler,
+                                     .max_body = 1000,
+                                     .max_connections = 9,
+                                     .idle_seconds = 60 },
+      &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  char *address
+      = talloc_asprintf (keeper, "127.0.0.1:%d", http_server_port (server));
+  struct store *store = store_create (
+      keeper,
+      &(struct store_options){
+          .ev = ev, .objects = address, .duties = address, .holder = "h" },
+      &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (store);
+  for (size_t i = 0; i < 3 * sizeof names / sizeof names[0]; i++)
+    {
+      static const char *const methods[] = { "GET", "PUT", "DELETE" };
+      const char *name = names[i / 3];
+      char expected[80];
+      keeper->answered = false;
+      if (i % 3 == 0)
+        store_get (store, "k", name, 2000, on_answer, &keeper->answered);
+      else if (i % 3 == 1)
+        store_put (store, "k", name, 1, json_object (), 2000, on_answer,
+                   &keeper->answered);
+      else
+        store_remove (store, "k", name, 1, 2000, on_answer, &keeper->answered);
+      CU_ASSERT (
+          loop_run (ev, LOOP_TIMEOUT_MS, is_answered, &keeper->answered));
+      snprintf (expected, sizeof expected, "%s %zu /v1/objects/k/%s",
+                methods[i % 3], strlen ("/v1/objects/k/") + strlen (name),
+                name);
+      CU_ASSERT_STRING_EQUAL (keeper->path, expected);
+      if (strcmp (keeper->path, expected) != 0)
+        printf ("%s, not %s ", keeper->path, expected);
+    }
+  talloc_free (keeper);
+}
+
 static const struct test_case cases[] = {
   { "organisations_are_fields", organisations_are_fields },
   { "ids_and_services_are_words", ids_and_services_are_words },
   { "address_needs_a_port", address_needs_a_port },
   { "members_have_their_types", members_have_their_types },
+  { "names_are_one_part_of_a_path", names_are_one_part_of_a_path },
   { NULL, NULL },
 };
 TEST_SUITE (objects, cases)
