session: names of the store and of peers add no field to the log

What operators saw: event=endpoint_ignored with the fields that the name of an object of another writer brought; texts of errors and names of peers and voters were written as they are too. Cause: "%.40s" and "%s"; a quote ends such a value. Change: LOG_TEXT, in directory, fleet, owner and promotion.

--- a/session/directory.c
+++ b/session/directory.c
@@ -120,7 +120,8 @@
   if (reaches)
     log_info (PART, "event=store_regained");
   else
-    log_warn (PART, "event=store_lost reason=\"%s\"", reason);
+    log_warn (PART, "event=store_lost reason=\"%s\"",
+              LOG_TEXT (bstr_from (reason)));
 }
 
 /* @return a digest of those fields of the entries that the session daemon
@@ -263,8 +264,8 @@
 {
   const char *before = json_string_value (json_object_get (d->ignored, name));
   if (before == NULL || strcmp (before, reason) != 0)
-    log_warn (PART, "event=endpoint_ignored name=\"%.40s\" reason=\"%s\"",
-              name, reason);
+    log_warn (PART, "event=endpoint_ignored name=\"%s\" reason=\"%s\"",
+              LOG_TEXT (bstr_from (name)), reason);
   json_object_set_new (ignored, name, json_string (reason));
 }
 
@@ -790,7 +791,8 @@
     {
       log_warn (PART, "event=copy_rejected kind=%s reason=\"%s\"",
                 objects_kind_name (copy->kind),
-                err.code != ERROR_NONE ? err.text : "not a JSON object");
+                err.code != ERROR_NONE ? LOG_TEXT (bstr_from (err.text))
+                                       : "not a JSON object");
       json_decref (items);
       return;
     }
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -301,7 +301,8 @@
   p->claim_count = h->claim_count;
   if (!was_alive || is_new)
     log_info (PART, "event=daemon_heard name=%s restarted=%d",
-              p->name != NULL ? p->name : "unknown", is_new);
+              p->name != NULL ? LOG_TEXT (bstr_from (p->name)) : "unknown",
+              is_new);
   bool is_named = false;
   for (int i = 0; i < h->successor_count; i++)
     {
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -156,7 +156,7 @@
   log_info (PART, "event=owner service=%" PRIx64 " owner=%s", t->service,
             owner == 0                   ? "none"
             : owner == f->sessiond->self ? f->sessiond->options->name
-            : p != NULL                  ? p->name
+            : p != NULL                  ? LOG_TEXT (bstr_from (p->name))
                                          : "unknown");
 }
 
--- a/session/fleet_peers.c
+++ b/session/fleet_peers.c
@@ -129,7 +129,8 @@
     bus_send (f->bus, p->address, u->bytes);
   if (p->last_reset_logged < p->received_at)
     log_info (PART, "event=connection_reset name=%s repeated=%d reason=\"%s\"",
-              p->name != NULL ? p->name : "unknown", count, reason);
+              p->name != NULL ? LOG_TEXT (bstr_from (p->name)) : "unknown",
+              count, reason);
   p->last_reset_logged = now;
 }
 
@@ -141,7 +142,7 @@
   p->refused = true;
   peer_drop_unconfirmed (p);
   log_warn (PART, "event=daemon_ended name=%s reason=\"connection refused\"",
-            p->name);
+            LOG_TEXT (bstr_from (p->name)));
   callers_owners_changed (p->fleet->sessiond->callers);
 }
 
@@ -180,8 +181,8 @@
           .ev = p->fleet->sessiond->ev, .ops = &listen_test_ops, .data = p },
       &err);
   if (p->listen_test == NULL)
-    log_warn (PART, "event=check_failed name=%s reason=\"%s\"", p->name,
-              err.text);
+    log_warn (PART, "event=check_failed name=%s reason=\"%s\"",
+              LOG_TEXT (bstr_from (p->name)), LOG_TEXT (bstr_from (err.text)));
 }
 
 void
--- a/session/fleet_voters.c
+++ b/session/fleet_voters.c
@@ -17,7 +17,7 @@
       if (voter->id != f->sessiond->self && now - last_seen >= VOTER_REMOVE_US)
         {
           log_info (PART, "event=voter_removed name=%s silent_ms=%" PRId64,
-                    voter->name.start, (now - last_seen) / USEC_PER_MSEC);
+                    LOG_TEXT (voter->name), (now - last_seen) / USEC_PER_MSEC);
           return voter;
         }
     }
--- a/session/owner.c
+++ b/session/owner.c
@@ -318,7 +318,7 @@
   if (p->link == NULL)
     {
       log_warn (PART, "event=probe_failed endpoint=%s reason=\"%s\"",
-                p->probe.endpoint.start, err.text);
+                LOG_TEXT (p->probe.endpoint), LOG_TEXT (bstr_from (err.text)));
       talloc_free (p);
       return;
     }
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -210,7 +210,8 @@
   talloc_free (c);
   if (err->code != ERROR_NONE)
     log_warn (PART, "event=record_not_closed service=%s code=%s reason=\"%s\"",
-              s->name, error_name (err->code), err->text);
+              s->name, error_name (err->code),
+              LOG_TEXT (bstr_from (err->text)));
   if (!is_wanted)
     return;
   s->is_record_closing = false;
@@ -332,7 +333,8 @@
   else
     {
       log_warn (PART, "event=record_failed service=%s code=%s reason=\"%s\"",
-                s->name, error_name (err->code), err->text);
+                s->name, error_name (err->code),
+                LOG_TEXT (bstr_from (err->text)));
       s->next_attempt_at = clock_now () + RETRY_DELAY_US;
     }
 }
@@ -363,7 +365,8 @@
   if (err->code != ERROR_NONE && err->code != ERROR_NOT_FOUND)
     {
       log_warn (PART, "event=record_unread service=%s code=%s reason=\"%s\"",
-                s->name, error_name (err->code), err->text);
+                s->name, error_name (err->code),
+                LOG_TEXT (bstr_from (err->text)));
       s->next_attempt_at = clock_now () + RETRY_DELAY_US;
       return;
     }
@@ -467,7 +470,8 @@
   log_warn (PART,
             "event=order_failed service=%s target=%s code=%s "
             "reason=\"%s\"",
-            s->name, s->target_id, error_name (err->code), err->text);
+            s->name, s->target_id, error_name (err->code),
+            LOG_TEXT (bstr_from (err->text)));
   if (err->code == ERROR_CONFLICT)
     {
       if (s->target != NULL)
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -725,6 +725,25 @@
   return false;
 }
 
+/* Guards against an entry whose name adds fields to the log. */
+static void
+names_of_entries_forge_no_log_field (void)
+{
+  static const char body[]
+      = "{\"meta\":{\"name\":\"x\\\" reason=\\\"y\\n\\t z\"},\"spec\":{}}";
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  char *url = talloc_asprintf (s, "http://127.0.0.1:%d/v1/objects/servers",
+                               process_port (s->platform));
+  CU_ASSERT_EQUAL (process_http (s, "POST", url, body, NULL), 200);
+  CU_ASSERT_TRUE (wait_for_log (
+      s,
+      "event=endpoint_ignored name=\"x\\\" reason=\\\"y\\n? z\" reason=\"id",
+      SERVE_MS));
+  talloc_free (s);
+}
+
 /* Write entries with values that cannot be represented.  The last one is
    nested deeper than a parser can follow. */
 static void
@@ -2555,6 +2574,8 @@
   { "other_daemon_records_the_promotion", other_daemon_records_the_promotion },
   { "left_primary_gets_no_work", left_primary_gets_no_work },
   { "foreign_entries_harm_nothing", foreign_entries_harm_nothing },
+  { "names_of_entries_forge_no_log_field",
+    names_of_entries_forge_no_log_field },
   { "unreadable_entry_does_not_stop_the_list",
     unreadable_entry_does_not_stop_the_list },
   { "fleet_starts_beside_unreadable_entries",
