daemon: texts of others add no field to the log

What operators saw: error="azurewind/config:4: "x" version="9" is unknown": a name of the configuration, or a text of a server or the platform, added fields to the line. Cause: error="%s" with the text as it is. Change: LOG_TEXT for the texts of errors, in call, control and endpoint. Result: fleet/errors_forge_no_log_field failed in 2 assertions before and passes.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -717,7 +717,7 @@
   if (connection == NULL)
     {
       log_debug (PART, "no connection endpoint=%s error=\"%s\"", e->name,
-                 err->text);
+                 LOG_TEXT (bstr_from (err->text)));
       /* ERROR_REFUSED: the pool's limit is reached, so the endpoint did not
          fail. */
       release_connection (c, false, err->code != ERROR_REFUSED);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -60,7 +60,7 @@
     {
       log_error (PART,
                  "configuration refused version=%" PRIu64 " error=\"%s\"",
-                 version, err.text);
+                 version, LOG_TEXT (bstr_from (err.text)));
       return;
     }
   settings->version = version;
@@ -81,7 +81,7 @@
   if (keys == NULL)
     {
       log_error (PART, "key list refused version=%" PRIu64 " error=\"%s\"",
-                 version, err.text);
+                 version, LOG_TEXT (bstr_from (err.text)));
       return;
     }
   TALLOC_FREE (d->keys);
@@ -137,7 +137,8 @@
   struct control *c = data;
   if (err->code != ERROR_NONE)
     {
-      log_warn (PART, "watch failed error=\"%s\"", err->text);
+      log_warn (PART, "watch failed error=\"%s\"",
+                LOG_TEXT (bstr_from (err->text)));
       daemon_add_timer (c->daemon, c, c->retry_us, on_retry, c);
       c->retry_us = 2 * c->retry_us < WATCH_RETRY_MAX_US ? 2 * c->retry_us
                                                          : WATCH_RETRY_MAX_US;
--- a/daemon/endpoint.c
+++ b/daemon/endpoint.c
@@ -142,7 +142,7 @@
   if (c == NULL)
     {
       log_debug (PART, "no connection for a command endpoint=%s error=\"%s\"",
-                 cmd->endpoint->name, err->text);
+                 cmd->endpoint->name, LOG_TEXT (bstr_from (err->text)));
       finish_command (cmd, false, NULL);
       return;
     }
@@ -214,7 +214,8 @@
     endpoint_on_status (e, &status, e->poll_sent_at);
   else
     log_warn (PART, "poll failed service=%s endpoint=%s error=\"%s\"",
-              e->group->service, e->name, reply->message);
+              e->group->service, e->name,
+              LOG_TEXT (bstr_from (reply->message)));
 }
 
 static void
@@ -235,7 +236,7 @@
   if (c == NULL)
     {
       log_debug (PART, "cannot connect service=%s endpoint=%s error=\"%s\"",
-                 e->group->service, e->name, err->text);
+                 e->group->service, e->name, LOG_TEXT (bstr_from (err->text)));
       endpoint_on_failure (e);
       /* ERROR_NOT_FOUND: the connection was refused (ECONNREFUSED). */
       if (err->code == ERROR_NOT_FOUND)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -751,6 +751,39 @@
   talloc_free (f);
 }
 
+/* Guards against a text of another program, here a name of the configuration,
+   that adds fields to the log. */
+static void
+errors_forge_no_log_field (void)
+{
+  char log[16384];
+  int own_stderr = dup (STDERR_FILENO);
+  FILE *file = tmpfile ();
+  CU_ASSERT_FATAL (own_stderr >= 0 && file != NULL);
+  /* The daemon inherits the file. */
+  dup2 (fileno (file), STDERR_FILENO);
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  dup2 (own_stderr, STDERR_FILENO);
+  close (own_stderr);
+  REQUIRE (f != NULL);
+  fleet_put_config (f, "\"x\\\" version=\\\"9\" = 1", NULL);
+  const char *line = NULL;
+  int64_t end = fleet_now_ms () + CONFIG_BOUND_MS;
+  while (line == NULL && fleet_now_ms () < end)
+    {
+      fleet_sleep_ms (20);
+      ssize_t len = pread (fileno (file), log, sizeof log - 1, 0);
+      log[len > 0 ? len : 0] = '\0';
+      line = strstr (log, "configuration refused version=");
+    }
+  REQUIRE (line != NULL);
+  CU_ASSERT_PTR_NULL (strstr (line, "x\" version="));
+  CU_ASSERT_PTR_NOT_NULL (strstr (line, "x\\\" version="));
+done:
+  talloc_free (f);
+  fclose (file);
+}
+
 /* Guards against an empty answer, and one without some columns, when a server
    sends text that is not UTF-8 (an SQL_ASCII database). */
 static void
@@ -931,6 +964,7 @@
   { "rate_holds_over_all_daemons", rate_holds_over_all_daemons },
   { "configuration_never_reverts", configuration_never_reverts },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
+  { "errors_forge_no_log_field", errors_forge_no_log_field },
   { "text_that_is_not_utf8_is_an_error", text_that_is_not_utf8_is_an_error },
   { "lookup_of_a_key_that_is_no_text_is_refused",
     lookup_of_a_key_that_is_no_text_is_refused },
