packet: names between daemons hold no NUL

What could happen: a heartbeat or probe whose name, address, failure domain, service or endpoint holds a NUL was accepted and used up to the NUL: as the text of another member or endpoint. Own daemons do not send any (options are names, and the store's JSON has no NUL); the bus takes messages of anyone. Cause: these texts are used as texts that end at a NUL (bstr_to_text, .start). Change: unpack_name; such a message is rejected, with the line event=message_rejected. Texts used with their length may hold any byte. Result: pack/names_hold_no_nul failed for 6 of 14 messages before and passes; sessiond/malformed_messages_end_no_daemon passes.

--- a/session/packet.c
+++ b/session/packet.c
@@ -46,6 +46,15 @@
   return bstr_copy (parent, unpack_bstr (u));
 }
 
+/* Like unpack_string, for a text that is used as one that ends at a NUL. */
+static struct bstr
+unpack_name (void *parent, struct unpack *u)
+{
+  struct bstr name = unpack_string (parent, u);
+  u->failed |= memchr (name.start, 0, name.len) != NULL;
+  return name;
+}
+
 static void
 pack_heartbeat (struct pack *p, const struct packet_heartbeat *h)
 {
@@ -113,9 +122,9 @@
 unpack_heartbeat (void *parent, struct unpack *u, struct packet_heartbeat *h)
 {
   unpack_array (u, 12 + 2 * OBJECT_KIND_COUNT + 7);
-  h->name = unpack_string (parent, u);
-  h->address = unpack_string (parent, u);
-  h->failure_domain = unpack_string (parent, u);
+  h->name = unpack_name (parent, u);
+  h->address = unpack_name (parent, u);
+  h->failure_domain = unpack_name (parent, u);
   int64_t capacity = unpack_int (u);
   u->failed |= capacity < 1 || capacity > MAX_CAPACITY_MILLICORES;
   h->capacity = (int)capacity;
@@ -318,9 +327,9 @@
 unpack_probe (void *parent, struct unpack *u, struct packet_probe *probe)
 {
   unpack_array (u, 5);
-  probe->service = unpack_string (parent, u);
-  probe->endpoint = unpack_string (parent, u);
-  probe->address = unpack_string (parent, u);
+  probe->service = unpack_name (parent, u);
+  probe->endpoint = unpack_name (parent, u);
+  probe->address = unpack_name (parent, u);
   probe->organisation = unpack_string (parent, u);
   probe->reached = unpack_bool (u);
 }
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -214,6 +214,47 @@
   talloc_free (scratch);
 }
 
+/* Guards against a name or an address that is cut where it holds a NUL, and
+   then is that of another member, service or endpoint. */
+static void
+names_hold_no_nul (void)
+{
+  struct bstr name = { "n-1\0n", 5 }, address = { "tcp://1.2.3.4:5\0", 16 };
+  for (int i = 0; i < 14; i++)
+    {
+      void *scratch = talloc_new (NULL);
+      struct packet m = { .sender = { .member = 1 } }, out = { .session = 0 };
+      bool whole = i < 7;
+      struct bstr texts[7];
+      for (int k = 0; k < 7; k++)
+        texts[k] = (struct bstr){ "x", 1 };
+      texts[i % 7] = i % 7 == 1 || i % 7 == 5 ? address : name;
+      if (whole)
+        texts[i % 7].len = strlen (texts[i % 7].start);
+      if (i % 7 < 3)
+        {
+          m.kind = PACKET_HEARTBEAT;
+          m.heartbeat = (struct packet_heartbeat){ .name = texts[0],
+                                                   .address = texts[1],
+                                                   .failure_domain = texts[2],
+                                                   .capacity = 1 };
+        }
+      else
+        {
+          m.kind = i % 2 == 0 ? PACKET_PROBE : PACKET_PROBE_ANSWER;
+          m.probe = (struct packet_probe){ .service = texts[3],
+                                           .endpoint = texts[4],
+                                           .address = texts[5],
+                                           .organisation = texts[6] };
+        }
+      /* The organisation's name is used with its length. */
+      CU_ASSERT_EQUAL (
+          packet_decode (scratch, packet_encode (scratch, &m), &out),
+          whole || i % 7 == 6);
+      talloc_free (scratch);
+    }
+}
+
 static const struct test_case cases[] = {
   { "limits_survive_a_round_trip", limits_survive_a_round_trip },
   { "foreign_bytes_are_refused", foreign_bytes_are_refused },
@@ -221,6 +262,7 @@
   { "nesting_is_bounded", nesting_is_bounded },
   { "long_text_survives_a_round_trip", long_text_survives_a_round_trip },
   { "commit_survives_a_round_trip", commit_survives_a_round_trip },
+  { "names_hold_no_nul", names_hold_no_nul },
   { NULL, NULL },
 };
 TEST_SUITE (pack, cases)
