fleet: an address without its scheme is not read behind its end

What could happen: for a member whose address, in the store's list of voters, is shorter than "tcp://", the listen test read behind the text. Cause: the scheme was skipped without a look at it. Change: such an address is logged as event=check_failed and not tested.

--- a/session/fleet_peers.c
+++ b/session/fleet_peers.c
@@ -171,12 +171,19 @@
 static void
 start_listen_test (struct peer *p, int64_t now)
 {
+  static const char scheme[] = "tcp://";
   struct error err = { 0 };
   p->last_listen_test = now;
+  if (!bstr_starts_with (bstr_from (p->address), scheme))
+    {
+      log_warn (PART, "event=check_failed name=%s reason=\"no address\"",
+                LOG_TEXT (bstr_from (p->name)));
+      return;
+    }
   if (p->listen_test != NULL)
     stream_abort (p->listen_test);
   p->listen_test = stream_connect (
-      p->fleet, p->address + strlen ("tcp://"),
+      p->fleet, p->address + strlen (scheme),
       &(struct stream_options){
           .ev = p->fleet->sessiond->ev, .ops = &listen_test_ops, .data = p },
       &err);
