tests: texts of a request are whole or refused

What is shown: service, idempotency key, sql and params reach the request byte for byte, or the body is refused with invalid_request: \u0000, a NUL, raw control characters, lone surrogates and bytes that are not UTF-8. Cause of the question: daemon/call.c and daemon/query.c measure sql and params by strlen; jansson (without JSON_ALLOW_NUL), get_text and parse_param let no NUL through. Change: a test only.

--- a/tests/test_query.c
+++ b/tests/test_query.c
@@ -70,6 +70,65 @@
   json_decref (json);
 }
 
+/* Guards against a text that is cut at a NUL and run as another statement, or
+   with another value, key or service.  Bytes of other kinds stay. */
+static void
+texts_are_whole_or_refused (void)
+{
+  static const char *const wholes[]
+      = { "\\u0001\\u001f\\u007f", "a\\n\\r\\t b", "'\\\"`\\\\$1",
+          "\\uD83D\\uDE42\xC3\xA9", "\\u2028 " };
+  static const struct bstr refused[]
+      = { { "a\\u0000b", 8 }, { "\\u0000", 6 },  { "a\0b", 3 },
+          { "a\nb", 3 },      { "\xFF", 1 },     { "\xED\xA0\x80", 3 },
+          { "\\uD800", 6 },   { "\xC0\x80", 2 }, { "a\x1F", 2 } };
+  static const char *const parts[]
+      = { "{\"service\":\"s", "\",\"mode\":\"write\",\"idempotency_key\":\"k",
+          "\",\"statements\":[{\"sql\":\"SELECT 1 ", "\",\"params\":[\"p",
+          "\"]}]}" };
+  const int whole_count = (int)(sizeof wholes / sizeof wholes[0]);
+  const int refused_count = (int)(sizeof refused / sizeof refused[0]);
+  for (int place = 0; place < 4; place++)
+    for (int i = 0; i < whole_count + refused_count; i++)
+      {
+        struct error err = { 0 };
+        char body[300];
+        size_t len = 0;
+        struct bstr text = i < whole_count ? bstr_from (wholes[i])
+                                           : refused[i - whole_count];
+        for (int k = 0; k < 5; k++)
+          {
+            memcpy (body + len, parts[k], strlen (parts[k]));
+            len += strlen (parts[k]);
+            if (k == place)
+              {
+                memcpy (body + len, text.start, text.len);
+                len += text.len;
+              }
+          }
+        struct query *q = query_parse (NULL, (struct bstr){ body, len }, &err);
+        if (i >= whole_count)
+          {
+            CU_ASSERT_PTR_NULL (q);
+            CU_ASSERT_EQUAL (err.code, ERROR_INVALID);
+            talloc_free (q);
+            continue;
+          }
+        CU_ASSERT_PTR_NOT_NULL_FATAL (q);
+        const struct bstr texts[]
+            = { q->service, q->key, bstr_from (q->statements[0].sql + 9),
+                bstr_from (q->statements[0].params[0]) };
+        char *quoted = talloc_asprintf (q, "\"%s\"", wholes[i]);
+        json_t *json = json_loads (quoted, JSON_DECODE_ANY, NULL);
+        size_t first = place == 2 ? 0 : 1;
+        CU_ASSERT (bstr_equals (bstr_skip (texts[place], first),
+                                (struct bstr){ json_string_value (json),
+                                               json_string_length (json) }));
+        json_decref (json);
+        talloc_free (q);
+      }
+}
+
 /* Guards against an error reply without its message, the text of a server that
    does not use UTF-8. */
 static void
@@ -152,6 +211,7 @@
 static const struct test_case cases[] = {
   { "comments_do_not_hide_a_statement", comments_do_not_hide_a_statement },
   { "messages_hold_whole_characters", messages_hold_whole_characters },
+  { "texts_are_whole_or_refused", texts_are_whole_or_refused },
   { "messages_need_no_utf8", messages_need_no_utf8 },
   { "results_are_whole_or_none", results_are_whole_or_none },
   { NULL, NULL },
