health: a connection whose ROLLBACK is never answered is closed

Cause: nobody waits for the answer to a ROLLBACK that the daemon sends itself. If it was lost, or ignored as a copy, the connection was neither free nor ever closed, and took one of the endpoint's connections for good. Change: such a connection is closed after 1 s, and logged (event=unused_link_lost).

--- a/session/health.c
+++ b/session/health.c
@@ -11,6 +11,9 @@
 /* This many refused connections in a row show that the endpoint's process is
    gone. */
 #define MAX_REFUSALS 2
+/* An answer that nobody waits for is lost after this time.  The connection is
+   closed, which rolls back too. */
+#define UNUSED_TIMEOUT_US (1 * USEC_PER_SEC)
 /* Pause between probes of a failed endpoint. */
 #define PROBE_PERIOD_US (400 * USEC_PER_MSEC)
 /* An endpoint whose entry is missing for this time is removed.  Entries return
@@ -99,6 +102,15 @@
   fleet_broadcast (e->service->sessiond->fleet, &m);
 }
 
+/* @return whether an answer that nobody waits for is overdue, as that of
+   ROLLBACK: the connection would never be free again. */
+static bool
+has_lost_answer (const struct pooled_link *p, int64_t now)
+{
+  return p->pending == NULL && p->transaction == NULL && !p->is_probe
+         && !link_is_idle (p->link) && now - p->last_used > UNUSED_TIMEOUT_US;
+}
+
 /* Find overdue answers, and close probes that got none. */
 static void
 check_links (struct endpoint *e, int64_t now)
@@ -113,6 +125,13 @@
         mark_suspect (e, now, "no answer");
       if (p->is_probe && now - p->opened_at > PROBE_TIMEOUT_US)
         pool_close (p);
+      else if (has_lost_answer (p, now))
+        {
+          sessiond_log_request (
+              PART, "event=unused_link_lost service=%s endpoint=%s",
+              e->service->name, e->id);
+          pool_close (p);
+        }
       else if (ps != NULL && expire_statement (p, ps, now))
         return;
     }
--- a/session/service.c
+++ b/session/service.c
@@ -176,9 +176,12 @@
     return;
   TALLOC_FREE (p->pending);
   if (!link_is_idle (p->link))
-    pool_close (p);
-  else
-    link_rollback (p->link);
+    {
+      pool_close (p);
+      return;
+    }
+  p->last_used = clock_now ();
+  link_rollback (p->link);
 }
 
 /* Create the transaction that a BEGIN opens. */
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -10,6 +10,9 @@
 
 /* Time-out of a statement in the routes of the test's configuration. */
 #define ROUTE_TIMEOUT_MS 1500
+/* Time after which a connection whose ROLLBACK is not answered is closed, and
+   some more. */
+#define LOST_ROLLBACK_MS 1500
 
 /* Text literal with its NULs. */
 #define BYTES(text) ((struct bstr){ text, sizeof (text) - 1 })
@@ -747,6 +750,45 @@
   talloc_free (s);
 }
 
+/* @return the connections of all databases. */
+static int
+count_connections (struct sessiond_site *s)
+{
+  json_t *observed = sessiond_site_observed (s), *database;
+  int count = 0;
+  size_t i;
+  json_array_foreach (json_object_get (observed, "databases"), i, database)
+      count
+      += (int)json_integer_value (json_object_get (database, "connections"));
+  json_decref (observed);
+  return count;
+}
+
+/* Guards against a connection that is kept for ever, unused, because the
+   answer of its ROLLBACK is lost: the endpoint then refuses new ones. */
+static void
+lost_rollbacks_take_no_connections (void)
+{
+  struct sessiond_site *s = start_site ();
+  struct line_answer a;
+  int before = count_connections (s);
+  for (int i = 0; i < 20; i++)
+    {
+      struct line_caller *c = start_session (s, 0, "main1");
+      CU_ASSERT_TRUE (line_query (c, &a, "BEGIN READ"));
+      CU_ASSERT_TRUE (line_query (c, &a, "READ k"));
+      set_all_faults (s, "silence");
+      talloc_free (c);
+      usleep (20000);
+      set_all_faults (s, "speak");
+    }
+  usleep (LOST_ROLLBACK_MS * 1000);
+  int after = count_connections (s);
+  printf ("[%d connections, %d before] ", after, before);
+  CU_ASSERT_TRUE (after - before < 10);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "data_with_line_feed_is_one_field", data_with_line_feed_is_one_field },
   { "data_is_no_second_statement", data_is_no_second_statement },
@@ -768,6 +810,7 @@
   { "repeated_answer_of_each_statement", repeated_answer_of_each_statement },
   { "repeated_error_of_each_statement", repeated_error_of_each_statement },
   { "refused_rollback_harms_nobody", refused_rollback_harms_nobody },
+  { "lost_rollbacks_take_no_connections", lost_rollbacks_take_no_connections },
   { NULL, NULL },
 };
 
