call: a key tells requests with the same texts apart

What callers saw: a write whose idempotency key another request had used, with the same texts in the same order but divided otherwise (a parameter that is now a statement, "\u0001" in place of NULL), was answered "ran" and replayed; it had not run. docs/requests.md calls it an error. Cause: the digest was of the texts alone, each ended by a NUL, and NULL was the text "\1". Change: the digest counts the parameters and marks NULL. Its form begins with "2:"; rows of earlier versions are compared by the earlier form. While daemons of both versions run, an earlier one takes a key that a present one stored for another request's.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -35,6 +35,7 @@
 
 static void perform_action (struct call *c, enum request_action action);
 static void start_lookup (struct call *c);
+static bool is_own_digest (struct call *c, const char *digest);
 
 /* ---- replies ---- */
 
@@ -634,8 +635,7 @@
   bool ok
       = digest != NULL && state != NULL && store_positions (c, reply, 3, 5);
   bool ran = ok && strcmp (state, "ran") == 0;
-  bool reused
-      = ok && ran && !c->only_lookup && strcmp (digest, c->digest) != 0;
+  bool reused = ok && ran && !c->only_lookup && !is_own_digest (c, digest);
   release_connection (c, ok, !ok);
   if (!ok)
     {
@@ -1043,29 +1043,65 @@
   return true;
 }
 
-/* Computes the hash of the statements and parameters, which reveals the reuse
-   of an idempotency key for another request.  NULL counts as "\1". */
+/* Begins a digest of the present form; those of earlier versions of the daemon
+   have only the hash. */
+#define DIGEST_PREFIX "2:"
+
 static void
-set_digest (struct call *c)
+hash_text (crypto_generichash_state *state, const char *text)
+{
+  crypto_generichash_update (state, (const unsigned char *)text,
+                             strlen (text) + 1);
+}
+
+/* Hashes the statements and parameters.  In the present form, the number of
+   parameters and whether one is NULL tell requests apart whose texts follow
+   one another in the same order.
+   @param prefix that of the form.
+   @return the digest, owned by the call. */
+static char *
+compute_digest (struct call *c, const char *prefix)
 {
   crypto_generichash_state state;
   unsigned char hash[crypto_generichash_BYTES];
+  char hex[2 * sizeof hash + 1], number[16];
+  bool has_structure = prefix[0] != '\0';
   crypto_generichash_init (&state, NULL, 0, sizeof hash);
   for (int i = 0; i < c->statement_count; i++)
     {
       const struct pgsql_statement *s = &c->statements[i];
-      crypto_generichash_update (&state, (const unsigned char *)s->sql,
-                                 strlen (s->sql) + 1);
+      hash_text (&state, s->sql);
+      snprintf (number, sizeof number, "%d", s->param_count);
+      if (has_structure)
+        hash_text (&state, number);
       for (int k = 0; k < s->param_count; k++)
         {
-          const char *text = s->params[k] != NULL ? s->params[k] : "\1";
-          crypto_generichash_update (&state, (const unsigned char *)text,
-                                     strlen (text) + 1);
+          if (has_structure)
+            hash_text (&state, s->params[k] != NULL ? "value" : "null");
+          hash_text (&state, s->params[k] != NULL ? s->params[k] : "\1");
         }
     }
   crypto_generichash_final (&state, hash, sizeof hash);
-  c->digest = talloc_array (c, char, 2 * sizeof hash + 1);
-  sodium_bin2hex (c->digest, 2 * sizeof hash + 1, hash, sizeof hash);
+  sodium_bin2hex (hex, sizeof hex, hash, sizeof hash);
+  return talloc_asprintf (c, "%s%s", prefix, hex);
+}
+
+/* Computes the digest, which reveals the reuse of an idempotency key for
+   another request. */
+static void
+set_digest (struct call *c)
+{
+  c->digest = compute_digest (c, DIGEST_PREFIX);
+}
+
+/* @return whether the digest, which may be of an earlier form, is that of the
+   call. */
+static bool
+is_own_digest (struct call *c, const char *digest)
+{
+  bool present = bstr_starts_with (bstr_from (digest), DIGEST_PREFIX);
+  return strcmp (digest, compute_digest (c, present ? DIGEST_PREFIX : ""))
+         == 0;
 }
 
 static void
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -820,6 +820,53 @@
   talloc_free (f);
 }
 
+/* Guards against an answer to another request with the same key, whose texts
+   follow one another in the same order, and against a key of an earlier
+   version that is taken for another request's. */
+static void
+key_tells_similar_requests_apart (void)
+{
+  static const struct
+  {
+    const char *key, *statements, *code;
+  } requests[] = {
+    { "a", "{\"sql\":\"SELECT $1\",\"params\":[null]}", "" },
+    { "a", "{\"sql\":\"SELECT $1\",\"params\":[\"\\u0001\"]}",
+      "idempotency_key_reused" },
+    { "a", "{\"sql\":\"SELECT $1\",\"params\":[null]}", "" },
+    { "b", "{\"sql\":\"SELECT $1\",\"params\":[\"SELECT 1\"]}", "" },
+    { "b", "{\"sql\":\"SELECT $1\"},{\"sql\":\"SELECT 1\"}",
+      "idempotency_key_reused" },
+    { "b", "{\"sql\":\"SELECT $1\",\"params\":[\"SELECT 1\"]}", "" },
+    /* The row of a key as an earlier version wrote it for "SELECT 1". */
+    { "c",
+      "{\"sql\":\"INSERT INTO azurewind_requests (organisation, key, digest, "
+      "state) VALUES ('moshi', 'd', $1, "
+      "'ran')\",\"params\":[\"8a5f1a85c860ebf866f7"
+      "607893f0d4408d71ec5e803ef7b7c4d0f7b430d6f9ac\"]}",
+      "" },
+    { "d", "{\"sql\":\"SELECT 1\"}", "" },
+    { "d", "{\"sql\":\"SELECT 2\"}", "idempotency_key_reused" },
+  };
+  struct fleet *f = fleet_start (NULL, &(struct fleet_options){ 1, NULL });
+  REQUIRE (f != NULL);
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
+    {
+      char *body = talloc_asprintf (
+          f,
+          "{\"service\":\"lending\",\"mode\":\"write\",\"idempotency_key\":"
+          "\"%s\",\"statements\":[%s]}",
+          requests[i].key, requests[i].statements);
+      struct fleet_answer a
+          = fleet_post (f, 0, NULL, "/v1/query", f->key, NULL, body);
+      CU_ASSERT_STRING_EQUAL (fleet_answer_text (&a, "code"),
+                              requests[i].code);
+      json_decref (a.json);
+    }
+done:
+  talloc_free (f);
+}
+
 /* Guards against a lookup that reads and bars another key, the one before an
    encoded NUL, and one that asks until its deadline for a key that no server
    accepts. */
@@ -964,6 +1011,7 @@
   { "rate_holds_over_all_daemons", rate_holds_over_all_daemons },
   { "configuration_never_reverts", configuration_never_reverts },
   { "too_many_rows_are_refused", too_many_rows_are_refused },
+  { "key_tells_similar_requests_apart", key_tells_similar_requests_apart },
   { "errors_forge_no_log_field", errors_forge_no_log_field },
   { "text_that_is_not_utf8_is_an_error", text_that_is_not_utf8_is_an_error },
   { "lookup_of_a_key_that_is_no_text_is_refused",
