link: no statement follows a BEGIN READ that may have been refused

Cause: an acknowledgement of BEGIN READ that repeats an earlier one was accepted as its own. If it was a copy and the endpoint refused BEGIN READ, the next statement ran outside of its transaction (PINNED); a WRITE there was committed, and the error of BEGIN, which came next, gave the connection up and told its caller ABORTED (REFUSED). Change: BEGIN READ is handled as BEGIN is: a repeated acknowledgement is doubtful, BEGIN is repeated elsewhere, and a connection on which it would be doubtful is not used for it.

--- a/session/link.c
+++ b/session/link.c
@@ -89,9 +89,9 @@
     {
     case VERB_BEGIN:
       form.changes_state = true;
+      /* No statement may follow a BEGIN that was refused: it would run outside
+         of its transaction. */
       form.success_state = SESSION_IN_TRANSACTION;
-      /* A write must not follow a BEGIN that was refused. */
-      form.is_replaceable = request->reads_only;
       break;
     case VERB_ROLLBACK:
       form.changes_state = true;
--- a/session/link.h
+++ b/session/link.h
@@ -86,7 +86,7 @@
 struct link_use
 {
   bool writes;              /**< A write, or a transaction that may write. */
-  bool begins;              /**< A transaction that may write. */
+  bool begins;              /**< A transaction. */
   struct position position; /**< Newest known position of the endpoint. */
 };
 
--- a/session/pool.c
+++ b/session/pool.c
@@ -106,10 +106,9 @@
 static struct pooled_link *
 find_free_link (struct endpoint *e, const struct packet_statement *statement)
 {
-  bool begins = statement->verb == VERB_BEGIN && !statement->is_read;
   struct link_use use = {
     .writes = !statement->is_read,
-    .begins = begins,
+    .begins = statement->verb == VERB_BEGIN,
     .position = e->replica.position,
   };
   struct pooled_link *best = NULL;
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -774,6 +774,45 @@
   talloc_free (s);
 }
 
+/* Guards against a statement that runs outside of its transaction: PINNED, and
+   REFUSED if it is a write, which is kept then.  The answer of a BEGIN READ
+   comes a second time while the next one, which is refused, is outstanding. */
+static void
+reads_stay_in_their_transactions (void)
+{
+  struct sessiond_site *s = start_site ();
+  struct line_caller *c = start_session (s, 0, "main1");
+  struct line_answer a;
+  char ids[60][sizeof a.id];
+  int outside = 0, kept = 0;
+  for (int i = 0; i < 60; i++)
+    {
+      char fault[40];
+      snprintf (fault, sizeof fault, "repeat %d BEGIN", 1 + i % 20);
+      set_all_faults (s, fault);
+      set_all_faults (s, "refuse BUSY BEGIN");
+      line_query (c, &a, "BEGIN READ");
+      line_query (c, &a, "ROLLBACK");
+      line_query (c, &a, "BEGIN READ");
+      line_query (c, &a, i % 3 == 0 ? "WRITE k x" : "READ k");
+      memcpy (ids[i], a.id, sizeof a.id);
+      line_query (c, &a, "ROLLBACK");
+    }
+  json_t *observed = sessiond_site_observed (s);
+  for (int i = 0; i < 60; i++)
+    {
+      const json_t *run = sessiond_site_run (observed, ids[i]);
+      outside += json_is_false (json_object_get (run, "in_transaction"));
+    }
+  json_decref (observed);
+  for (int i = 0; i < 60; i++)
+    kept += sessiond_site_committed (s, ids[i]);
+  printf ("[%d outside, %d kept] ", outside, kept);
+  CU_ASSERT_EQUAL (outside, 0);
+  CU_ASSERT_EQUAL (kept, 0);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "data_with_line_feed_is_one_field", data_with_line_feed_is_one_field },
   { "data_is_no_second_statement", data_is_no_second_statement },
@@ -796,6 +835,7 @@
   { "repeated_error_of_each_statement", repeated_error_of_each_statement },
   { "refused_rollback_harms_nobody", refused_rollback_harms_nobody },
   { "lost_rollbacks_take_no_connections", lost_rollbacks_take_no_connections },
+  { "reads_stay_in_their_transactions", reads_stay_in_their_transactions },
   { NULL, NULL },
 };
 
