pool: a BEGIN READ must be certain where answers come twice

Change: an endpoint that sent an answer twice is treated so for a minute; before that, an acknowledgement of BEGIN READ that repeats an earlier one is accepted.

--- a/session/link.c
+++ b/session/link.c
@@ -89,9 +89,10 @@
     {
     case VERB_BEGIN:
       form.changes_state = true;
-      /* No statement may follow a BEGIN that was refused: it would run outside
-         of its transaction. */
       form.success_state = SESSION_IN_TRANSACTION;
+      /* A statement behind a BEGIN that was refused would run outside of its
+         transaction, and a write would be kept. */
+      form.is_replaceable = request->reads_only && !request->is_strict;
       break;
     case VERB_ROLLBACK:
       form.changes_state = true;
@@ -247,6 +248,8 @@
       break;
     case ANSWER_COPY:
       talloc_free (take_received (l));
+      if (l->options.ops->repeated != NULL)
+        l->options.ops->repeated (l->options.data);
       break;
     case ANSWER_DOUBTFUL:
       give_up (l, true, "the answer may be that of another statement");
--- a/session/link.h
+++ b/session/link.h
@@ -38,6 +38,9 @@
                             term 0: run at any position. */
   const struct session_value *values;
   int value_count;
+  /** The endpoint is known to send answers twice: no statement may follow a
+   * BEGIN READ whose answer may be a copy. */
+  bool is_strict;
 };
 
 /** The answer of an endpoint; valid during the callback. */
@@ -78,6 +81,8 @@
    * link may be freed in the call. */
   void (*answered) (void *data, struct link *link,
                     const struct link_answer *answer);
+  /** The endpoint sent an answer a second time; NULL: not wanted. */
+  void (*repeated) (void *data);
   /** The connection ended; the link is freed after the call. */
   void (*lost) (void *data, struct link *link, const struct link_loss *loss);
 };
@@ -86,7 +91,7 @@
 struct link_use
 {
   bool writes;              /**< A write, or a transaction that may write. */
-  bool begins;              /**< A transaction. */
+  bool begins;              /**< A transaction whose BEGIN must be certain. */
   struct position position; /**< Newest known position of the endpoint. */
 };
 
--- a/session/pool.c
+++ b/session/pool.c
@@ -12,6 +12,8 @@
    more than the endpoint accepted.  After a loss of power the endpoint keeps
    the connections of the previous process for some seconds. */
 #define REFUSED_LIMIT_US (500 * USEC_PER_MSEC)
+/* An endpoint is taken to send answers twice for this time after it has. */
+#define REPEAT_MEMORY_US (60 * USEC_PER_SEC)
 /* Cost of a connection that must be reset: more than that of setting
    SESSION_MAX_VALUES values. */
 #define RESET_COST 1000
@@ -51,8 +53,22 @@
   talloc_free (p);
 }
 
+static void
+on_repeated (void *data)
+{
+  struct pooled_link *p = data;
+  p->endpoint->repeated_at = clock_now ();
+}
+
 static const struct link_ops link_callbacks
-    = { .answered = on_answered, .lost = on_lost };
+    = { .answered = on_answered, .repeated = on_repeated, .lost = on_lost };
+
+bool
+pool_is_strict (const struct endpoint *e)
+{
+  return e->repeated_at != 0
+         && clock_now () - e->repeated_at < REPEAT_MEMORY_US;
+}
 
 struct pooled_link *
 pool_open (struct endpoint *e, struct bstr organisation)
@@ -108,7 +124,8 @@
 {
   struct link_use use = {
     .writes = !statement->is_read,
-    .begins = statement->verb == VERB_BEGIN,
+    .begins = statement->verb == VERB_BEGIN
+              && (!statement->is_read || pool_is_strict (e)),
     .position = e->replica.position,
   };
   struct pooled_link *best = NULL;
--- a/session/service.c
+++ b/session/service.c
@@ -265,6 +265,7 @@
     .after = after,
     .values = t != NULL ? t->values : m->values,
     .value_count = t != NULL ? t->value_count : m->value_count,
+    .is_strict = pool_is_strict (p->endpoint),
   };
   ps->pooled_link = p;
   ps->sent_at = clock_now ();
--- a/session/service.h
+++ b/session/service.h
@@ -78,6 +78,7 @@
   uint64_t reached_by;  /**< Member that reaches it while this daemon does not;
                            0: none is known. */
   int link_count;       /**< Number of its pooled connections. */
+  int64_t repeated_at;  /**< When it last sent an answer twice; 0: never. */
   int refusals;         /**< Connections refused in a row. */
   bool is_listed;       /**< It is in the newest list of entries. */
   bool draining;
@@ -290,6 +291,9 @@
  * now. */
 struct pooled_link *pool_acquire (struct endpoint *e,
                                   const struct packet_statement *statement);
+/** @return whether the endpoint has lately sent answers twice, so that nothing
+ * may rely on an answer that may be a copy. */
+bool pool_is_strict (const struct endpoint *e);
 /** The endpoint refused a connection because it has too many: keep to those
  * that it accepted for a while. */
 void pool_limit_connections (struct endpoint *e, int64_t now);
