session: a refused PREPARE keeps the statement of that name

Cause: since values and prepared statements have 4 MiB together, PREPARE of a known name may be refused; the earlier statement was dropped before the check, so that its name, whose preparing was acknowledged, was unknown. Change: the size is checked first, without what is replaced.

--- a/core/session.c
+++ b/core/session.c
@@ -62,12 +62,14 @@
 prepare_statement (struct session *s, const struct statement *statement)
 {
   int i = find_prepared (s, statement->name);
-  if (i >= 0)
-    drop_prepared (s, i);
+  size_t old_bytes
+      = i >= 0 ? s->prepared[i].name.len + s->prepared[i].shape.len : 0;
   size_t bytes = statement->name.len + statement->rest.len;
-  if (s->prepared_count == SESSION_MAX_PREPARED
-      || s->bytes + bytes > SESSION_MAX_BYTES)
+  if ((i < 0 && s->prepared_count == SESSION_MAX_PREPARED)
+      || s->bytes - old_bytes + bytes > SESSION_MAX_BYTES)
     return refuse_statement (OUTCOME_FAILED);
+  if (i >= 0)
+    drop_prepared (s, i);
   s->bytes += bytes;
   s->prepared = talloc_realloc (s, s->prepared, struct session_prepared,
                                 s->prepared_count + 1);
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -136,10 +136,33 @@
   talloc_free (s);
 }
 
+/* Guards against a prepared statement that is lost when its name is refused a
+   larger one. */
+static void
+refused_prepare_keeps_the_old_one (void)
+{
+  struct session *s = session_create (NULL);
+  char *large = talloc_zero_array (s, char, SESSION_MAX_BYTES);
+  struct statement prepare = { .verb = VERB_PREPARE,
+                               .name = bstr_from ("s1"),
+                               .rest = bstr_from ("shape") };
+  struct statement execute = { .verb = VERB_EXECUTE,
+                               .name = bstr_from ("s1"),
+                               .rest = bstr_from ("item") };
+  CU_ASSERT_EQUAL (session_decide (s, &prepare).action, SESSION_ANSWER);
+  prepare.rest = (struct bstr){ large, SESSION_MAX_BYTES };
+  CU_ASSERT_EQUAL (session_decide (s, &prepare).action, SESSION_REFUSE);
+  struct session_step step = session_decide (s, &execute);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (step.prepared);
+  CU_ASSERT_TRUE (bstr_equals_text (step.prepared->shape, "shape"));
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "values_and_prepared_statements", values_and_prepared_statements },
   { "transactions", transactions },
   { "memory_of_a_session_is_bounded", memory_of_a_session_is_bounded },
+  { "refused_prepare_keeps_the_old_one", refused_prepare_keeps_the_old_one },
   { NULL, NULL },
 };
 
