stream: the values of a session fit into one request

Cause: 4 MiB may wait to be sent, but the values of a session may have 4 MiB since it may set them, and its statement follows in the same request. The connection was shut down, a write that was never sent became INDOUBT, and the endpoint was marked suspect. Change: 8 MiB may wait, as much as a message between daemons may have. Result: line_protocol/large_values_and_results_harm_nobody, with a write of 900,000 bytes behind 3.6 MB of values on a new connection: INDOUBT before, passes now; line_protocol 21 of 21.

--- a/net/stream.h
+++ b/net/stream.h
@@ -20,8 +20,8 @@
 /** Longest line, in bytes. */
 #define STREAM_MAX_LINE ((size_t)1 << 20)
 /** Most bytes buffered for a slow peer; a stream that exceeds it is shut
- * down. */
-#define STREAM_MAX_BACKLOG ((size_t)4 << 20)
+ * down.  The values of a session fit, with a statement and its shape. */
+#define STREAM_MAX_BACKLOG ((size_t)8 << 20)
 
 /** Callbacks of a stream's owner. */
 struct stream_ops
--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -387,6 +387,9 @@
           text[8] = (char)('0' + i);
           refused = !line_query_bytes (c, &a, (struct bstr){ text, 900000 });
         }
+      memset (text, 'w', 900000);
+      memcpy (text, "WRITE k ", 8);
+      CU_ASSERT_TRUE (line_query_bytes (c, &a, (struct bstr){ text, 900000 }));
       CU_ASSERT_TRUE (line_query (c, &a, "READ k"));
       CU_ASSERT_TRUE (line_query (other, &a, "WRITE k x"));
       set_all_faults (s, "rows 5000");
