front: say what is wrong with a key that is looked up

Cause: one text for a missing key, one that is too long and one that is no text. Change: a key with a NUL or bytes that are not UTF-8 has a text of its own.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -454,10 +454,15 @@
 static void
 on_lookup (struct pending_request *r, struct bstr key)
 {
-  if (key.len == 0 || key.len > QUERY_MAX_KEY_BYTES || !query_is_text (key))
+  if (key.len == 0 || key.len > QUERY_MAX_KEY_BYTES)
+    {
+      refuse (r, 400, "invalid_request", "the idempotency key is missing", 0);
+      return;
+    }
+  if (!query_is_text (key))
     {
       refuse (r, 400, "invalid_request",
-              "the idempotency key is missing, too long, or not a text", 0);
+              "the idempotency key has a NUL or is not UTF-8", 0);
       return;
     }
   if (!find_group (r, http_query_value (r->http, "service"))
