tests: a random text that goes wrong says how

Cause: random_bytes_arrive_unchanged failed once while the machine stood still, and printed neither outcome nor row. Change: state, code and rows of each statement that goes wrong; the checks are the same.

--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -303,13 +303,22 @@
       texts[i] = bstr_copy (s, (struct bstr){ text, len });
       line_query_bytes (c, &answers[i], texts[i]);
       set_row (s, bstr_skip (texts[i], 8));
-      wrong += !line_query_bytes (c, &a, BYTES ("READ k")) || c->row_count == 0
-               || !bstr_equals (c->rows[0], bstr_skip (texts[i], 8));
+      if (line_query_bytes (c, &a, BYTES ("READ k")) && c->row_count > 0
+          && bstr_equals (c->rows[0], bstr_skip (texts[i], 8)))
+        continue;
+      wrong++;
+      printf ("read %d: state=%d code=%s rows=%d\n", i, a.state, a.code,
+              c->row_count);
     }
   json_t *observed = sessiond_site_observed (s);
   for (int i = 0; i < 400; i++)
-    wrong += answers[i].code[0] != '\0'
-             || !has_run (observed, answers[i].id, "text", texts[i]);
+    if (answers[i].code[0] != '\0'
+        || !has_run (observed, answers[i].id, "text", texts[i]))
+      {
+        wrong++;
+        printf ("write %d: state=%d code=%s\n", i, answers[i].state,
+                answers[i].code);
+      }
   json_decref (observed);
   CU_ASSERT_EQUAL (wrong, 0);
   talloc_free (s);
