service: a statement that is repeated keeps no closed connection

Cause: a connection whose answer was the last one is closed before its statement is queued again, and retry_statement still wrote to it (freed memory). Change: the statement forgets the connection first.

--- a/session/service.c
+++ b/session/service.c
@@ -635,6 +635,7 @@
     {
       enum outcome outcome = answer->outcome;
       p->transaction = NULL;
+      ps->pooled_link = NULL;
       release_link (p, answer);
       retry_statement (ps, outcome, "no endpoint could run it");
       return;
