tests: a refusal behind settings is repeated

Cause: no case refused a statement whose settings went in the same round trip. Change: ten sessions set two values and run a statement that is refused once.

--- a/tests/test_line_protocol.c
+++ b/tests/test_line_protocol.c
@@ -825,7 +825,32 @@
   talloc_free (s);
 }
 
+/* Guards against a refusal that is told as unknown, or is not repeated,
+   because settings were sent with its statement; and, with ASan, against the
+   use of the connection that is closed then. */
+static void
+refusal_behind_settings_is_repeated (void)
+{
+  static const char *const statements[] = { "WRITE k x", "READ k" };
+  struct sessiond_site *s = start_site ();
+  struct line_answer a;
+  for (int i = 0; i < 10; i++)
+    {
+      struct line_caller *c = start_session (s, 0, "main1");
+      CU_ASSERT_TRUE (line_query (c, &a, "SET a%d x", i));
+      CU_ASSERT_TRUE (line_query (c, &a, "SET b%d y", i));
+      set_all_faults (s,
+                      i % 2 == 0 ? "refuse BUSY WRITE" : "refuse BUSY READ");
+      CU_ASSERT_TRUE (line_query (c, &a, "%s", statements[i % 2]));
+      talloc_free (c);
+    }
+  check_violations (s);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
+  { "refusal_behind_settings_is_repeated",
+    refusal_behind_settings_is_repeated },
   { "data_with_line_feed_is_one_field", data_with_line_feed_is_one_field },
   { "data_is_no_second_statement", data_is_no_second_statement },
   { "data_with_nul_is_not_cut", data_with_nul_is_not_cut },
