--- a/common/buffer.c
+++ b/common/buffer.c
@@ -12,7 +12,7 @@
   size_t size = b->start != NULL ? talloc_get_size (b->start) : 0;
   if (bytes.len == 0)
     return;
-  if (b->len + bytes.len > size)
+  if (b->start == NULL || b->len + bytes.len > size)
     {
       if (size == 0)
         size = FIRST_BYTES;
