--- a/standins/site_session.c
+++ b/standins/site_session.c
@@ -44,7 +44,7 @@
   bool busy; /**< A statement runs. */
   /* The answer of the statement that runs. */
   char *answer;
-  size_t answer_len;
+  size_t answer_len, answer_size;
   enum answer_kind answer_kind;
   int repeat_ms; /**< Send it again after this time; 0: do not. */
 };
@@ -63,8 +63,11 @@
 static void
 add_bytes (struct session *s, struct bstr bytes)
 {
-  s->answer
-      = talloc_realloc (s, s->answer, char, s->answer_len + bytes.len + 1);
+  if (s->answer_len + bytes.len > s->answer_size)
+    {
+      s->answer_size = 2 * (s->answer_len + bytes.len);
+      s->answer = talloc_realloc (s, s->answer, char, s->answer_size);
+    }
   memcpy (s->answer + s->answer_len, bytes.start, bytes.len);
   s->answer_len += bytes.len;
 }
