--- a/review/7/case.py
+++ b/review/7/case.py
@@ -37,7 +37,7 @@
 def next_id(kind):
     global serial
     serial += 1
-    return "%s%d" % (kind, serial)
+    return "%s%s.%d" % (kind, fleet.TAG, serial)
 
 
 def count(outcome):
@@ -57,7 +57,7 @@
         await asyncio.sleep(random.expovariate(1 / PAUSE_S))
         if i == 0 or random.random() < 0.5:
             item = "WRITE i%d x" % random.randrange(2000)
-            attempt["writes"].append("%s%d" % (kind, serial + 1))
+            attempt["writes"].append("%s%s.%d" % (kind, fleet.TAG, serial + 1))
         else:
             item = "READ i%d" % random.randrange(2000)
         _, a = await statement(caller, item, kind, item.split(" ")[0] + " in a transaction")
@@ -74,7 +74,7 @@
     if attempt["choice"] < transactions:
         return await transaction(caller, kind, attempt)
     if attempt["choice"] < writes + transactions:
-        attempt["writes"].append("%s%d" % (kind, serial + 1))
+        attempt["writes"].append("%s%s.%d" % (kind, fleet.TAG, serial + 1))
         _, a = await statement(caller, "WRITE i%d x" % random.randrange(2000), kind, "WRITE")
     else:
         _, a = await statement(caller, "READ i%d" % random.randrange(2000), kind, "READ")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -39,7 +39,7 @@
         serial += 1
         host, kind = random.choice(KINDS)
         text = "WRITE i%d x" % serial if random.random() < 0.3 and host != "browse-" else "READ i%d" % serial
-        ident = kind + str(serial)
+        ident = "%s%s.%d" % (kind, fleet.TAG, serial)
         sent, outcome = record.now(), "no answer"
         # An operation may be sent three times, each time to another daemon.
         for _ in range(3):
--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -19,27 +19,53 @@
     ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
-def free_ports(count):
-    """Ports below the range of outgoing connections that are free now."""
-    found = []
-    first = 11000 + random.randrange(180) * 100
-    for port in list(range(first, 32000)) + list(range(11000, first)):
-        with socket.socket() as s:
+BLOCK = 100
+
+
+class Ports:
+    """A block of ports below the range of outgoing connections that no other test has.
+
+    The first port of the block stays bound while this process runs, so that tests that run side by side never share one.
+    """
+
+    def __init__(self):
+        bases = list(range(11000, 31000, BLOCK))
+        random.shuffle(bases)
+        for base in bases:
+            self.guard = socket.socket()
             try:
-                s.bind(("127.0.0.1", port))
+                self.guard.bind(("127.0.0.1", base))
             except OSError:
+                self.guard.close()
                 continue
-        found.append(port)
-        if len(found) == count:
-            return found
-    raise OSError("no free ports")
+            self.next, self.end = base + 1, base + BLOCK
+            return
+        raise OSError("no free ports")
+
+    def take(self, count):
+        found = []
+        while len(found) < count:
+            if self.next == self.end:
+                raise OSError("no free ports in the block")
+            with socket.socket() as s:
+                try:
+                    s.bind(("127.0.0.1", self.next))
+                    found.append(self.next)
+                except OSError:
+                    pass
+            self.next += 1
+        return found
+
+
+PORTS = Ports()
+TAG = "%04x" % random.getrandbits(16)  # in the id of every statement, so that another test's is not taken for one's own
 
 
 class Daemon:
     def __init__(self, folder, name, zone, store, duties, options=""):
         self.folder, self.name, self.zone = folder, name, zone
         self.store, self.duties, self.options = store, duties, options
-        self.front, self.ready, self.metrics, self.bus = free_ports(4)
+        self.front, self.ready, self.metrics, self.bus = PORTS.take(4)
         self.process = None
         self.starts = 0
 
