callers: a result within a transaction settles its BEGIN

The entry daemon waited for the result of a BEGIN also after its transaction had ended. An owner that drops a BEGIN by its age sends none, so the BEGIN timed out and failed whatever its session had outstanding then. Change: the first result of a statement behind the BEGIN ends the wait for it (event=begin_dropped): the owner has opened the transaction, or never will. An unanswered BEGIN then belongs to the open transaction, so nothing that happens to it reaches a later one.

--- a/session/callers.c
+++ b/session/callers.c
@@ -110,7 +110,9 @@
   /** When the caller of a refused statement was told to come back; 0: none was
    * refused since one was served. */
   int64_t retry_at;
-  struct forwarded_statement *forwarded; /**< Ordered by arrival. */
+  /** Statements without a result: at most one whose answer the caller waits
+   * for, and before it the BEGIN of its transaction. */
+  struct forwarded_statement *forwarded;
   struct queued_line *queued_lines;
   /** Member that runs the open or newest transaction; 0: its BEGIN waits for
    * an owner, or there was none yet. */
@@ -349,6 +351,39 @@
   talloc_free ((char *)old.start);
 }
 
+/* Stop waiting for the result of the open transaction's BEGIN, as a later
+   statement of the transaction has one: the owner has opened the transaction,
+   or never will.  What becomes of that BEGIN from now on, such as its
+   time-out, says nothing about later statements of the session. */
+static void
+drop_unanswered_begin (struct caller *c)
+{
+  struct forwarded_statement *w = c->forwarded;
+  if (w == NULL || !w->is_begin)
+    return;
+  sessiond_log_request (PART,
+                        "event=begin_dropped id=%s database=%s"
+                        " waited_us=%" PRId64 " sent=%d"
+                        " reason=\"a later statement has a result\"",
+                        LOG_TEXT (w->message.statement.id),
+                        LOG_TEXT (c->database), clock_now () - w->arrived_at,
+                        w->member != 0);
+  remove_statement (w);
+}
+
+/* Record the result of a statement, and remove it. */
+static void
+end_statement (struct forwarded_statement *w, enum outcome outcome,
+               struct position position)
+{
+  struct caller *c = w->caller;
+  count_result (c, w, outcome);
+  session_record_result (c->session, &w->statement, outcome, position);
+  if (w->message.statement.in_transaction)
+    drop_unanswered_begin (c);
+  remove_statement (w);
+}
+
 /* Answer a statement with an error, and remove it.  A failed BEGIN was
    answered already: its error is kept for the next statement of the
    transaction. */
@@ -375,10 +410,7 @@
         fail_statement_bytes (c->forwarded, outcome, c->begin_text, retry_ms);
       return;
     }
-  count_result (c, w, outcome);
-  session_record_result (c->session, &w->statement, outcome,
-                         (struct position){ 0, 0 });
-  remove_statement (w);
+  end_statement (w, outcome, (struct position){ 0, 0 });
   answer_error_bytes (c, outcome, text, retry_ms);
   handle_queued_lines (c);
 }
@@ -1200,9 +1232,7 @@
       return;
     }
   c->retry_at = 0;
-  count_result (c, w, OUTCOME_OK);
-  session_record_result (c->session, &w->statement, OUTCOME_OK, r->position);
-  remove_statement (w);
+  end_statement (w, OUTCOME_OK, r->position);
   if (r->signature.len == 0)
     answer_complete (c);
   else
--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -3,7 +3,7 @@
 #include "net/bus.h"
 #include "session/packet.h"
 #include "tests/loop.h"
-#include "tests/relay_site.h"
+#include "tests/site_fleet.h"
 #include "tests/soak/proxy.h"
 #include "tests/tests.h"
 
@@ -1253,36 +1253,6 @@
   talloc_free (s);
 }
 
-/* @return the value of a metric, -1 if there is none. */
-static double
-read_metric (struct sessiond_site *s, int daemon, const char *name)
-{
-  char *text = sessiond_site_metrics (s, daemon);
-  const char *at = text != NULL ? strstr (text, name) : NULL;
-  double value = at != NULL ? atof (at + strlen (name)) : -1;
-  talloc_free (text);
-  return value;
-}
-
-/* @param daemon set to the one that owns most services, -1: none is owned.
-   @return how many it owns. */
-static double
-most_services_owned (struct sessiond_site *s, int *daemon)
-{
-  double most = 0;
-  *daemon = -1;
-  for (int i = 0; i < s->daemon_count; i++)
-    {
-      double owned = read_metric (s, i, "azurewind_owned_services ");
-      if (owned > most)
-        {
-          most = owned;
-          *daemon = i;
-        }
-    }
-  return most;
-}
-
 /* Guards against a commit that is acknowledged and lost: the owner is stopped
    while a transaction is open, and the next owner replaces the primary.  A
    commit that finishes through the previous owner is acknowledged only if the
@@ -1296,7 +1266,7 @@
   struct line_answer a, commit;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   int owner;
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   struct line_caller *c
       = start_session (s, (owner + 1) % 3, "main1", "key-a1");
@@ -1347,7 +1317,7 @@
   for (int64_t end = sessiond_site_now_ms () + SERVE_MS;
        sessiond_site_now_ms () < end && (next < 0 || next == owner);
        usleep (5000))
-    most_services_owned (s, &next);
+    sessiond_site_most_owned (s, &next);
   CU_ASSERT_FATAL (next >= 0 && next != owner);
   return next;
 }
@@ -1415,7 +1385,7 @@
   struct line_answer before;
   int owner;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   struct line_answer after
       = leave_replaced_primary (s, (owner + 1) % 3, &before);
@@ -1440,7 +1410,7 @@
     CU_ASSERT_TRUE (sessiond_site_start_daemon (s, i));
   for (int64_t end = sessiond_site_now_ms () + SERVE_MS;
        sessiond_site_now_ms () < end && owner < 0; usleep (5000))
-    most_services_owned (s, &owner);
+    sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   assert_present_primary_serves (s, owner, &before, &after);
   talloc_free (s);
@@ -1743,7 +1713,7 @@
       NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
   int owner;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   int late = (owner + 1) % 3, other = (owner + 2) % 3;
   struct line_answer lost = acknowledge_on_fork (s);
@@ -1789,25 +1759,6 @@
   talloc_free (s);
 }
 
-/* Give each daemon a proxy through which the others reach it.
-   @param data address of the proxy process, a struct proxy *. */
-static bool
-add_bus_proxies (struct sessiond_site *s, void *data)
-{
-  struct proxy **proxy = data;
-  *proxy = proxy_start (s);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (*proxy);
-  int first = sessiond_site_reserve_ports (s, 3);
-  for (int i = 0; i < 3; i++)
-    {
-      s->proxy_ports[i].bus = first + i;
-      if (proxy_add_link (*proxy, first + i, sessiond_site_port (s, i) + 3)
-          != i)
-        return false;
-    }
-  return true;
-}
-
 /* Guards against a new owner that takes what a voter said before others owned
    the service for what it knows now, and accepts a replaced primary. */
 static void
@@ -1817,11 +1768,12 @@
   struct sessiond_site *s = sessiond_site_start (
       NULL, &(struct sessiond_site_options){ .daemons = 3,
                                              .services = 1,
-                                             .prepare = add_bus_proxies,
+                                             .prepare
+                                             = sessiond_site_add_bus_proxies,
                                              .data = &proxy });
   int owner;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   int dark = (owner + 1) % 3, other = (owner + 2) % 3;
   /* Until all voters have told the owner that they know its term. */
@@ -1879,7 +1831,7 @@
       NULL, &(struct sessiond_site_options){ .daemons = 3, .services = 1 });
   int owner;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   int other = (owner + 1) % 3, left = (owner + 2) % 3;
   struct line_answer before = retry_write (s, left, SERVE_MS);
@@ -1912,7 +1864,7 @@
   snprintf (url, sizeof url,
             "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
             process_port (s->platform));
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "part"));
   CU_ASSERT_TRUE (sessiond_site_fault (s, "db-1-a", "silence"));
@@ -2068,7 +2020,7 @@
   char ids[20][24], url[120];
   int owner;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   int count = write_past_replica (s, ids);
   snprintf (url, sizeof url,
             "http://127.0.0.1:%d/v1/objects/azurewind-promotions/ledger-1",
@@ -2116,7 +2068,7 @@
   int served = 0, refused = 0, owner;
   int64_t begin = sessiond_site_now_ms ();
   while (sessiond_site_now_ms () - begin < 25000
-         && most_services_owned (s, &owner) > 1)
+         && sessiond_site_most_owned (s, &owner) > 1)
     for (int i = 0; i < 30; i++)
       {
         bool ok
@@ -2127,7 +2079,7 @@
       }
   printf ("[%d ms, %d served, %d refused] ",
           (int)(sessiond_site_now_ms () - begin), served, refused);
-  CU_ASSERT_EQUAL (most_services_owned (s, &owner), 1);
+  CU_ASSERT_EQUAL (sessiond_site_most_owned (s, &owner), 1);
   assert_no_violation (s);
   talloc_free (s);
 }
@@ -2168,7 +2120,7 @@
     for (int i = 0; i < 3; i++)
       CU_ASSERT_TRUE (sessiond_site_wait (s, i, service, SERVE_MS));
   for (int i = 0; i < 3; i++)
-    owned += read_metric (s, i, "azurewind_owned_services ");
+    owned += sessiond_site_metric (s, i, "azurewind_owned_services ");
   CU_ASSERT_EQUAL (owned, 2);
   struct line_caller *c = start_session (s, 0, "idle", "key-a1");
   int64_t begin = sessiond_site_now_ms ();
@@ -2192,9 +2144,9 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   int observers = 0;
   for (int i = 9; i < 13; i++)
-    observers += read_metric (s, i, "azurewind_voter ") == 0;
+    observers += sessiond_site_metric (s, i, "azurewind_voter ") == 0;
   CU_ASSERT_EQUAL (observers, 4);
-  double before = read_metric (s, 12, "azurewind_store_calls_total ");
+  double before = sessiond_site_metric (s, 12, "azurewind_store_calls_total ");
   for (int i = 0; i < 5; i++)
     process_signal (s->daemons[i], SIGKILL);
   int64_t begin = sessiond_site_now_ms ();
@@ -2222,7 +2174,8 @@
   struct line_caller *c = line_open (s, sessiond_site_port (s, 11));
   CU_ASSERT_FALSE (line_start (c, "browse1", "key-a1", &a));
   CU_ASSERT_STRING_EQUAL (a.code, "NODB");
-  CU_ASSERT_TRUE (read_metric (s, 12, "azurewind_store_calls_total ") - before
+  CU_ASSERT_TRUE (sessiond_site_metric (s, 12, "azurewind_store_calls_total ")
+                      - before
                   <= 3);
   assert_no_violation (s);
   talloc_free (s);
@@ -2615,12 +2568,13 @@
     }
   for (int i = 0; i < 3; i++)
     {
-      double count = read_metric (s, i, "azurewind_rate_waits_total ");
+      double count
+          = sessiond_site_metric (s, i, "azurewind_rate_waits_total ");
       waits += count > 0 ? (int)count : 0;
     }
   printf ("[%d served in %.1f s, %d waits] ", served, seconds, waits);
   CU_ASSERT_TRUE (waits > 0);
-  most_services_owned (s, &owner);
+  sessiond_site_most_owned (s, &owner);
   CU_ASSERT_FATAL (owner >= 0);
   for (int i = 0; i < 8; i++)
     {
