voters: a list changes by any number of voters, without those that leave

A voter that leaves kept its vote until it had been silent for 7 s, and the list changed by one voter in two to four lists, each of which has to be in force for two leases. With a machine replaced every 2 s more than half of the list was gone before it could follow, and then no list can. Change: a list that changes contains the voters before and after the change, and decisions need a majority of both (joint consensus), so that a change of any size takes two leases. Voters that leave are replaced at once when two or more are absent and fewer than two more may be lost; they stay meanwhile, within their grace time. A voter that retires owns nothing. Why it holds: the voters after one change are those before the next, so majorities of two lists in a row have a voter in common, whose grant lasts a lease, and the next list waits for two.

--- a/core/lease.c
+++ b/core/lease.c
@@ -27,6 +27,23 @@
   int64_t echo; /**< The grant was made after this time of the own clock. */
 };
 
+/** The voters before and after the change of the list that is in progress.
+ * Without one, both sets are the same. */
+enum
+{
+  SET_BEFORE,
+  SET_AFTER,
+  SET_COUNT
+};
+
+/** A set of voters whose majority decides. */
+struct voter_set
+{
+  int count;
+  uint64_t casting_voter; /**< Smallest id in the set, UINT64_MAX if it is
+                             empty; see member_votes. */
+};
+
 /** Another member, as its heartbeats describe it. */
 struct peer
 {
@@ -41,7 +58,8 @@
                           none. */
   uint64_t epoch;      /**< Epoch of its list of voters. */
   int64_t epoch_since; /**< Own clock when that epoch was first received. */
-  bool is_voter;
+  bool is_voter;       /**< It is in at least one of the sets of voters. */
+  bool votes_in[SET_COUNT];
   /* Claims and grants of its newest heartbeat. */
   struct lease_claim *claims;
   int claim_count;
@@ -77,11 +95,11 @@
   uint64_t epoch;         /**< Epoch of the list of voters. */
   int64_t epoch_since;    /**< Time at which the list with it was set. */
   bool settled;           /**< No change of the list is in progress. */
-  bool is_voter;          /**< This process is a voter. */
-  bool has_clean_start;   /**< See previous_grants_are_dropped. */
-  int voter_count;        /**< Voters, this process included if it is one. */
-  uint64_t casting_voter; /**< Smallest id of the voters, UINT64_MAX if there
-                             are none; see member_votes. */
+  bool has_casting_votes; /**< See member_votes. */
+  bool is_voter; /**< This process is in at least one of the sets of voters. */
+  bool votes_in[SET_COUNT];
+  bool has_clean_start; /**< See previous_grants_are_dropped. */
+  struct voter_set sets[SET_COUNT];
   struct service_lease *services; /**< Sorted by service. */
   int service_count;
 };
@@ -91,7 +109,6 @@
 {
   struct lease_table *t = talloc_zero (parent, struct lease_table);
   t->options = *options;
-  t->casting_voter = UINT64_MAX;
   return t;
 }
 
@@ -199,6 +216,28 @@
   s->granted_until = 0;
 }
 
+static void
+add_voter (struct lease_table *t, uint64_t id, enum lease_voter_change change)
+{
+  struct peer *p = id != t->options.self ? add_peer (t, id) : NULL;
+  bool *votes_in = p != NULL ? p->votes_in : t->votes_in;
+  votes_in[SET_BEFORE] = change != LEASE_VOTER_JOINS;
+  votes_in[SET_AFTER] = change != LEASE_VOTER_RETIRES;
+  *(p != NULL ? &p->is_voter : &t->is_voter) = true;
+  if (change != LEASE_VOTER_STAYS)
+    {
+      t->settled = false;
+      t->has_casting_votes = true;
+    }
+  for (int set = 0; set < SET_COUNT; set++)
+    {
+      struct voter_set *s = &t->sets[set];
+      s->count += votes_in[set];
+      if (votes_in[set] && id < s->casting_voter)
+        s->casting_voter = id;
+    }
+}
+
 void
 lease_set_voters (struct lease_table *t, const struct lease_voters *list,
                   int64_t now)
@@ -208,21 +247,19 @@
     t->epoch_since = now;
   t->epoch = list->epoch;
   t->settled = list->settled;
+  t->has_casting_votes = list->settled;
   for (int i = 0; i < t->peer_count; i++)
-    t->peers[i].is_voter = false;
-  t->voter_count = 0;
-  t->casting_voter = UINT64_MAX;
-  t->is_voter = false;
-  for (int i = 0; i < list->count && i < LEASE_MAX_VOTERS; i++)
     {
-      t->voter_count++;
-      if (list->ids[i] < t->casting_voter)
-        t->casting_voter = list->ids[i];
-      if (list->ids[i] == t->options.self)
-        t->is_voter = true;
-      else
-        add_peer (t, list->ids[i])->is_voter = true;
+      t->peers[i].is_voter = false;
+      memset (t->peers[i].votes_in, 0, sizeof t->peers[i].votes_in);
     }
+  t->is_voter = false;
+  memset (t->votes_in, 0, sizeof t->votes_in);
+  for (int set = 0; set < SET_COUNT; set++)
+    t->sets[set] = (struct voter_set){ .casting_voter = UINT64_MAX };
+  for (int i = 0; i < list->count && i < LEASE_MAX_VOTERS; i++)
+    add_voter (t, list->ids[i],
+               list->changes != NULL ? list->changes[i] : LEASE_VOTER_STAYS);
   /* Some peers may have had this list before this member. */
   for (int i = 0; i < t->peer_count; i++)
     if (t->peers[i].epoch == t->epoch)
@@ -578,28 +615,63 @@
 /* With an even number of voters one of them has two votes, so that one half of
    a fleet that a network partition splits evenly can continue. */
 static bool
-has_casting_vote (const struct lease_table *t)
+has_casting_vote (const struct lease_table *t, int set)
 {
-  return t->settled && t->voter_count % 2 == 0;
+  return t->has_casting_votes && t->sets[set].count % 2 == 0;
 }
 
 static int
-member_votes (const struct lease_table *t, uint64_t member)
+member_votes (const struct lease_table *t, int set, uint64_t member)
 {
-  return has_casting_vote (t) && member == t->casting_voter ? 2 : 1;
+  return has_casting_vote (t, set) && member == t->sets[set].casting_voter ? 2
+                                                                           : 1;
 }
 
-static int
-votes_needed (const struct lease_table *t)
+/** A vote in progress: a decision needs a majority of both sets of voters. */
+struct poll
 {
-  return (t->voter_count + has_casting_vote (t)) / 2 + 1;
+  const struct lease_table *table;
+  int missing[SET_COUNT]; /**< Votes that each set still needs. */
+};
+
+static void
+add_votes (struct poll *poll, uint64_t member, const bool *votes_in)
+{
+  for (int set = 0; set < SET_COUNT; set++)
+    if (votes_in[set])
+      poll->missing[set] -= member_votes (poll->table, set, member);
+}
+
+/* @param with_self count the votes of this member. */
+static struct poll
+begin_poll (const struct lease_table *t, bool with_self)
+{
+  struct poll poll = { .table = t };
+  for (int set = 0; set < SET_COUNT; set++)
+    poll.missing[set]
+        = (t->sets[set].count + has_casting_vote (t, set)) / 2 + 1;
+  if (with_self)
+    add_votes (&poll, t->options.self, t->votes_in);
+  return poll;
 }
 
-/** The votes of a peer whose grant counts. */
+static void
+add_peer_votes (struct poll *poll, const struct peer *p)
+{
+  add_votes (poll, p->id, p->votes_in);
+}
+
+static bool
+has_majority (const struct poll *poll)
+{
+  return poll->missing[SET_BEFORE] <= 0 && poll->missing[SET_AFTER] <= 0;
+}
+
+/** A peer whose grant counts. */
 struct counted_vote
 {
   int64_t at; /**< The grant was made after this time of the own clock. */
-  int votes;
+  const struct peer *peer;
 };
 
 /* Orders votes from newest to oldest, for qsort. */
@@ -620,9 +692,9 @@
 {
   struct counted_vote counted_votes[LEASE_MAX_VOTERS];
   int count = 0;
-  int missing = votes_needed (t) - member_votes (t, t->options.self);
+  struct poll poll = begin_poll (t, true);
   int64_t at = INT64_MAX;
-  if (!t->is_voter || !s->claimed || s->granted_to != t->options.self
+  if (!lease_may_own (t) || !s->claimed || s->granted_to != t->options.self
       || s->granted_incarnation != t->options.incarnation)
     return -1;
   for (int i = 0; i < t->peer_count && count < LEASE_MAX_VOTERS; i++)
@@ -632,17 +704,16 @@
           = p->is_voter ? find_counted_grant (p, s->service) : NULL;
       /* A grant counts only if it answers a heartbeat with this claim. */
       if (grant != NULL && grant->echo >= s->claimed_at)
-        counted_votes[count++]
-            = (struct counted_vote){ grant->echo, member_votes (t, p->id) };
+        counted_votes[count++] = (struct counted_vote){ grant->echo, p };
     }
   qsort (counted_votes, (size_t)count, sizeof counted_votes[0],
          compare_counted_votes);
-  for (int i = 0; i < count && missing > 0; i++)
+  for (int i = 0; i < count && !has_majority (&poll); i++)
     {
-      missing -= counted_votes[i].votes;
+      add_peer_votes (&poll, counted_votes[i].peer);
       at = counted_votes[i].at;
     }
-  return missing <= 0 ? at : -1;
+  return has_majority (&poll) ? at : -1;
 }
 
 /* @return the time until which this member owns the service, 0 if it does not:
@@ -709,9 +780,7 @@
 lease_majority_knows_term (const struct lease_table *t, uint64_t service)
 {
   const struct service_lease *s = find_service (t, service);
-  int votes = s != NULL && s->term != 0 && t->is_voter
-                  ? member_votes (t, t->options.self)
-                  : 0;
+  struct poll poll = begin_poll (t, s != NULL && s->term != 0);
   for (int i = 0; i < t->peer_count; i++)
     {
       const struct peer *p = &t->peers[i];
@@ -720,9 +789,9 @@
       /* Grants to a former claim are older than what others owned since. */
       if (p->is_voter && grant != NULL && grant->term != 0 && counted != NULL
           && counted->echo >= s->claimed_at)
-        votes += member_votes (t, p->id);
+        add_peer_votes (&poll, p);
     }
-  return votes >= votes_needed (t);
+  return has_majority (&poll);
 }
 
 uint64_t
@@ -748,15 +817,15 @@
 lease_list_is_established (const struct lease_table *t, int64_t now)
 {
   int64_t since = now - ESTABLISHED_LEASES * t->options.duration_us;
-  int votes = t->is_voter ? member_votes (t, t->options.self) : 0;
+  struct poll poll = begin_poll (t, true);
   for (int i = 0; i < t->peer_count; i++)
     {
       const struct peer *p = &t->peers[i];
       if (p->is_voter && p->epoch == t->epoch && p->epoch_since <= since
           && now - p->received_at <= t->options.duration_us)
-        votes += member_votes (t, p->id);
+        add_peer_votes (&poll, p);
     }
-  return t->is_voter && t->epoch_since <= since && votes >= votes_needed (t);
+  return t->is_voter && t->epoch_since <= since && has_majority (&poll);
 }
 
 bool
@@ -765,18 +834,24 @@
   return t->is_voter;
 }
 
+bool
+lease_may_own (const struct lease_table *t)
+{
+  return t->votes_in[SET_AFTER];
+}
+
 bool
 lease_has_quorum (const struct lease_table *t, int64_t now)
 {
-  int votes = t->is_voter ? member_votes (t, t->options.self) : 0;
+  struct poll poll = begin_poll (t, true);
   int64_t limit = t->options.duration_us;
   if (!t->is_voter)
     limit = limit * OBSERVER_SILENCE_PERCENT / 100;
   for (int i = 0; i < t->peer_count; i++)
     if (t->peers[i].is_voter && t->peers[i].received_at > 0
         && now - t->peers[i].received_at <= limit)
-      votes += member_votes (t, t->peers[i].id);
-  return t->voter_count > 0 && votes >= votes_needed (t);
+      add_peer_votes (&poll, &t->peers[i]);
+  return has_majority (&poll);
 }
 
 int
--- a/core/lease.h
+++ b/core/lease.h
@@ -34,18 +34,32 @@
   int64_t now;          /**< Time at which the process started. */
 };
 
-/** A list of voters.  The next list may follow only once
- * lease_list_is_established.  It either differs in one voter, and then neither
- * of the two lists is settled, or it differs only in being settled: this way
- * any two majorities of consecutive lists have a voter in common. */
+/** What the change of a list that is in progress does with a voter. */
+enum lease_voter_change
+{
+  LEASE_VOTER_STAYS,
+  LEASE_VOTER_JOINS,
+  /** It votes until the change is over, and owns nothing any more. */
+  LEASE_VOTER_RETIRES,
+};
+
+/** A list of voters.  While it changes, it contains the voters before and
+ * after the change, and a decision needs a majority of both (joint consensus).
+ * The next list may follow only once lease_list_is_established: without the
+ * voters that retire, and with any number of new changes.  As the voters after
+ * one change are those before the next one, any two majorities of consecutive
+ * lists have a voter in common. */
 struct lease_voters
 {
   const uint64_t *ids;
+  const enum lease_voter_change
+      *changes; /**< Of each voter; NULL: all stay. */
   int count;
   uint64_t epoch; /**< Grows with every new list. */
-  /** No change of the list is in progress.  Only then does one voter of an
-   * even number have a casting vote, and only then may voters that have all
-   * restarted grant without waiting for leases by an older list. */
+  /** No change of the list is in progress.  Only then may voters that have all
+   * restarted grant without waiting for leases by an older list.  A list that
+   * does not change either way is being put together by members that added
+   * themselves, and no voter of it has a casting vote. */
   bool settled;
 };
 
@@ -178,6 +192,9 @@
 int64_t lease_expected_end (const struct lease_table *t, uint64_t service);
 /** @return whether this process votes. */
 bool lease_is_voter (const struct lease_table *t);
+/** @return whether this process is a voter that may own services: it does not
+ * retire. */
+bool lease_may_own (const struct lease_table *t);
 /** @return whether heartbeats of a majority of the voters have arrived
  * recently: on a voter within one lease, on an observer within a little more,
  * as voters send to it less often. */
--- a/session/fleet.c
+++ b/session/fleet.c
@@ -112,6 +112,7 @@
 fleet_is_ready (const struct fleet *f)
 {
   return f->sessiond->config != NULL && f->sessiond->leaving_since == 0
+         && (!lease_is_voter (f->leases) || lease_may_own (f->leases))
          && directory_has (f->sessiond->directory, OBJECT_ENDPOINTS)
          && evacuations_are_known (f->sessiond->evacuations);
 }
@@ -530,7 +531,6 @@
 on_slow_tick (void *data)
 {
   struct fleet *f = data;
-  fleet_change_voters (f, clock_now ());
   peers_forget_observers (f, clock_now ());
 }
 
@@ -554,6 +554,7 @@
       f->last_heartbeat_round = now;
       send_heartbeats (f, false);
       ownerships_rebalance (f, now);
+      fleet_change_voters (f, now);
     }
   owner_check_leases (f->sessiond->owner);
 }
@@ -615,12 +616,14 @@
 {
   const struct voter_list *list = voters_list (f->sessiond->voters);
   uint64_t ids[LEASE_MAX_VOTERS];
+  enum lease_voter_change changes[LEASE_MAX_VOTERS];
   int count = 0;
   for (struct peer *p = f->peers; p != NULL; p = p->next)
     p->is_voter = false;
   for (int i = 0; i < list->count && count < LEASE_MAX_VOTERS; i++)
     {
       const struct voter_entry *voter = &list->entries[i];
+      changes[count] = voter->change;
       ids[count++] = voter->id;
       if (voter->id == f->sessiond->self)
         continue;
@@ -632,6 +635,7 @@
     }
   lease_set_voters (f->leases,
                     &(struct lease_voters){ .ids = ids,
+                                            .changes = changes,
                                             .count = count,
                                             .epoch = list->epoch,
                                             .settled = list->settled },
--- a/session/fleet.h
+++ b/session/fleet.h
@@ -76,6 +76,9 @@
 /** @return whether this member receives heartbeats from a majority of the
  * voters. */
 bool fleet_in_quorum (const struct fleet *f);
+/** @return whether this member, which leaves, still votes in a list that the
+ * others change, so that its end could cost them the majority. */
+bool fleet_needs_own_vote (const struct fleet *f);
 /** Release a service.
  * @param successor next owner; 0: none is named, and the member claims it that
  * the placement chooses. */
--- a/session/fleet_owners.c
+++ b/session/fleet_owners.c
@@ -97,7 +97,7 @@
 static bool
 may_own (const struct fleet *f, int64_t now)
 {
-  return lease_is_voter (f->leases) && fleet_is_ready (f)
+  return lease_may_own (f->leases) && fleet_is_ready (f)
          && lease_has_quorum (f->leases, now);
 }
 
--- a/session/fleet_private.h
+++ b/session/fleet_private.h
@@ -42,6 +42,9 @@
 /* A voter that has been silent for this time is removed from the list of
    voters. */
 #define VOTER_REMOVE_US (7 * USEC_PER_SEC)
+/* While fewer further voters than this may be lost, those that leave are
+   removed from the list at once. */
+#define VOTERS_TO_SPARE 2
 /* The state of an observer that has been silent for this time is freed.
    Until then voters send it occasional heartbeats, so that it finds them even
    without the store. */
@@ -211,8 +214,8 @@
 void ownerships_rebalance (struct fleet *f, int64_t now);
 
 /* fleet_voters.c */
-/** If this member is the one that maintains the list of voters, change the
- * list by one step. */
+/** If this member is the one that maintains the list of voters, begin the
+ * change that is due, or end the one in progress. */
 void fleet_change_voters (struct fleet *f, int64_t now);
 
 #endif
--- a/session/model.h
+++ b/session/model.h
@@ -5,6 +5,7 @@
 #define SESSION_MODEL_H
 
 #include "common/bstr.h"
+#include "core/lease.h"
 #include "core/statement.h"
 
 #include <stdint.h>
@@ -96,6 +97,7 @@
   uint64_t id;
   struct bstr address; /**< Address of its bus, tcp://IP:PORT. */
   struct bstr failure_domain;
+  enum lease_voter_change change;
 };
 
 /** The list of voters as it is stored. */
--- a/session/packet.c
+++ b/session/packet.c
@@ -13,7 +13,7 @@
 #define HEARTBEAT_FIELDS 19
 
 /* Version of the message format; messages of other versions are dropped. */
-#define PACKET_VERSION 5
+#define PACKET_VERSION 6
 /* Maximum capacity of a VM, thousandths of a core. */
 #define MAX_CAPACITY_MILLICORES 1000000
 
--- a/session/sessiond.c
+++ b/session/sessiond.c
@@ -287,7 +287,8 @@
       callers_close_idle (r->callers, (int)(sessions / steps) + 1);
     }
   if ((elapsed > BALANCER_NOTICE_US && callers_count (r->callers) == 0
-       && owner_pending_count (r->owner) == 0)
+       && owner_pending_count (r->owner) == 0
+       && !fleet_needs_own_vote (r->fleet))
       || r->ending)
     r->stopped = true;
   else if (elapsed > grace - END_MARGIN_US)
--- a/session/voters.c
+++ b/session/voters.c
@@ -67,13 +67,26 @@
   return NULL;
 }
 
+static void update_own_entry (struct voters *v);
+
+/* Update the own entry by the newest list.  A member that is in the list
+   watches it; another one reads it first. */
+static void
+check_own_entry (struct voters *v)
+{
+  if (find_entry (v, v->sessiond->self) != NULL)
+    update_own_entry (v);
+  else
+    directory_read_voters (v->sessiond->directory);
+}
+
 static void
 on_wait_over (void *data)
 {
   struct voters *v = data;
   v->is_waiting = false;
   v->may_add_self = true;
-  directory_read_voters (v->sessiond->directory);
+  check_own_entry (v);
 }
 
 /* Wait for a time in which larger VMs may add themselves first, then read the
@@ -130,63 +143,18 @@
              CALL_TIMEOUT_MS, on_written, v);
 }
 
-static bool
-may_write (const struct voters *v)
+bool
+voters_may_write (const struct voters *v)
 {
   return !v->is_writing
          && (v->written_at == 0 || clock_now () - v->written_at >= RETRY_US);
 }
 
-/* @return a copy of the list without the entry of @p id, with room for one
-   more entry. */
-static struct voter_list
-list_without (const struct voters *v, uint64_t id)
-{
-  struct voter_list list = {
-    .entries = talloc_array (v, struct voter_entry, (size_t)v->list.count + 1),
-    .settled = v->list.settled,
-  };
-  for (int i = 0; i < v->list.count; i++)
-    if (v->list.entries[i].id != id)
-      list.entries[list.count++] = v->list.entries[i];
-  return list;
-}
-
-void
-voters_add (struct voters *v, const struct voter_entry *entry)
-{
-  if (!may_write (v))
-    return;
-  struct voter_list list = list_without (v, entry->id);
-  /* A list in which only an entry is replaced stays settled. */
-  list.settled = list.settled && list.count < v->list.count;
-  list.entries[list.count++] = *entry;
-  log_info (PART, "event=voter_added name=%s address=%s voters=%d",
-            entry->name.start, entry->address.start, list.count);
-  write_list (v, &list);
-  talloc_free (list.entries);
-}
-
 void
-voters_remove (struct voters *v, uint64_t id)
+voters_change (struct voters *v, struct voter_list *list)
 {
-  if (!may_write (v))
-    return;
-  struct voter_list list = list_without (v, id);
-  write_list (v, &list);
-  talloc_free (list.entries);
-}
-
-void
-voters_set_settled (struct voters *v, bool settled)
-{
-  if (!may_write (v))
-    return;
-  struct voter_list list = v->list;
-  list.settled = settled;
-  log_info (PART, "event=list_settled voters=%d settled=%d", list.count,
-            settled);
-  write_list (v, &list);
+  if (voters_may_write (v))
+    write_list (v, list);
 }
 
 bool
@@ -199,22 +167,59 @@
 voters_write_again (struct voters *v)
 {
   struct voter_list list = v->list;
-  if (!may_write (v))
+  if (!voters_may_write (v))
     return;
   log_info (PART, "event=list_written_again voters=%d", list.count);
   write_list (v, &list);
 }
 
-/* Add this member to the list, or replace its entry. */
+/* Add this member to the list, or replace its entry.
+   @param ends_change no change goes on: all other entries stay, and members
+   that add themselves have begun to put the list together. */
 static void
-add_self (struct voters *v)
+add_self (struct voters *v, bool ends_change)
 {
   const struct sessiond_options *o = v->sessiond->options;
-  voters_add (v, &(struct voter_entry){
-                     .name = bstr_from (o->name),
-                     .id = v->sessiond->self,
-                     .address = bstr_from (sessiond_options_bus_address (o)),
-                     .failure_domain = bstr_from (o->failure_domain) });
+  const struct voter_entry *old = find_entry (v, v->sessiond->self);
+  struct voter_entry own
+      = { .name = bstr_from (o->name),
+          .id = v->sessiond->self,
+          .address = bstr_from (sessiond_options_bus_address (o)),
+          .failure_domain = bstr_from (o->failure_domain) };
+  if (!voters_may_write (v))
+    return;
+  struct voter_list list = {
+    .entries = talloc_array (v, struct voter_entry, (size_t)v->list.count + 1),
+    /* The set of voters stays the same if only an entry is replaced. */
+    .settled = v->list.settled && !ends_change,
+  };
+  for (int i = 0; i < v->list.count; i++)
+    {
+      struct voter_entry *entry = &list.entries[list.count];
+      if (v->list.entries[i].id == own.id)
+        continue;
+      *entry = v->list.entries[i];
+      if (ends_change)
+        entry->change = LEASE_VOTER_STAYS;
+      list.count++;
+    }
+  if (old != NULL && !ends_change)
+    own.change = old->change;
+  list.entries[list.count++] = own;
+  log_info (PART, "event=voter_added name=%s address=%s voters=%d",
+            own.name.start, own.address.start, list.count);
+  write_list (v, &list);
+  talloc_free (list.entries);
+}
+
+/* @return whether a voter has begun to change the list. */
+static bool
+is_changing (const struct voters *v)
+{
+  for (int i = 0; i < v->list.count; i++)
+    if (v->list.entries[i].change != LEASE_VOTER_STAYS)
+      return true;
+  return false;
 }
 
 /* @return whether members add themselves to the list without waiting for a
@@ -224,13 +229,22 @@
 {
   int64_t now = clock_now ();
   if (v->sessiond->options->bootstrap && now - v->started_at < BOOTSTRAP_US)
-    return v->list.count < VOTERS_WANTED;
+    return v->list.count < VOTERS_WANTED && !is_changing (v);
   if (v->list.count == 0)
     return now - v->started_at >= NO_LIST_WAIT_US;
   return now - v->last_in_quorum > MAJORITY_LOST_US
          && v->list.count < LEASE_MAX_VOTERS;
 }
 
+/* @return whether this member waits to become a voter: it is not in the list,
+   or the change that adds it is not over. */
+static bool
+is_joining (const struct voters *v)
+{
+  const struct voter_entry *own = find_entry (v, v->sessiond->self);
+  return own == NULL || own->change == LEASE_VOTER_JOINS;
+}
+
 /* Add this member to the list, update its address there, or start the wait
    before it adds itself, whichever is due. */
 static void
@@ -243,16 +257,14 @@
   v->may_add_self = false;
   if (v->sessiond->leaving_since != 0)
     return;
-  if (own != NULL)
-    {
-      /* This member has a new address; the set of voters stays the same. */
-      if (!bstr_equals_text (own->address, sessiond_options_bus_address (
-                                               v->sessiond->options)))
-        add_self (v);
-    }
-  else if (members_add_themselves (v) && may_add_self)
-    add_self (v);
-  else if (members_add_themselves (v) && !v->is_waiting)
+  /* This member has a new address; the set of voters stays the same. */
+  if (own != NULL
+      && !bstr_equals_text (
+          own->address, sessiond_options_bus_address (v->sessiond->options)))
+    add_self (v, false);
+  else if (is_joining (v) && members_add_themselves (v) && may_add_self)
+    add_self (v, true);
+  else if (is_joining (v) && members_add_themselves (v) && !v->is_waiting)
     wait_to_add_self (v);
 }
 
@@ -317,10 +329,10 @@
   int64_t now = clock_now ();
   if (fleet_in_quorum (v->sessiond->fleet))
     v->last_in_quorum = now;
-  else if (find_entry (v, v->sessiond->self) == NULL && !v->is_waiting
+  else if (is_joining (v) && !v->is_waiting
            && now - v->started_at > QUORUM_CHECK_PERIOD_US)
     /* This member's copy of the list may name voters that are gone. */
-    directory_read_voters (v->sessiond->directory);
+    check_own_entry (v);
 }
 
 struct voters *
@@ -344,5 +356,5 @@
 voters_wants_vote (const struct voters *v)
 {
   return find_entry (v, v->sessiond->self) == NULL
-         && v->list.count < VOTERS_WANTED && v->sessiond->leaving_since == 0;
+         && v->sessiond->leaving_since == 0;
 }
--- a/session/voters.h
+++ b/session/voters.h
@@ -1,9 +1,8 @@
 /** @file
  * The list of voters: one object in the store that is changed by conditional
- * updates, one voter at a time.  Members add themselves when the whole fleet
- * starts for the first time, when there are no voters, or when the majority of
- * them is gone for good; otherwise the live voter with the smallest id adds
- * and removes voters.
+ * updates.  Members add themselves when the whole fleet starts for the first
+ * time, when there are no voters, or when the majority of them is gone for
+ * good; otherwise the live voter with the smallest id adds and removes voters.
  */
 #ifndef SESSION_VOTERS_H
 #define SESSION_VOTERS_H
@@ -38,16 +37,14 @@
    majority has the current list.  They write the changed list to the store,
    but do nothing during a write and for a short time after one. */
 
-/** Add a voter, or replace the entry with its id. */
-void voters_add (struct voters *v, const struct voter_entry *entry);
-void voters_remove (struct voters *v, uint64_t id);
+/** @return whether the next write may begin. */
+bool voters_may_write (const struct voters *v);
+/** Write a list that may follow the present one; see struct lease_voters. */
+void voters_change (struct voters *v, struct voter_list *list);
 /** @return whether the store has an older list than this member, or none: it
  * was restored from a copy. */
 bool voters_list_is_lost (const struct voters *v);
 /** Write the list that the store has lost again. */
 void voters_write_again (struct voters *v);
-/** Mark the list as settled (no change of it is in progress) or not.  Voters
- * are added and removed only while the list is not settled. */
-void voters_set_settled (struct voters *v, bool settled);
 
 #endif
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -323,7 +323,8 @@
            "capacity = %g\nbootstrap = %s\n%s",
            i, 'a' + i % s->zones, port, port + 1, port + 2, port + 3, bus,
            store, store, s->grace_ms, s->large == 0 || i < s->large ? 1 : 0.25,
-           s->daemons[i] == NULL ? "true" : "false",
+           i < s->daemon_count - s->spares && s->daemons[i] == NULL ? "true"
+                                                                    : "false",
            s->settings != NULL ? s->settings : "");
   fclose (file);
   TALLOC_FREE (s->daemons[i]);
@@ -378,13 +379,15 @@
   snprintf (lag, sizeof lag, "%d", o->lag_ms);
   snprintf (promote, sizeof promote, "%d",
             o->promote_ms != 0 ? o->promote_ms : DEFAULT_PROMOTE_MS);
-  s->daemon_count = o->daemons;
+  s->daemon_count = o->daemons + o->spares;
+  s->spares = o->spares;
   s->zones = o->zones > 0 ? o->zones : 1;
   snprintf (zones, sizeof zones, "%d", s->zones);
   s->large = o->large;
   s->settings = o->settings != NULL ? talloc_strdup (s, o->settings) : NULL;
   s->grace_ms = o->grace_ms > 0 ? o->grace_ms : SHORT_GRACE_MS;
-  s->first_port = sessiond_site_reserve_ports (s, o->daemons * SITE_PORTS);
+  s->first_port
+      = sessiond_site_reserve_ports (s, s->daemon_count * SITE_PORTS);
   s->platform = process_start (
       s, "standin-site",
       (const char *[]){ "--services", services, "--zones", zones, "--lag-ms",
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -39,7 +39,8 @@
 {
   struct process *platform;
   struct process *daemons[SITE_MAX_DAEMONS];
-  int daemon_count;
+  int daemon_count;     /**< With the spare ones. */
+  int spares;           /**< As in the options. */
   int large;            /**< As in the options. */
   int zones;            /**< As in the options. */
   int grace_ms;         /**< Longest time from SIGTERM to a daemon's end. */
@@ -55,6 +56,9 @@
 struct sessiond_site_options
 {
   int daemons;
+  /** Daemons with higher numbers that are not started: they come later, as
+   * additions to the fleet. */
+  int spares;
   int services;
   int lag_ms;     /**< Replication lag of the databases. */
   int promote_ms; /**< Time until a promotion takes effect; 0: 200. */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -54,8 +54,9 @@
 /** A list of voters; bit i stands for member i. */
 struct simulated_list
 {
-  unsigned voters;
+  unsigned voters; /**< After the change that is in progress. */
   bool settled;
+  unsigned before; /**< Voters before that change; 0: there is none. */
 };
 
 #define MAX_LISTS 200
@@ -86,19 +87,27 @@
 read_list (struct world *w, int i)
 {
   struct member *m = &w->m[i];
+  const struct simulated_list *list = &w->lists[w->epoch];
+  unsigned before = list->before != 0 ? list->before : list->voters;
   uint64_t ids[MEMBERS];
+  enum lease_voter_change changes[MEMBERS];
   int count = 0;
   for (int k = 0; k < w->members; k++)
-    if (w->lists[w->epoch].voters & 1U << k)
-      ids[count++] = (uint64_t)k + 1;
+    if ((list->voters | before) & 1U << k)
+      {
+        changes[count] = !(before & 1U << k)         ? LEASE_VOTER_JOINS
+                         : !(list->voters & 1U << k) ? LEASE_VOTER_RETIRES
+                                                     : LEASE_VOTER_STAYS;
+        ids[count++] = (uint64_t)k + 1;
+      }
   m->epoch = w->epoch;
-  lease_set_voters (
-      m->table,
-      &(struct lease_voters){ .ids = ids,
-                              .count = count,
-                              .epoch = m->epoch,
-                              .settled = w->lists[w->epoch].settled },
-      w->now + m->clock_offset);
+  lease_set_voters (m->table,
+                    &(struct lease_voters){ .ids = ids,
+                                            .changes = changes,
+                                            .count = count,
+                                            .epoch = m->epoch,
+                                            .settled = list->settled },
+                    w->now + m->clock_offset);
 }
 
 static void
@@ -258,7 +267,7 @@
   w->members = members;
   w->now = 1000000;
   w->epoch = 1;
-  w->lists[1] = (struct simulated_list){ (1U << members) - 1, true };
+  w->lists[1] = (struct simulated_list){ (1U << members) - 1, true, 0 };
   for (int i = 0; i < members; i++)
     {
       w->m[i].clock_offset = (int64_t)random_below (w, 1000000);
@@ -305,10 +314,12 @@
            && lease_has_quorum (m->table, own_time)
            && lease_list_is_established (m->table, own_time))
     {
-      struct simulated_list next = { voters, !w->lists[w->epoch].settled };
-      unsigned other = 1U << random_below (w, (unsigned)w->members);
-      if (!w->lists[w->epoch].settled && random_below (w, 2) == 0)
-        next = (struct simulated_list){ voters ^ other, false };
+      struct simulated_list next = { voters, true, 0 };
+      unsigned others = random_below (w, 1U << w->members);
+      if (random_below (w, 2) == 0)
+        others = 1U << random_below (w, (unsigned)w->members);
+      if (others != 0 && random_below (w, 3) != 0)
+        next = (struct simulated_list){ voters ^ others, false, voters };
       if (next.voters != 0)
         w->lists[++w->epoch] = next;
     }
@@ -436,8 +447,8 @@
       w->cut[a][b] = (a < first_half) != (b < first_half);
 }
 
-/* Guards against an owner that loses its lease while a lost voter is replaced,
-   in four consecutive lists.  The voters read each list at different times,
+/* Guards against an owner that loses its lease while voters are replaced, one
+   by one and several at once.  The voters read each list at different times,
    some before the owner and some after it. */
 static void
 owner_outlives_changes_of_the_list (void)
@@ -446,7 +457,10 @@
     {
       struct world *w = make_world (MEMBERS, seed);
       static const struct simulated_list lists[] = {
-        { 0x1f, false }, { 0x0f, false }, { 0x2f, false }, { 0x2f, true }
+        { 0x2f, false, 0x1f },
+        { 0x1e, false, 0x2f },
+        { 0x1e, true, 0 },
+        { 0x36, false, 0x1e },
       };
       int lost = 0;
       w->lists[1].voters = 0x1f;
