promotion: acknowledged commits of services with sync-replicas are kept

A survey chose the newest log among the answers of the first 150 ms, and nothing read sync-replicas, so that nobody waited for a slow replica with all acknowledged commits. Besides, a probe ended after 350 ms: a replica that needs longer for its STATUS was never heard, neither in the survey nor after the order. Change: with sync-replicas above 0, an unplanned promotion chooses an endpoint whose log reaches the newest commit that the owner knows, or which knows most while fewer endpoints than sync-replicas are silent. Probes that this depends on may take 2.5 s. The wait ends when those endpoints are no longer listed, or 20 s after that (event=commits_given_up). Why it holds: a commit is acknowledged once as many replicas as sync-replicas have it, so if fewer than that are silent, one of those that answered has it.

--- a/session/health.c
+++ b/session/health.c
@@ -9,6 +9,8 @@
 /* A suspect endpoint that has not answered for this time fails: it gets no
    more statements.  Also the time limit of a probe. */
 #define PROBE_TIMEOUT_US (350 * USEC_PER_MSEC)
+/* The same while a promotion needs the answer of a slow replica. */
+#define SLOW_PROBE_TIMEOUT_US (2500 * USEC_PER_MSEC)
 /* This many refused connections in a row show that the endpoint's process is
    gone. */
 #define MAX_REFUSALS 2
@@ -112,6 +114,13 @@
          && !link_is_idle (p->link) && now - p->last_used > UNUSED_TIMEOUT_US;
 }
 
+static int64_t
+probe_timeout (const struct endpoint *e)
+{
+  return promotion_awaits_answer (e->service, e) ? SLOW_PROBE_TIMEOUT_US
+                                                 : PROBE_TIMEOUT_US;
+}
+
 /* Find overdue answers, and close probes that got none. */
 static void
 check_links (struct endpoint *e, int64_t now)
@@ -124,7 +133,7 @@
       if (ps != NULL && p->sent_at > e->answered_at
           && now - p->sent_at > replicas_silence_limit (&e->replica))
         mark_suspect (e, now, "no answer");
-      if (p->is_probe && now - p->opened_at > PROBE_TIMEOUT_US)
+      if (p->is_probe && now - p->opened_at > probe_timeout (e))
         pool_close (p);
       else if (has_lost_answer (p, now))
         {
--- a/session/model.h
+++ b/session/model.h
@@ -38,6 +38,9 @@
   struct bstr name;
   uint64_t id;         /**< model_id of the name. */
   int max_connections; /**< Limit for one endpoint, from all callers. */
+  /** An endpoint acknowledges a commit once so many replicas have received
+   * it. */
+  int sync_replicas;
 };
 
 /** An organisation, the keys of its callers and its rate limit. */
--- a/session/promotion.c
+++ b/session/promotion.c
@@ -45,6 +45,10 @@
    to have commits that were rolled back: longer than a restart of an endpoint.
  */
 #define FORK_WAIT_US (20 * USEC_PER_SEC)
+/* If no endpoint that is listed has all acknowledged commits for this time,
+   the one that had them is taken for lost: longer than a restart of an
+   endpoint. */
+#define COMMITS_WAIT_US (20 * USEC_PER_SEC)
 
 /** A call to the platform.  Only the answer to the newest call counts; late
  * answers to older ones are ignored. */
@@ -131,6 +135,7 @@
   s->planned = planned;
   s->promotion_decided_at = now;
   s->forked_since = 0;
+  s->commits_awaited_since = 0;
   service_set_phase (s, planned ? SERVICE_HANDOFF : SERVICE_REPLACING, reason);
   set_step (s, PROMOTION_SURVEY);
 }
@@ -629,6 +634,82 @@
   return best >= 0 ? endpoints[best] : NULL;
 }
 
+/* @return how many replicas have received a commit of the service before it is
+   acknowledged. */
+static int
+sync_replicas (const struct service *s)
+{
+  const struct service_config *config
+      = s->sessiond->config != NULL
+            ? config_find_service (s->sessiond->config, bstr_from (s->name))
+            : NULL;
+  return config != NULL ? config->sync_replicas : 0;
+}
+
+/* @return whether a candidate's log has all acknowledged commits.  Either the
+   owner knows the newest one of them, or so few endpoints are silent that one
+   of the others has it. */
+static bool
+has_all_commits (const struct service *s, const struct endpoint *candidate)
+{
+  struct position newest = s->commit_history.newest;
+  int silent = 0;
+  if (newest.term != 0
+      && position_compare (candidate->replica.position, newest) >= 0)
+    return true;
+  /* The position at which the primary was found may be that of a commit which
+     was never acknowledged. */
+  if (newest.term != 0 && position_compare (newest, s->branch_point) > 0)
+    return false;
+  for (const struct endpoint *e = s->endpoints; e != NULL; e = e->next)
+    {
+      /* The primary that is replaced is not one of its replicas. */
+      if (e == s->primary || e == candidate || e->is_wrong_endpoint)
+        continue;
+      if (e->status_at < s->step_since)
+        silent += s->primary != NULL || !e->claims_primary;
+      else if (position_compare (e->replica.position,
+                                 candidate->replica.position)
+               > 0)
+        return false;
+    }
+  return silent < sync_replicas (s);
+}
+
+/* @return whether the promotion of the candidate waits for endpoints that may
+   have acknowledged commits which it lacks.
+   @param all_answered every endpoint that may be promoted has answered. */
+static bool
+must_await_commits (struct service *s, const struct endpoint *candidate,
+                    bool all_answered, int64_t now)
+{
+  if (sync_replicas (s) <= 0 || has_all_commits (s, candidate))
+    {
+      s->commits_awaited_since = 0;
+      return false;
+    }
+  if (s->commits_awaited_since == 0)
+    {
+      s->commits_awaited_since = now;
+      log_warn (
+          PART,
+          "event=commits_awaited service=%s endpoint=%s position=%" PRIu64
+          ".%" PRIu64 " newest=%" PRIu64 ".%" PRIu64,
+          s->name, candidate->id, candidate->replica.position.term,
+          candidate->replica.position.number, s->commit_history.newest.term,
+          s->commit_history.newest.number);
+    }
+  bool is_primary_listed = s->primary != NULL && s->primary->is_listed;
+  if (!all_answered || is_primary_listed
+      || now - s->commits_awaited_since < COMMITS_WAIT_US)
+    return true;
+  log_warn (PART,
+            "event=commits_given_up service=%s endpoint=%s waited_ms=%" PRId64,
+            s->name, candidate->id,
+            (now - s->commits_awaited_since) / USEC_PER_MSEC);
+  return false;
+}
+
 /* @return whether no statement and no writing transaction is at the primary.
  */
 static bool
@@ -665,7 +746,8 @@
   if (!may_survey)
     service_drop_links (s->primary, "the primary is being replaced");
   for (struct endpoint *e = s->endpoints; e != NULL; e = e->next)
-    if (e != s->primary && !e->draining && e->status_at < s->step_since
+    if (e != s->primary && e->status_at < s->step_since
+        && (!e->draining || sync_replicas (s) > 0)
         && evacuation_use_of (e) == EVACUATION_ALL)
       request_status (e, now);
   struct endpoint *best
@@ -690,10 +772,24 @@
         set_step (s, PROMOTION_SURVEY);
       return;
     }
+  if (!s->planned && must_await_commits (s, best, all_answered, now))
+    {
+      if (now - s->step_since > RESURVEY_US)
+        s->step_since = now;
+      return;
+    }
   set_target (s, best);
   set_step (s, PROMOTION_RECORD);
 }
 
+bool
+promotion_awaits_answer (const struct service *s, const struct endpoint *e)
+{
+  return s->phase == SERVICE_REPLACING && sync_replicas (s) > 0
+         && ((s->step == PROMOTION_SURVEY && e != s->primary)
+             || (s->step == PROMOTION_AWAIT && e == s->target));
+}
+
 /* @return whether the target leads.  Its term is too low while it is a primary
    that an earlier promotion replaced, or that the order of a previous owner
    may still replace.  After a time in which any order takes effect it is the
--- a/session/service.h
+++ b/session/service.h
@@ -214,6 +214,9 @@
   int64_t next_attempt_at; /**< Earliest time of the step's next call to the
                               platform or status request. */
   int64_t promotion_decided_at;
+  /** Since when the logs that are known may lack acknowledged commits; 0: one
+   * of them has all. */
+  int64_t commits_awaited_since;
   int64_t forked_since; /**< Since when only endpoints with forked logs answer;
                            0: others do. */
   int64_t change_announced_at; /**< When heartbeats began to announce that the
@@ -406,6 +409,10 @@
 void promotion_start (struct service *s, bool planned, const char *reason);
 /** Continue the takeover or the promotion, as far as it is due. */
 void promotion_tick (struct service *s, int64_t now);
+/** @return whether a promotion waits for the answer of an endpoint, however
+ * slow that is: it may have the only log with all acknowledged commits. */
+bool promotion_awaits_answer (const struct service *s,
+                              const struct endpoint *e);
 /** Handle an answer to STATUS, after which the takeover or the step of the
  * promotion may end. */
 void promotion_handle_status (struct service *s, struct endpoint *e);
--- a/tests/relay_site.c
+++ b/tests/relay_site.c
@@ -272,9 +272,10 @@
     {
       char service[32], host[32];
       snprintf (service, sizeof service, "ledger-%d", i);
-      json_array_append_new (services, json_pack ("{s:s, s:i, s:i}", "name",
-                                                  service, "max-connections",
-                                                  40, "sync-replicas", 0));
+      json_array_append_new (services,
+                             json_pack ("{s:s, s:i, s:i}", "name", service,
+                                        "max-connections", 40, "sync-replicas",
+                                        o->sync_replicas));
       snprintf (host, sizeof host, "main%d", i);
       json_array_append_new (routes, make_route (host, "primary", service, 0));
       snprintf (host, sizeof host, "browse%d", i);
--- a/tests/relay_site.h
+++ b/tests/relay_site.h
@@ -60,10 +60,11 @@
    * additions to the fleet. */
   int spares;
   int services;
-  int lag_ms;     /**< Replication lag of the databases. */
-  int promote_ms; /**< Time until a promotion takes effect; 0: 200. */
-  int grace_ms;   /**< Longest time from SIGTERM to a daemon's end; 0: 450. */
-  double rate;    /**< Rate and burst of organisation "beta"; 0: 10000. */
+  int sync_replicas; /**< Of each service; the stand-in does not wait. */
+  int lag_ms;        /**< Replication lag of the databases. */
+  int promote_ms;    /**< Time until a promotion takes effect; 0: 200. */
+  int grace_ms; /**< Longest time from SIGTERM to a daemon's end; 0: 450. */
+  double rate;  /**< Rate and burst of organisation "beta"; 0: 10000. */
   /** Number of daemons on large VMs; those after them are on small ones; 0:
    * all are on large VMs. */
   int large;
