tests: the scripted member of a fleet in a file of its own

Cause: tests of the identity of transactions need a member whose messages come in any order, which test_sessiond.c has for itself.

--- a/tests/test_sessiond.c
+++ b/tests/test_sessiond.c
@@ -1,8 +1,7 @@
 /** Tests of session daemons that run as processes with the stand-in of the
  * platform. */
-#include "net/bus.h"
-#include "session/packet.h"
 #include "tests/loop.h"
+#include "tests/scripted_member.h"
 #include "tests/site_fleet.h"
 #include "tests/soak/proxy.h"
 #include "tests/tests.h"
@@ -2247,108 +2246,6 @@
   talloc_free (s);
 }
 
-/** A member of the fleet that has no process: the test sends its packets. */
-struct scripted_member
-{
-  struct tevent_context *ev;
-  struct bus *bus;
-  char address[64]; /**< Address of the daemon that gets the packets. */
-  uint64_t incarnation;
-  uint64_t first_sequence; /**< First statement of this incarnation. */
-  int results;             /**< Number of results received. */
-  /** Number of results that were sent to this incarnation, for its own
-   * statements and for those of the one before it. */
-  int own_results, foreign_results;
-};
-
-static void
-count_result (void *data, struct bstr bytes)
-{
-  struct scripted_member *d = data;
-  void *scratch = talloc_new (NULL);
-  struct packet *m = talloc_zero (scratch, struct packet);
-  bool is_result
-      = packet_decode (scratch, bytes, m) && m->kind == PACKET_RESULT;
-  d->results += is_result;
-  if (is_result && m->sender.receiver_incarnation == d->incarnation)
-    {
-      bool is_own = m->result.sequence >= d->first_sequence;
-      d->own_results += is_own;
-      d->foreign_results += !is_own;
-    }
-  talloc_free (scratch);
-}
-
-static void
-send_as_member (struct scripted_member *d, struct packet *m)
-{
-  void *scratch = talloc_new (NULL);
-  m->sender = (struct packet_sender){ .member = 77,
-                                      .incarnation = d->incarnation,
-                                      .stamp = clock_now () };
-  bus_send (d->bus, d->address, packet_encode (scratch, m));
-  talloc_free (scratch);
-}
-
-static void
-send_first_heartbeat (struct scripted_member *d)
-{
-  struct packet m = { .kind = PACKET_HEARTBEAT };
-  m.heartbeat.name = bstr_from ("played");
-  m.heartbeat.address = bstr_from (bus_address (d->bus));
-  m.heartbeat.failure_domain = bstr_from ("zone-a");
-  m.heartbeat.capacity = 1000;
-  send_as_member (d, &m);
-}
-
-/* Join the fleet as a member that sends its packets to daemon 0. */
-static void
-join_fleet (struct sessiond_site *s, struct scripted_member *d)
-{
-  struct error err = { 0 };
-  d->ev = tevent_context_init (s);
-  d->incarnation = 1;
-  d->bus = bus_create (s,
-                       &(struct bus_options){ .ev = d->ev,
-                                              .address = "tcp://127.0.0.1:*",
-                                              .max_message = PACKET_MAX_BYTES,
-                                              .received = count_result,
-                                              .data = d },
-                       &err);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (d->bus);
-  snprintf (d->address, sizeof d->address, "tcp://127.0.0.1:%d",
-            sessiond_site_port (s, 0) + 3);
-  send_first_heartbeat (d);
-}
-
-static void
-send_statement (struct scripted_member *d, enum statement_verb verb,
-                const char *text, uint64_t sequence)
-{
-  struct packet m = { .kind = PACKET_STATEMENT };
-  struct bstr empty = { "", 0 };
-  char id[24];
-  snprintf (id, sizeof id, "%da2b", (int)d->incarnation);
-  m.statement = (struct packet_statement){
-    .session = 1,
-    .sequence = sequence,
-    .service = bstr_from ("ledger-1"),
-    .organisation = bstr_from ("alpha"),
-    .organisation_id = model_id (bstr_from ("alpha")),
-    .kind = ROUTE_PRIMARY,
-    .timeout_ms = 800,
-    .target_ms = 200,
-    .idle_transaction_ms = 3000,
-    .verb = verb,
-    .is_read = verb == VERB_READ,
-    .id = bstr_from (id),
-    .text = bstr_from (text),
-    .shape = empty,
-    .arguments = empty,
-  };
-  send_as_member (d, &m);
-}
-
 static bool
 has_results (const void *data)
 {
@@ -2365,11 +2262,17 @@
       NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   struct scripted_member d = { 0 };
-  join_fleet (s, &d);
+  CU_ASSERT_TRUE_FATAL (scripted_member_join (s, &d));
   for (uint64_t i = 0; i < 10; i++)
     {
-      send_statement (&d, VERB_BEGIN, "BEGIN", 2 * i + 1);
-      send_statement (&d, VERB_READ, "READ item", 2 * i + 2);
+      scripted_member_send (
+          &d, &(struct scripted_statement){ .verb = VERB_BEGIN,
+                                            .text = "BEGIN",
+                                            .sequence = 2 * i + 1 });
+      scripted_member_send (
+          &d, &(struct scripted_statement){ .verb = VERB_READ,
+                                            .text = "READ item",
+                                            .sequence = 2 * i + 2 });
     }
   loop_run (d.ev, 600, has_results, &d);
   CU_ASSERT_TRUE (d.results >= 10);
@@ -2393,13 +2296,18 @@
       NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
   struct scripted_member d = { 0 };
-  join_fleet (s, &d);
+  CU_ASSERT_TRUE_FATAL (scripted_member_join (s, &d));
   for (uint64_t i = 1; i <= STATEMENTS; i++)
-    send_statement (&d, VERB_READ, "READ item", i);
+    scripted_member_send (
+        &d, &(struct scripted_statement){
+                .verb = VERB_READ, .text = "READ item", .sequence = i });
   d.incarnation = 2;
   d.first_sequence = STATEMENTS + 1;
-  send_first_heartbeat (&d);
-  send_statement (&d, VERB_READ, "READ item", d.first_sequence);
+  scripted_member_start (&d);
+  scripted_member_send (
+      &d, &(struct scripted_statement){ .verb = VERB_READ,
+                                        .text = "READ item",
+                                        .sequence = d.first_sequence });
   loop_run (d.ev, 1500, has_results, &d);
   CU_ASSERT_EQUAL (d.foreign_results, 0);
   CU_ASSERT_TRUE (d.own_results > 0);
@@ -2417,21 +2325,10 @@
 {
   struct sessiond_site *s = sessiond_site_start (
       NULL, &(struct sessiond_site_options){ .daemons = 2, .services = 1 });
-  struct error err = { 0 };
   unsigned seed = 11;
   CU_ASSERT_PTR_NOT_NULL_FATAL (s);
-  struct scripted_member d = { .ev = tevent_context_init (s) };
-  d.bus = bus_create (s,
-                      &(struct bus_options){ .ev = d.ev,
-                                             .address = "tcp://127.0.0.1:*",
-                                             .max_message = PACKET_MAX_BYTES,
-                                             .send_queue = 4000,
-                                             .received = count_result,
-                                             .data = &d },
-                      &err);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (d.bus);
-  snprintf (d.address, sizeof d.address, "tcp://127.0.0.1:%d",
-            sessiond_site_port (s, 0) + 3);
+  struct scripted_member d = { 0 };
+  CU_ASSERT_TRUE_FATAL (scripted_member_listen (s, &d, 4000));
   for (int kind = 0; kind < PACKET_KIND_COUNT; kind++)
     {
       struct packet *m = talloc_zero (s, struct packet);
