service: a statement runs in the transaction whose number it has

Cause: the owner found a transaction by its session only. A BEGIN that was dropped by its age left the statement behind it to whatever was open, and a BEGIN that came again ended what was open and opened another transaction. Change: the entry daemon numbers the transactions of a session, and each statement carries the number. The owner runs a statement in the transaction with its number or answers ABORTED at once; a BEGIN that comes again opens nothing; a statement of a later one ends what was left open. Messages between daemons have version 7. Evidence: suite transactions, on the code before: left_transaction_takes_no_later_statement fails in 4 of 4 runs (the COMMIT succeeds and the left write is kept), repeated_begin_opens_no_transaction fails (the statement behind a second BEGIN runs on another connection, one of an earlier transaction runs).

--- a/session/callers.c
+++ b/session/callers.c
@@ -97,6 +97,8 @@
   struct stream *stream;
   uint64_t number;   /**< Session number, unique in this process. */
   uint64_t sequence; /**< Number of the newest statement sent to an owner. */
+  /** Number of the session's newest transaction; 0: there was none. */
+  uint64_t transaction;
   struct session *session;
   bool is_started; /**< The caller's database and key were accepted. */
   /** Until when START waits for the first configuration; 0: it does not
@@ -680,6 +682,7 @@
   w->message.kind = PACKET_STATEMENT;
   w->message.statement = (struct packet_statement){
     .session = c->number,
+    .transaction = c->transaction,
     .service = c->route.service,
     .organisation = c->organisation,
     .organisation_id = c->organisation_id,
@@ -930,6 +933,7 @@
       answer_error (c, step.outcome, "not possible in this state", 0);
       break;
     case SESSION_OPEN:
+      c->transaction++;
       c->transaction_member = 0;
       forward_statement (c, statement, request->id, &step);
       answer_complete (c);
--- a/session/packet.c
+++ b/session/packet.c
@@ -13,7 +13,7 @@
 #define HEARTBEAT_FIELDS 19
 
 /* Version of the message format; messages of other versions are dropped. */
-#define PACKET_VERSION 6
+#define PACKET_VERSION 7
 /* Maximum capacity of a VM, thousandths of a core. */
 #define MAX_CAPACITY_MILLICORES 1000000
 
@@ -225,9 +225,10 @@
                    | (s->for_reader ? FLAG_FOR_READER : 0)
                    | (s->is_counted ? FLAG_IS_COUNTED : 0)
                    | (s->is_repeat ? FLAG_IS_REPEAT : 0);
-  pack_array (p, 20);
+  pack_array (p, 21);
   pack_uint (p, s->session);
   pack_uint (p, s->sequence);
+  pack_uint (p, s->transaction);
   pack_bstr (p, s->service);
   pack_bstr (p, s->organisation);
   pack_uint (p, s->organisation_id);
@@ -257,9 +258,10 @@
 static bool
 unpack_statement (void *parent, struct unpack *u, struct packet_statement *s)
 {
-  unpack_array (u, 20);
+  unpack_array (u, 21);
   s->session = unpack_uint (u);
   s->sequence = unpack_uint (u);
+  s->transaction = unpack_uint (u);
   s->service = unpack_string (parent, u);
   s->organisation = unpack_string (parent, u);
   s->organisation_id = unpack_uint (u);
--- a/session/packet.h
+++ b/session/packet.h
@@ -111,6 +111,11 @@
 {
   uint64_t session;  /**< Session number, unique at the sender. */
   uint64_t sequence; /**< Number of the statement in the session. */
+  /** Number of the session's newest transaction, from 1; 0: there was none.
+   * A BEGIN opens this transaction, also when it is sent again, and a
+   * statement with in_transaction runs in no other one.  Any other statement
+   * shows that the transaction has ended for the caller. */
+  uint64_t transaction;
   struct bstr service;
   struct bstr organisation;
   uint64_t organisation_id; /**< 0: the route is public. */
--- a/session/service.c
+++ b/session/service.c
@@ -201,6 +201,8 @@
   t->member = ps->message->sender.member;
   t->incarnation = ps->message->sender.incarnation;
   t->session = ps->statement->session;
+  t->number = ps->statement->transaction;
+  t->begin = ps;
   t->reads_only = ps->statement->is_read;
   t->idle_ms = ps->statement->idle_transaction_ms;
   t->last_used = clock_now ();
@@ -585,6 +587,7 @@
   if (ps->statement->verb == VERB_BEGIN && ok)
     {
       t->pooled_link = p;
+      t->begin = NULL;
       deliver_answer (ps, answer);
       run_waiting_statement (t);
       return;
@@ -973,6 +976,42 @@
     run_on_link (ps, t->pooled_link, (struct position){ 0, 0 });
 }
 
+/* Answer a BEGIN that was sent again: its transaction goes on. */
+static void
+repeat_begin (struct transaction *t, struct pending_statement *ps)
+{
+  const struct packet_statement *m = ps->statement;
+  struct packet_result opened = { .outcome = OUTCOME_OK };
+  sessiond_log_request (PART,
+                        "event=begin_repeated id=%s service=%s"
+                        " session=%" PRIu64 " transaction=%" PRIu64 " open=%d",
+                        LOG_TEXT (m->id), t->service->name, t->session,
+                        t->number, t->begin == NULL);
+  copy_session_values (t, m);
+  t->last_used = ps->arrived_at;
+  if (t->begin == NULL)
+    {
+      service_send_result (ps, &opened);
+      return;
+    }
+  /* The entry daemon waits for the answer to the newest copy. */
+  t->begin->statement->sequence = m->sequence;
+  talloc_free (ps);
+}
+
+/* End a transaction that is over for its caller, as a later statement of the
+   session shows: its end did not arrive. */
+static void
+end_left_transaction (struct transaction *t, const struct packet_statement *m)
+{
+  sessiond_log_request (PART,
+                        "event=transaction_left service=%s session=%" PRIu64
+                        " transaction=%" PRIu64 " newest=%" PRIu64 " id=%s",
+                        t->service->name, t->session, t->number,
+                        m->transaction, LOG_TEXT (m->id));
+  service_abort_transaction (t);
+}
+
 static struct pending_statement *
 create_statement (struct service *s, struct packet *m)
 {
@@ -992,23 +1031,36 @@
   struct pending_statement *ps = create_statement (s, m);
   struct transaction *t
       = service_find_transaction (s, m, m->statement.session);
-  if (ps->statement->in_transaction)
+  uint64_t number = ps->statement->transaction;
+  bool is_begin = ps->statement->verb == VERB_BEGIN;
+  bool is_same = t != NULL && t->number == number;
+  if (is_same && ps->statement->in_transaction)
     {
-      if (t != NULL)
-        continue_transaction (t, ps);
-      else
-        service_refuse (ps, OUTCOME_ABORTED, "the transaction is gone", 0);
+      continue_transaction (t, ps);
+      return;
+    }
+  if (is_same && is_begin)
+    {
+      repeat_begin (t, ps);
+      return;
+    }
+  if (t != NULL && t->number <= number)
+    {
+      end_left_transaction (t, ps->statement);
+      t = NULL;
+    }
+  if (ps->statement->in_transaction || (is_begin && t != NULL))
+    {
+      service_refuse (ps, OUTCOME_ABORTED, "the transaction is gone", 0);
       return;
     }
-  if (t != NULL)
-    service_abort_transaction (t);
   if (s->phase == SERVICE_NOT_OWNED || s->releasing || !service_is_owned (s))
     {
       struct packet_result r = { .moved = true };
       service_send_result (ps, &r);
       return;
     }
-  if (ps->statement->verb == VERB_BEGIN)
+  if (is_begin)
     {
       ps->transaction = create_transaction (ps);
       copy_session_values (ps->transaction, ps->statement);
--- a/session/service.h
+++ b/session/service.h
@@ -154,7 +154,9 @@
                            to. */
   uint64_t incarnation; /**< Incarnation of the entry daemon. */
   uint64_t session;     /**< Number of the session at the entry daemon. */
+  uint64_t number;      /**< Number of the transaction in the session. */
   struct pooled_link *pooled_link; /**< NULL until BEGIN is answered. */
+  struct pending_statement *begin; /**< BEGIN; NULL once it is answered. */
   struct pending_statement
       *waiting; /**< Statement that arrived before BEGIN was answered. */
   struct session_value *values; /**< Session values of the caller. */
--- a/tests/scripted_member.c
+++ b/tests/scripted_member.c
@@ -89,6 +89,7 @@
   m.statement = (struct packet_statement){
     .session = 1,
     .sequence = statement->sequence,
+    .transaction = statement->transaction,
     .service = bstr_from ("ledger-1"),
     .organisation = bstr_from ("alpha"),
     .organisation_id = model_id (bstr_from ("alpha")),
--- a/tests/scripted_member.h
+++ b/tests/scripted_member.h
@@ -35,6 +35,7 @@
   const char *text;
   const char *id; /**< NULL: one that tells the incarnation. */
   uint64_t sequence;
+  uint64_t transaction; /**< See struct packet_statement. */
   bool in_transaction;
 };
 
--- a/tests/test_transactions.c
+++ b/tests/test_transactions.c
@@ -1,5 +1,6 @@
 /** Tests of session daemons as processes: the statements of a session's
  * transactions while the daemons' messages to each other are late or lost. */
+#include "tests/scripted_member.h"
 #include "tests/site_fleet.h"
 #include "tests/soak/proxy.h"
 #include "tests/tests.h"
@@ -9,15 +10,21 @@
 
 /* Time for which the owner receives nothing: a message that is held up for all
    of it is dropped by its age (600 ms), and the leases last longer. */
-#define CUT_MS 700
+#define CUT_MS 650
 /* Time after the beginning of the cut at which the first statement of the
    transaction is sent: it arrives in time. */
-#define STATEMENT_MS 450
+#define STATEMENT_MS 400
 /* The routes of the test allow a statement 1500 ms. */
 #define TIMEOUT_MS 1500
 /* Time that the database needs for the write or COMMIT which is outstanding
    when the BEGIN times out at the entry daemon. */
 #define SLOW_MS 1200
+/* Time for the result of a statement that nothing holds up. */
+#define ANSWER_MS 1000
+/* Time in which heartbeats have passed again. */
+#define HEARD_MS 500
+/* Id of the statement that is sent behind a lost BEGIN. */
+#define LOST_ID "0000000a00000001"
 
 /** Several daemons, with proxies between them, and a session at a daemon that
  * does not own its service. */
@@ -29,6 +36,13 @@
   int owner; /**< Daemon that owns the service. */
 };
 
+/* @return the daemon of the caller. */
+static int
+entry_of (const struct fixture *f)
+{
+  return (f->owner + 1) % 3;
+}
+
 static void
 set_up (struct fixture *f)
 {
@@ -42,32 +56,39 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (f->site);
   sessiond_site_most_owned (f->site, &f->owner);
   CU_ASSERT_FATAL (f->owner >= 0);
-  f->caller
-      = line_open (f->site, sessiond_site_port (f->site, (f->owner + 1) % 3));
+  f->caller = line_open (f->site, sessiond_site_port (f->site, entry_of (f)));
   CU_ASSERT_PTR_NOT_NULL_FATAL (f->caller);
   CU_ASSERT_TRUE_FATAL (line_start (f->caller, "main1", "key-a1", &a));
 }
 
-/* Begin a transaction whose BEGIN the owner drops, and roll it back once its
-   first statement is refused.
+/* Begin a transaction whose BEGIN the owner drops by its age, and send its
+   first statement, which is younger, with the id LOST_ID.
    @return the time of the BEGIN. */
 static int64_t
-lose_begin (struct fixture *f)
+begin_in_vain (struct fixture *f)
 {
   struct line_answer a;
   proxy_set_fault (f->proxy, f->owner, PROXY_CUT_FORWARD, 0);
   int64_t begun = sessiond_site_now_ms ();
   CU_ASSERT_TRUE (line_query (f->caller, &a, "BEGIN"));
   usleep (STATEMENT_MS * 1000);
-  CU_ASSERT_TRUE (
-      line_send (f->caller, "QUERY 0000000a00000001 WRITE one x\r\n"));
+  CU_ASSERT_TRUE (line_send (f->caller, "QUERY " LOST_ID " WRITE one x\r\n"));
   usleep ((CUT_MS - STATEMENT_MS) * 1000);
   proxy_set_fault (f->proxy, f->owner, PROXY_PASS, 0);
   CU_ASSERT_EQUAL (line_count_answers (f->caller, 1), 1);
   CU_ASSERT_TRUE (sessiond_site_now_ms () - begun < TIMEOUT_MS);
+  return begun;
+}
+
+/* As begin_in_vain, and roll the transaction back. */
+static int64_t
+lose_begin (struct fixture *f)
+{
+  struct line_answer a;
+  int64_t begun = begin_in_vain (f);
   CU_ASSERT_TRUE (line_query (f->caller, &a, "ROLLBACK"));
   CU_ASSERT_EQUAL (a.state, 'I');
-  CU_ASSERT_EQUAL (sessiond_site_committed (f->site, "0000000a00000001"), 0);
+  CU_ASSERT_EQUAL (sessiond_site_committed (f->site, LOST_ID), 0);
   return begun;
 }
 
@@ -119,11 +140,120 @@
   talloc_free (f.site);
 }
 
+/* Begin a transaction, write in it, and lose its next answer, so that the
+   caller is told ABORTED and rolls it back while the owner still has it.
+   @param kept id of the write. */
+static void
+leave_transaction (struct fixture *f, char kept[24])
+{
+  struct line_answer a;
+  CU_ASSERT_TRUE (line_query (f->caller, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (f->caller, &a, "WRITE left x"));
+  snprintf (kept, 24, "%s", a.id);
+  proxy_set_fault (f->proxy, entry_of (f), PROXY_CUT_FORWARD, 0);
+  CU_ASSERT_FALSE (line_query (f->caller, &a, "WRITE left y"));
+  CU_ASSERT_STRING_EQUAL (a.code, "ABORTED");
+  proxy_set_fault (f->proxy, entry_of (f), PROXY_PASS, 0);
+  CU_ASSERT_TRUE (line_query (f->caller, &a, "ROLLBACK"));
+  usleep (HEARD_MS * 1000);
+}
+
+/* Guards against a commit of writes that the caller was told are not kept: the
+   owner still has an earlier transaction of the session, drops the BEGIN of
+   the next one, and runs the statement behind it in the earlier one. */
+static void
+left_transaction_takes_no_later_statement (void)
+{
+  struct fixture f;
+  struct line_answer a;
+  char left[24];
+  set_up (&f);
+  leave_transaction (&f, left);
+  begin_in_vain (&f);
+  CU_ASSERT_FALSE (line_query (f.caller, &a, "COMMIT"));
+  CU_ASSERT_EQUAL (sessiond_site_committed (f.site, left), 0);
+  CU_ASSERT_EQUAL (sessiond_site_committed (f.site, LOST_ID), 0);
+  CU_ASSERT_TRUE (line_query (f.caller, &a, "BEGIN"));
+  CU_ASSERT_TRUE (line_query (f.caller, &a, "WRITE left z"));
+  CU_ASSERT_TRUE (line_query (f.caller, &a, "COMMIT"));
+  talloc_free (f.site);
+}
+
+/* Send a statement of a transaction, and wait for its result.
+   @return whether it succeeded. */
+static bool
+run_scripted (struct scripted_member *d, enum statement_verb verb,
+              const char *text, const char *id, uint64_t transaction)
+{
+  uint64_t sequence = ++d->first_sequence;
+  scripted_member_send (
+      d, &(struct scripted_statement){ .verb = verb,
+                                       .text = text,
+                                       .id = id,
+                                       .sequence = sequence,
+                                       .transaction = transaction,
+                                       .in_transaction = verb != VERB_BEGIN });
+  return scripted_member_await (d, sequence, ANSWER_MS)
+         && d->outcomes[sequence] == OUTCOME_OK;
+}
+
+/* @return the number of the database connection that ran a statement, -1 if
+   none did. */
+static int
+connection_of (struct sessiond_site *s, const char *id)
+{
+  json_t *observed = sessiond_site_observed (s);
+  const json_t *run = sessiond_site_run (observed, id);
+  int number
+      = run != NULL
+            ? (int)json_integer_value (json_object_get (run, "connection"))
+            : -1;
+  json_decref (observed);
+  return number;
+}
+
+/* Guards against an owner that opens a second transaction for a BEGIN that
+   comes again, runs the rest of the first one in it, and runs statements that
+   belong to neither. */
+static void
+repeated_begin_opens_no_transaction (void)
+{
+  struct sessiond_site *s = sessiond_site_start (
+      NULL, &(struct sessiond_site_options){ .daemons = 1, .services = 1 });
+  struct scripted_member d = { 0 };
+  CU_ASSERT_PTR_NOT_NULL_FATAL (s);
+  CU_ASSERT_TRUE_FATAL (scripted_member_join (s, &d));
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_BEGIN, "BEGIN", "a1", 1));
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_WRITE, "WRITE one x", "a2", 1));
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_BEGIN, "BEGIN", "a1", 1));
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_WRITE, "WRITE two x", "a3", 1));
+  CU_ASSERT_EQUAL (connection_of (s, "a2"), connection_of (s, "a3"));
+  /* The statement of an earlier transaction, and its BEGIN, end nothing. */
+  CU_ASSERT_FALSE (run_scripted (&d, VERB_WRITE, "WRITE six x", "a4", 0));
+  CU_ASSERT_FALSE (run_scripted (&d, VERB_BEGIN, "BEGIN", "a5", 0));
+  CU_ASSERT_EQUAL (connection_of (s, "a4"), -1);
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_COMMIT, "COMMIT", "a6", 1));
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, "a2"), 1);
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, "a3"), 1);
+  /* The statement of a later one ends what is open. */
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_BEGIN, "BEGIN", "b1", 2));
+  CU_ASSERT_TRUE (run_scripted (&d, VERB_WRITE, "WRITE one y", "b2", 2));
+  CU_ASSERT_FALSE (run_scripted (&d, VERB_WRITE, "WRITE two y", "b3", 3));
+  CU_ASSERT_FALSE (run_scripted (&d, VERB_COMMIT, "COMMIT", "b4", 2));
+  CU_ASSERT_EQUAL (sessiond_site_committed (s, "b2"), 0);
+  CU_ASSERT_EQUAL (connection_of (s, "b3"), -1);
+  talloc_free (s);
+}
+
 static const struct test_case cases[] = {
   { "lost_begin_fails_no_later_statement",
     lost_begin_fails_no_later_statement },
   { "lost_begin_ends_no_later_transaction",
     lost_begin_ends_no_later_transaction },
+  { "left_transaction_takes_no_later_statement",
+    left_transaction_takes_no_later_statement },
+  { "repeated_begin_opens_no_transaction",
+    repeated_begin_opens_no_transaction },
   { NULL, NULL },
 };
 
