callers: a BEGIN is not sent again behind a statement of its transaction

Cause: BEGIN READ was taken for a read outside of transactions, which may be sent again at any time. When its owner was silent for a moment, it was sent again although the first statement was at the owner and its result arrived; the owner opened another transaction for it, and the rest ran there. Change: once a statement was sent behind a BEGIN, both belong to their receiver. The entry daemon waits as long as before, and goes on when the receiver is heard again; if that was restarted or another daemon owns the service, it answers ABORTED at once.

--- a/session/callers.c
+++ b/session/callers.c
@@ -434,6 +434,32 @@
          && s->kind != ROUTE_PRIMARY && s->stale_ms > 0;
 }
 
+/* @return whether a statement of the transaction was sent behind its BEGIN.
+   The transaction then runs at the receiver of both or nowhere, and the BEGIN
+   is not sent again: the receiver may have run the statement, and may have
+   ended the transaction since. */
+static bool
+has_sent_statement (const struct forwarded_statement *begin)
+{
+  return begin->next != NULL && begin->next->member != 0;
+}
+
+/* Wait for the results of a BEGIN and the statement behind it again, as their
+   receiver, which was silent, is heard.
+   @return false if it is not heard. */
+static bool
+resume_transaction (struct forwarded_statement *begin)
+{
+  struct caller *c = begin->caller;
+  if (fleet_live_incarnation (c->callers->sessiond->fleet,
+                              c->transaction_member)
+      != c->transaction_incarnation)
+    return false;
+  begin->member = c->transaction_member;
+  begin->incarnation = c->transaction_incarnation;
+  return true;
+}
+
 /* Send the statement to the owner of its service or to a reader, or within a
    transaction to the member that runs the transaction.
    @return false if that member is not known or not alive. */
@@ -441,6 +467,8 @@
 send_to_owner (struct forwarded_statement *w)
 {
   struct caller *c = w->caller;
+  if (w->is_begin && has_sent_statement (w))
+    return resume_transaction (w);
   struct fleet *fleet = c->callers->sessiond->fleet;
   uint64_t member = w->message.statement.in_transaction
                         ? c->transaction_member
@@ -605,12 +633,28 @@
 {
   const struct packet_statement *s = &w->message.statement;
   bool is_read = s->is_read && !s->in_transaction;
-  if (may_resend && (is_read || (w->is_begin && w->next == NULL)))
+  if (may_resend && (is_read || (w->is_begin && !has_sent_statement (w))))
     w->member = 0;
   else
     fail_unknown (w, reason);
 }
 
+/* @return whether the receiver of a BEGIN and the statement behind it has
+   ended the transaction: it was restarted, or another member owns the
+   service. */
+static bool
+receiver_has_ended_transaction (const struct forwarded_statement *begin)
+{
+  const struct caller *c = begin->caller;
+  struct fleet *fleet = c->callers->sessiond->fleet;
+  uint64_t owner
+      = fleet_owner (fleet, model_id (begin->message.statement.service));
+  uint64_t incarnation = fleet_live_incarnation (fleet, c->transaction_member);
+  return incarnation != c->transaction_incarnation
+         && (incarnation != 0
+             || (owner != 0 && owner != c->transaction_member));
+}
+
 /* Send a statement that waits for an owner, or fail one that has timed out or
    whose owner is gone. */
 static void
@@ -628,6 +672,12 @@
                            false);
       return;
     }
+  if (w->is_begin && has_sent_statement (w)
+      && receiver_has_ended_transaction (w))
+    {
+      fail_unknown (w, "the owner of the service is gone");
+      return;
+    }
   if (w->wait.is_waiting || send_to_owner (w))
     return;
   if (c->callers->waiting != NULL && !w->message.statement.in_transaction)
--- a/tests/test_transactions.c
+++ b/tests/test_transactions.c
@@ -23,6 +23,17 @@
 #define ANSWER_MS 1000
 /* Time in which heartbeats have passed again. */
 #define HEARD_MS 500
+/* Time for which a daemon hears nothing until it takes the others for gone
+   (650 ms), with some to spare. */
+#define SILENT_MS 800
+/* Delay of messages that are not dropped by their age. */
+#define DELAY_MS 400
+/* Time after which an idle transaction is ended, less than that delay. */
+#define IDLE_MS 200
+/* Time-out of statements that wait for their owner. */
+#define PATIENT_MS 4000
+/* Id of the first statement of a reading transaction. */
+#define FIRST_READ_ID "0000000a00000002"
 /* Id of the statement that is sent behind a lost BEGIN. */
 #define LOST_ID "0000000a00000001"
 
@@ -43,14 +54,16 @@
   return (f->owner + 1) % 3;
 }
 
+/* @param settings of the daemons; NULL: those of the tests. */
 static void
-set_up (struct fixture *f)
+set_up_with (struct fixture *f, const char *settings)
 {
   struct line_answer a;
   f->site = sessiond_site_start (NULL,
                                  &(struct sessiond_site_options){
                                      .daemons = 3,
                                      .services = 1,
+                                     .settings = settings,
                                      .prepare = sessiond_site_add_bus_proxies,
                                      .data = &f->proxy });
   CU_ASSERT_PTR_NOT_NULL_FATAL (f->site);
@@ -61,6 +74,12 @@
   CU_ASSERT_TRUE_FATAL (line_start (f->caller, "main1", "key-a1", &a));
 }
 
+static void
+set_up (struct fixture *f)
+{
+  set_up_with (f, NULL);
+}
+
 /* Begin a transaction whose BEGIN the owner drops by its age, and send its
    first statement, which is younger, with the id LOST_ID.
    @return the time of the BEGIN. */
@@ -179,6 +198,89 @@
   talloc_free (f.site);
 }
 
+/* @return the number of the database connection that ran a statement, -1 if
+   none did. */
+static int
+connection_of (struct sessiond_site *s, const char *id)
+{
+  json_t *observed = sessiond_site_observed (s);
+  const json_t *run = sessiond_site_run (observed, id);
+  int number
+      = run != NULL
+            ? (int)json_integer_value (json_object_get (run, "connection"))
+            : -1;
+  json_decref (observed);
+  return number;
+}
+
+/* As set_up, with statements that wait at the entry daemon, for so long that
+   none is refused there.
+   @param idle_ms time after which an idle transaction is ended. */
+static void
+set_up_patient (struct fixture *f, int idle_ms)
+{
+  set_up_with (f, "entry_wait = true\n");
+  json_object_set_new (json_object_get (f->site->config, "limits"),
+                       "tx-idle-ms", json_integer (idle_ms));
+  json_t *routes = json_object_get (f->site->config, "routes");
+  for (size_t i = 0; i < json_array_size (routes); i++)
+    json_object_set_new (json_array_get (routes, i), "timeout-ms",
+                         json_integer (PATIENT_MS));
+  CU_ASSERT_TRUE (sessiond_site_configure (f->site));
+  usleep (HEARD_MS * 1000);
+}
+
+/* Begin a reading transaction whose results the entry daemon does not get, so
+   that it takes the owner for gone, and gets once the owner has run the first
+   statement.  What the entry daemon sends meanwhile arrives later. */
+static void
+begin_at_silent_owner (struct fixture *f)
+{
+  struct line_answer a;
+  CU_ASSERT_TRUE (sessiond_site_fault (f->site, "db-1-a", "slow 900 READ"));
+  proxy_set_fault (f->proxy, entry_of (f), PROXY_CUT_FORWARD, 0);
+  CU_ASSERT_TRUE (line_query (f->caller, &a, "BEGIN READ"));
+  CU_ASSERT_TRUE (
+      line_send (f->caller, "QUERY " FIRST_READ_ID " READ one\r\n"));
+  usleep (SILENT_MS * 1000);
+  proxy_set_fault (f->proxy, f->owner, PROXY_DELAY, DELAY_MS);
+  proxy_set_fault (f->proxy, entry_of (f), PROXY_PASS, 0);
+  CU_ASSERT_EQUAL (line_count_answers (f->caller, 1), 1);
+  CU_ASSERT_TRUE (sessiond_site_fault (f->site, "db-1-a", "slow 0 READ"));
+}
+
+/* Guards against a reading transaction that is given up or opened again while
+   it goes on: its owner was silent for a while only. */
+static void
+silent_owner_keeps_its_transaction (void)
+{
+  struct fixture f;
+  struct line_answer a;
+  set_up_patient (&f, PATIENT_MS);
+  begin_at_silent_owner (&f);
+  CU_ASSERT_TRUE (line_query (f.caller, &a, "READ one"));
+  CU_ASSERT_EQUAL (connection_of (f.site, FIRST_READ_ID),
+                   connection_of (f.site, a.id));
+  CU_ASSERT_TRUE (line_query (f.caller, &a, "COMMIT"));
+  talloc_free (f.site);
+}
+
+/* Guards against a transaction that goes on in another one: the entry daemon
+   sends the unanswered BEGIN again although the owner ran the first statement,
+   and the owner has ended the transaction, as it was idle for too long. */
+static void
+ended_transaction_is_not_opened_again (void)
+{
+  struct fixture f;
+  struct line_answer a;
+  set_up_patient (&f, IDLE_MS);
+  begin_at_silent_owner (&f);
+  CU_ASSERT_FALSE (line_query (f.caller, &a, "READ one"));
+  CU_ASSERT_STRING_EQUAL (a.code, "ABORTED");
+  CU_ASSERT_EQUAL (connection_of (f.site, a.id), -1);
+  talloc_free (f.site);
+}
+
 /* Send a statement of a transaction, and wait for its result.
    @return whether it succeeded. */
 static bool
@@ -197,21 +299,6 @@
          && d->outcomes[sequence] == OUTCOME_OK;
 }
 
-/* @return the number of the database connection that ran a statement, -1 if
-   none did. */
-static int
-connection_of (struct sessiond_site *s, const char *id)
-{
-  json_t *observed = sessiond_site_observed (s);
-  const json_t *run = sessiond_site_run (observed, id);
-  int number
-      = run != NULL
-            ? (int)json_integer_value (json_object_get (run, "connection"))
-            : -1;
-  json_decref (observed);
-  return number;
-}
-
 /* Guards against an owner that opens a second transaction for a BEGIN that
    comes again, runs the rest of the first one in it, and runs statements that
    belong to neither. */
@@ -252,6 +339,9 @@
     lost_begin_ends_no_later_transaction },
   { "left_transaction_takes_no_later_statement",
     left_transaction_takes_no_later_statement },
+  { "silent_owner_keeps_its_transaction", silent_owner_keeps_its_transaction },
+  { "ended_transaction_is_not_opened_again",
+    ended_transaction_is_not_opened_again },
   { "repeated_begin_opens_no_transaction",
     repeated_begin_opens_no_transaction },
   { NULL, NULL },
