soak: reading transactions, sessions that go on after ABORTED, one connection

Change: a third of the transactions only read, half of the sessions roll a failed transaction back and go on, and all statements of a transaction that were answered with success must have run on one connection.

--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -34,7 +34,9 @@
 {
   const struct caller_options *o;
   FILE *file;
-  FILE *sent; /**< See caller_options. */
+  FILE *sent;           /**< See caller_options. */
+  char transaction[24]; /**< Id of the open transaction's BEGIN; empty: none
+                           is open. */
   unsigned random_state;
   struct line_caller *line; /**< Current session; NULL: none. */
   int service;              /**< Service of the current session. */
@@ -105,10 +107,11 @@
   if (c->mode.len > 0)
     json_object_set_new (values, "mode", escaped_json (c->mode));
   json_t *sent
-      = json_pack ("{s:s, s:o, s:o, s:o, s:b, s:s, s:o}", "id", a->id, "text",
-                   escaped_json (text), "shape", escaped_json (shape),
-                   "values", values, "ok", a->state != 0 && a->code[0] == '\0',
-                   "signature", a->signature, "rows", rows);
+      = json_pack ("{s:s, s:s, s:o, s:o, s:o, s:b, s:s, s:o}", "id", a->id,
+                   "transaction", c->transaction, "text", escaped_json (text),
+                   "shape", escaped_json (shape), "values", values, "ok",
+                   a->state != 0 && a->code[0] == '\0', "signature",
+                   a->signature, "rows", rows);
   char *line = json_dumps (sent, JSON_COMPACT);
   fprintf (c->sent, "%s\n", line);
   free (line);
@@ -245,6 +248,17 @@
     end_session (c);
 }
 
+/* Leave a transaction that may have failed: end the session, or roll back and
+   keep it. */
+static void
+leave_transaction (struct caller *c, struct line_answer *a)
+{
+  if (a->state == 'E' && random_below (c, 2) == 0)
+    line_query (c->line, a, "ROLLBACK");
+  if (a->state != 'I')
+    end_session (c);
+}
+
 /* Run a transaction that ends with COMMIT, with ROLLBACK or with the end of
    the session.  All its writes have the outcome of the COMMIT, and are not
    committed if the transaction does not get that far. */
@@ -256,12 +270,14 @@
   int count = 0,
       statements = 1 + (int)random_below (c, MAX_TRANSACTION_STATEMENTS);
   bool rolls_back = random_below (c, 5) == 0;
+  bool only_reads = random_below (c, 3) == 0;
   enum caller_outcome outcome = CALLER_NOT_COMMITTED;
-  if (!line_query (c->line, &a, "BEGIN"))
+  if (!line_query (c->line, &a, only_reads ? "BEGIN READ" : "BEGIN"))
     goto done;
+  snprintf (c->transaction, sizeof c->transaction, "%s", a.id);
   for (int i = 0; i < statements && a.state == 'T'; i++)
     {
-      bool is_write = random_below (c, 2) == 0;
+      bool is_write = !only_reads && random_below (c, 2) == 0;
       struct caller_record r = run_statement (c, is_write, &a);
       if (is_write)
         writes[count++] = r;
@@ -289,8 +305,9 @@
     }
   if (outcome == CALLER_UNKNOWN)
     c->generation++;
-  if (c->line != NULL && a.state != 'I')
-    end_session (c);
+  c->transaction[0] = '\0';
+  if (c->line != NULL)
+    leave_transaction (c, &a);
 }
 
 /* Run random operations until the end time in the options. */
--- a/tests/soak/check.c
+++ b/tests/soak/check.c
@@ -261,12 +261,30 @@
              : NULL;
 }
 
+/* @return whether a run that a caller was told the result of is on the
+   connection of the other statements of its transaction.
+   @param places database and connection of each transaction. */
+static bool
+check_place (const json_t *run, const json_t *sent, json_t *places)
+{
+  const char *transaction = member (sent, "transaction");
+  json_t *place = json_pack ("[O, O]", json_object_get (run, "database"),
+                             json_object_get (run, "connection"));
+  const json_t *first = json_object_get (places, transaction);
+  bool is_same = first == NULL || json_equal (first, place);
+  if (transaction[0] != '\0' && first == NULL)
+    json_object_set (places, transaction, place);
+  json_decref (place);
+  return is_same;
+}
+
 int
 check_statements (const json_t *observed, const char *const *paths, int count)
 {
   json_t *sent = read_sent (paths, count), *run, *one;
   /* Successes that no run has confirmed yet. */
   json_t *unconfirmed = json_object ();
+  json_t *places = json_object ();
   int violations = 0;
   size_t i;
   const char *id;
@@ -290,7 +308,16 @@
         && strcmp (member (run, "signature"), member (one, "signature")) == 0
         && json_equal (json_object_get (run, "rows"),
                        json_object_get (one, "rows")))
-      json_object_del (unconfirmed, id);
+      {
+        if (!check_place (run, one, places))
+          {
+            violations++;
+            printf ("violation: id=%s \"%s\" ran on another connection than "
+                    "its transaction's first statement\n",
+                    id, member (one, "text"));
+          }
+        json_object_del (unconfirmed, id);
+      }
   }
   json_object_foreach (unconfirmed, id, one)
   {
@@ -298,6 +325,7 @@
     printf ("violation: id=%s \"%s\": signature or rows of no run of it\n", id,
             member (one, "text"));
   }
+  json_decref (places);
   json_decref (unconfirmed);
   json_decref (sent);
   return violations;
