--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 260  # limits.memory-mb of the small deployments
+PROMOTE_S = 1.0  # "1,000 ms a promote" (SYSTEM, Databases)
 RESTART_S = 0.5  # "restarted after a short delay" (DEPLOY, Ends)
 STARTED = time.monotonic()
 
@@ -61,9 +62,15 @@
         self.id = f"i-{service}-{number}"
         self.is_primary = number == 0
         self.port = free_ports(1)[0]
-        self.number = 0
+        self.term = 1
+        self.last = (1, 0)  # position of the log's end
         self.log = []  # ids of committed writes
         self.replicas = []
+        self.state, self.sequence = "ready", 1
+        self.born = int(time.time() * 1000)
+        self.writers = set()
+        self.reached = asyncio.Event()  # cleared while it is cut off
+        self.reached.set()
         self.on_run = lambda connection, number, text: None
         self.refuses = lambda verb: None  # code of an error, or None
 
@@ -72,18 +79,40 @@
             self.serve, "127.0.0.1", self.port, limit=1 << 21)
 
     def position(self):
-        return f"1.{self.number}"
+        return "%d.%d" % self.last
 
     def commit(self, ids):
         for number in ids:
             self.log.append(number)
-            self.number += 1
+            self.last = (self.term, self.last[1] + 1)
         for replica in self.replicas:
-            replica.number = self.number
+            replica.log, replica.last = list(self.log), self.last
+
+    def promote(self):
+        """Lead the next term with what was received."""
+        self.term += 1
+        self.is_primary = True
+        for replica in self.replicas:
+            replica.is_primary, replica.term = False, self.term
+            replica.log, replica.last = list(self.log), self.last
+
+    def cut(self):
+        """Answer nobody until heal (): bytes and connections wait."""
+        self.reached.clear()
+
+    def heal(self):
+        self.reached.set()
+
+    async def end(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
 
     async def serve(self, reader, writer):
         pending = []
+        self.writers.add(writer)
         try:
+            await self.reached.wait()
             word, *fields = (await reader.readuntil(b"\r\n"))[:-2].decode().split(" ")
             if word != "START" or fields[0] != self.service or (
                     len(fields) > 2 and fields[2] != self.id):
@@ -97,13 +126,20 @@
                 if word == "RELEASE":
                     return
                 number, _, text = rest.partition(" ")
+                await self.reached.wait()
+                after = None
                 if text.startswith("AFTER "):
-                    text = text.split(" ", 2)[2]
+                    _, after, text = text.split(" ", 2)
+                if after and tuple(map(int, after.split("."))) > self.last:
+                    writer.write(f"ERROR LAGGING {self.id}\r\nREADY {connection.state} "
+                                 f"{self.position()}\r\n".encode())
+                    continue
                 writer.write(self.answer(connection, pending, number, text).encode())
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def answer(self, c, pending, number, text):
@@ -125,7 +161,7 @@
             c.values = {}
         elif verb == "STATUS":
             role = "primary" if self.is_primary else "replica"
-            complete = f"ROW {role} 1 {self.position()} 0 0 0 1\r\n" + complete
+            complete = f"ROW {role} {self.term} {self.position()} 0 0 0 1\r\n" + complete
         elif verb == "BEGIN":
             c.state = "T"
         elif verb == "ROLLBACK":
@@ -150,21 +186,67 @@
         return json.dumps({
             "service": self.service, "address": f"127.0.0.1:{self.port}",
             "zone": "zone-a", "config-version": "v1", "slots": 2,
-            "state": "ready", "cold-left-ms": 0, "sequence": 1,
+            "state": self.state, "cold-left-ms": 0, "sequence": self.sequence,
             "db-role": "primary" if self.is_primary else "replica",
-            "born": int(time.time() * 1000)})
+            "born": self.born})
+
+
+class Duties:
+    """POST /promote of the platform: the database leads PROMOTE_S later."""
+
+    def __init__(self, site):
+        self.site = site
+        self.port = free_ports(1)[0]
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                headers = {k.lower(): v for k, _, v in
+                           (line.partition(": ") for line in head.split("\r\n")[1:])}
+                if "100-continue" in headers.get("expect", ""):
+                    writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                body = json.loads(await reader.readexactly(int(headers.get("content-length", 0))))
+                status = self.order(body, headers) if head.startswith("POST /promote ") else "404 Not Found"
+                writer.write(f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+                             "Content-Length: 2\r\n\r\n{}".encode())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+    def order(self, body, headers):
+        found = [d for d in self.site.databases if d.id == body["id"] and d.service == body["service"]]
+        running = [d for d in found if d.server.is_serving()]
+        note(f"POST /promote {body} by {headers.get('x-duty-holder')} with token {headers.get('x-fence-token')}")
+        if not running:
+            return "409 Conflict"
+        if not running[0].is_primary:
+            asyncio.create_task(self.carry_out(running[0]))
+        return "200 OK"
+
+    async def carry_out(self, database):
+        await asyncio.sleep(PROMOTE_S)
+        if database.is_primary or not database.server.is_serving():
+            return
+        database.promote()
+        self.site.promotions += 1
+        note(f"{database.id} leads term {database.term}")
+        for changed in [database] + database.replicas:
+            if changed.server.is_serving():
+                self.site.publish(changed)
 
 
 class Machine:
     """A machine of the platform with one process of the deploy file.  The
     platform kills it if it exceeds its memory, and restarts it if it ends."""
 
-    def __init__(self, number, store, folder):
+    def __init__(self, number, store, duties, folder):
         self.name = f"front-{number}"
         self.front, self.ready, self.metrics, self.bus = free_ports(4)
         self.path = f"{folder}/{self.name}.toml"
         self.log = open(f"{folder}/{self.name}.log", "w")
-        self.store = store
+        self.store, self.duties = store, duties
         self.ends = []  # reasons of ends without a disruption
         self.peak_mb = 0
         self.start(True)
@@ -179,7 +261,7 @@
                 "{{ip}}:{{internal-ports.1}}": f"127.0.0.1:{self.metrics}",
                 "{{ip}}:{{internal-ports.0}}": f"127.0.0.1:{self.bus}",
                 "{{platform.address|json}}": f'"127.0.0.1:{self.store}"',
-                "{{cloud-api.address|json}}": f'"127.0.0.1:{self.store}"',
+                "{{cloud-api.address|json}}": f'"127.0.0.1:{self.duties}"',
                 "{{bounds.grace-s}}": "6", "{{bounds.drain-ms}}": "7000",
                 "{{#bounds.evacuation-ms}}evacuation_ms = "
                 "{{bounds.evacuation-ms}}{{/bounds.evacuation-ms}}": "",
@@ -294,12 +376,18 @@
         self.process.stdout.readline()
         self.machines = []
         self.databases = []
+        self.promotions = 0
 
     def control(self, body):
         request = urllib.request.Request(f"http://127.0.0.1:{self.store}/control",
                                          json.dumps(body).encode(), method="POST")
         return urllib.request.urlopen(request, timeout=5).status == 200
 
+    def publish(self, database):
+        """Write the entry of a database, as it does itself."""
+        database.sequence += 1
+        self.control({"raw": {"kind": "servers", "name": database.id, "spec": database.entry()}})
+
     async def start(self, machines, services):
         """Start the machines, with a primary route "deskK" for each service
         desk-K of a primary and two replicas; traffic can start afterwards."""
@@ -315,12 +403,14 @@
                          "rate-per-s": 10000, "burst": 10000}]}})
         for k in range(services):
             group = [Database(f"desk-{k}", number) for number in range(3)]
-            group[0].replicas = group[1:]
             for database in group:
+                database.replicas = [other for other in group if other is not database]
                 await database.start()
-                self.control({"raw": {"kind": "servers", "name": database.id, "spec": database.entry()}})
+                self.publish(database)
             self.databases += group
-        self.machines = [Machine(i, self.store, self.folder) for i in range(machines)]
+        duties = Duties(self)
+        await asyncio.start_server(duties.serve, "127.0.0.1", duties.port)
+        self.machines = [Machine(i, self.store, duties.port, self.folder) for i in range(machines)]
         await asyncio.sleep(10)  # "Traffic starts 10 s after the machines do"
 
     def end(self):
@@ -345,6 +435,8 @@
             note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
         site.end()
+        if "LOGS" in os.environ:  # keep what the processes wrote
+            shutil.copytree(temporary, os.environ["LOGS"], dirs_exist_ok=True)
         shutil.rmtree(temporary)
         sys.stdout.flush()
         os._exit(status)  # the other tasks needn't end
