review: a script that cannot start its processes exits with 2

Cause: the stand-in of the store was started outside of the handling of errors. Change: review/lib-3/site3.py only; a case ends after 117 s at the latest.

--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -20,6 +20,7 @@
 PROMOTE_S = 1.0  # "1,000 ms a promote" (SYSTEM, Databases)
 RESTART_S = 0.5  # "restarted after a short delay" (DEPLOY, Ends)
 STARTED = time.monotonic()
+LONGEST_S = 117  # a case that takes longer could not run
 
 record = None
 
@@ -410,7 +411,8 @@
             self.databases += group
         duties = Duties(self)
         await asyncio.start_server(duties.serve, "127.0.0.1", duties.port)
-        self.machines = [Machine(i, self.store, duties.port, self.folder) for i in range(machines)]
+        for i in range(machines):
+            self.machines.append(Machine(i, self.store, duties.port, self.folder))
         await asyncio.sleep(10)  # "Traffic starts 10 s after the machines do"
 
     def end(self):
@@ -426,15 +428,16 @@
     record = open(pathlib.Path(folder) / "record.txt", "w", buffering=1)
 
     async def run():
-        status = 2
+        status, site = 2, None
         temporary = tempfile.mkdtemp(prefix="review-3-")
-        site = Site(temporary)
         try:
-            status = await case(site)
+            site = Site(temporary)
+            status = await asyncio.wait_for(case(site), LONGEST_S)
         except Exception as error:
             note(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
-        site.end()
+        if site is not None:
+            site.end()
         if "LOGS" in os.environ:  # keep what the processes wrote
             shutil.copytree(temporary, os.environ["LOGS"], dirs_exist_ok=True)
         shutil.rmtree(temporary)
